Add build, core libraries, links and HTTP

The daemons need settings, structured logs, failures that carry step and peer, authenticated framed calls between processes, and HTTP.

--- /dev/null
+++ b/cmake/batch.cmake
@@ -0,0 +1,1 @@
+# Targets of this area.
--- /dev/null
+++ b/cmake/core.cmake
@@ -0,0 +1,8 @@
+dogwood_library(core SOURCES error_func.cc log_func.cc text_func.cc
+                LIBS Boost::json easylogging OpenSSL::Crypto Threads::Threads)
+dogwood_library(setting SOURCES setting_func.cc LIBS dogwood_core)
+dogwood_library(wire SOURCES link_codec.cc link_server.cc link_client.cc
+                LIBS dogwood_core PkgConfig::FLATBUFFERS)
+dogwood_library(http SOURCES http_type.cc http_server.cc http_client.cc
+                LIBS dogwood_core Boost::url)
+dogwood_test(core dogwood_core dogwood_setting)
--- /dev/null
+++ b/src/core.h
@@ -0,0 +1,11 @@
+/** Public header of library core: ids, units, failures, logs, hashes. */
+#ifndef SRC_CORE_H_
+#define SRC_CORE_H_
+
+#include "src/error_func.h"
+#include "src/error_type.h"
+#include "src/log_func.h"
+#include "src/text_func.h"
+#include "src/unit_type.h"
+
+#endif  // SRC_CORE_H_
--- /dev/null
+++ b/src/http_client.cc
@@ -0,0 +1,194 @@
+#include "src/http_client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+#include "src/core.h"
+#include "src/http_server.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+/** Bytes read at a time by ReadSome(). */
+constexpr std::size_t kReadBytes = 16UL << 10;
+
+}  // namespace
+
+/** The Beast side of a connection. */
+struct http_connection::state {
+  explicit state(const asio::any_io_executor& executor) : stream(executor) {}
+  beast::tcp_stream stream;   ///< Socket with deadlines.
+  beast::flat_buffer buffer;  ///< Bytes read ahead.
+  std::string peer;           ///< "ip:port".
+  std::optional<http::response_parser<http::buffer_body>> parser;  ///< Answer.
+  bool whole = false;   ///< The answer has been read to its end.
+  bool failed = false;  ///< An operation failed.
+
+  /** Marks the connection as failed and describes why. */
+  auto Fail(const beast::error_code& ec, std::string step, ran_state ran)
+      -> failure {
+    failed = true;
+    stream.close();
+    const bool late = ec == beast::error::timeout;
+    return {
+        .code = late ? error_code::kDeadlineExceeded : error_code::kBadGateway,
+        .message = ec.message(),
+        .ran = ran,
+        .step = std::move(step),
+        .peer = peer};
+  }
+};
+
+http_connection::http_connection(std::shared_ptr<state> s)
+    : state_(std::move(s)) {}
+
+http_connection::~http_connection() = default;
+
+auto http_connection::Connect(tcp::endpoint endpoint, time_point deadline)
+    -> asio::awaitable<outcome<std::unique_ptr<http_connection>>> {
+  auto executor = co_await asio::this_coro::executor;
+  auto s = std::make_shared<state>(executor);
+  s->peer = FormatEndpoint(endpoint);
+  s->stream.expires_at(deadline);
+  auto [ec] = co_await s->stream.async_connect(endpoint, kAwait);
+  if (ec) {
+    auto error = s->Fail(ec, "connect", ran_state::kNo);
+    co_return error;
+  }
+  s->stream.socket().set_option(tcp::no_delay(true), ec);
+  co_return std::unique_ptr<http_connection>(new http_connection(s));
+}
+
+auto http_connection::Send(const http_request& request, time_point deadline)
+    -> asio::awaitable<outcome<void>> {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  for (const auto& field : request.headers.fields) {
+    message.insert(field.name, field.value);
+  }
+  message.set(http::field::host, state_->peer);
+  message.erase(http::field::transfer_encoding);
+  message.body() = request.body;
+  message.prepare_payload();
+  state_->whole = false;
+  state_->parser.emplace();
+  state_->parser->body_limit(boost::none);
+  if (request.method == "HEAD") {
+    state_->parser->skip(true);
+  }
+  state_->stream.expires_at(deadline);
+  auto [ec, n] = co_await http::async_write(state_->stream, message, kAwait);
+  if (ec) {
+    co_return state_->Fail(ec, "send request", ran_state::kMaybe);
+  }
+  co_return outcome<void>();
+}
+
+auto http_connection::ReadHead(time_point deadline)
+    -> asio::awaitable<outcome<http_head>> {
+  state_->stream.expires_at(deadline);
+  auto [ec, n] = co_await http::async_read_header(
+      state_->stream, state_->buffer, *state_->parser, kAwait);
+  if (ec) {
+    co_return state_->Fail(ec, "read head", ran_state::kMaybe);
+  }
+  http_head head;
+  const auto& message = state_->parser->get();
+  head.status = message.result_int();
+  for (const auto& field : message) {
+    head.headers.fields.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  co_return head;
+}
+
+auto http_connection::ReadSome(time_point deadline)
+    -> asio::awaitable<outcome<std::string>> {
+  auto& parser = *state_->parser;
+  while (!parser.is_done()) {
+    std::string data(kReadBytes, '\0');
+    parser.get().body().data = data.data();
+    parser.get().body().size = data.size();
+    state_->stream.expires_at(deadline);
+    auto [ec, n] = co_await http::async_read_some(
+        state_->stream, state_->buffer, parser, kAwait);
+    if (ec && ec != http::error::need_buffer) {
+      co_return state_->Fail(ec, "read body", ran_state::kMaybe);
+    }
+    data.resize(kReadBytes - parser.get().body().size);
+    if (!data.empty()) {
+      co_return data;
+    }
+  }
+  state_->whole = true;
+  co_return std::string();
+}
+
+auto http_connection::CanBeReused() const -> bool {
+  return state_->whole && !state_->failed && state_->parser &&
+         state_->parser->get().keep_alive();
+}
+
+auto http_connection::Abort() -> void {
+  asio::post(state_->stream.get_executor(), [s = state_] {
+    s->failed = true;
+    s->stream.close();
+  });
+}
+
+auto Fetch(tcp::endpoint endpoint,
+           http_request request,
+           time_point deadline,
+           std::size_t max_body) -> asio::awaitable<outcome<http_response>> {
+  auto connection = co_await http_connection::Connect(endpoint, deadline);
+  if (!connection) {
+    co_return connection.error();
+  }
+  auto& conn = *connection.value();
+  auto sent = co_await conn.Send(request, deadline);
+  if (!sent) {
+    co_return sent.error();
+  }
+  auto head = co_await conn.ReadHead(deadline);
+  if (!head) {
+    co_return head.error();
+  }
+  http_response response;
+  response.status = head->status;
+  response.headers = std::move(head->headers);
+  while (true) {
+    auto part = co_await conn.ReadSome(deadline);
+    if (!part) {
+      co_return part.error();
+    }
+    if (part->empty()) {
+      co_return response;
+    }
+    response.body += part.value();
+    if (response.body.size() > max_body) {
+      failure error{.code = error_code::kTooLarge,
+                    .message = "answer is longer than " +
+                               std::to_string(max_body) + " bytes",
+                    .ran = ran_state::kMaybe,
+                    .step = "read body",
+                    .peer = FormatEndpoint(endpoint)};
+      co_return error;
+    }
+  }
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/http_server.cc
@@ -0,0 +1,355 @@
+#include "src/http_server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <utility>
+
+#include "src/core.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+/** Shared by the acceptor and its connections. */
+struct http_server::state {
+  asio::io_context& io;                ///< Runs everything.
+  http_limits limits;                  ///< Limits of each connection.
+  http_handler handler;                ///< Answers requests.
+  tcp::acceptor acceptor;              ///< Listening socket.
+  std::atomic<bool> draining{false};   ///< Answers close connections.
+  std::atomic<std::size_t> active{0};  ///< Requests being answered.
+};
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+/** A failure of the caller's connection. */
+auto CallerFailure(const beast::error_code& ec,
+                   std::string step,
+                   std::string peer) -> failure {
+  return {.code = error_code::kUnavailable,
+          .message = ec.message(),
+          .ran = ran_state::kMaybe,
+          .step = std::move(step),
+          .peer = std::move(peer)};
+}
+
+/** Whether a response of `status` carries no body. */
+auto HasNoBody(unsigned status) -> bool {
+  return status == 204 || status == 304 || status / 100 == 1;
+}
+
+/** The exchange over Beast. */
+class beast_exchange : public http_exchange {
+ public:
+  beast_exchange(beast::tcp_stream& stream,
+                 http_request request,
+                 bool keep_alive,
+                 std::chrono::milliseconds write_limit)
+      : stream_(stream),
+        request_(std::move(request)),
+        keep_alive_(keep_alive),
+        write_limit_(write_limit) {}
+
+  auto Request() const -> const http_request& override { return request_; }
+
+  auto Respond(http_response response)
+      -> asio::awaitable<outcome<void>> override {
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(response.status);
+    for (const auto& field : response.headers.fields) {
+      message.insert(field.name, field.value);
+    }
+    message.keep_alive(keep_alive_);
+    message.body() = std::move(response.body);
+    const bool no_body = HasNoBody(response.status);
+    if (!no_body) {
+      message.prepare_payload();
+    }
+    begun_ = true;
+    http::response_serializer<http::string_body> serializer(message);
+    serializer.split(request_.method == "HEAD" || no_body);
+    stream_.expires_after(write_limit_);
+    beast::error_code ec;
+    if (request_.method == "HEAD" || no_body) {
+      std::tie(ec, std::ignore) =
+          co_await http::async_write_header(stream_, serializer, kAwait);
+    } else {
+      std::tie(ec, std::ignore) =
+          co_await http::async_write(stream_, serializer, kAwait);
+    }
+    if (ec) {
+      co_return CallerFailure(ec, "write answer", request_.peer);
+    }
+    complete_ = true;
+    co_return outcome<void>();
+  }
+
+  auto BeginStream(http_head head) -> asio::awaitable<outcome<void>> override {
+    http::response<http::empty_body> message;
+    message.version(11);
+    message.result(head.status);
+    for (const auto& field : head.headers.fields) {
+      message.insert(field.name, field.value);
+    }
+    message.keep_alive(keep_alive_);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    begun_ = true;
+    stream_.expires_after(write_limit_);
+    auto [ec, n] =
+        co_await http::async_write_header(stream_, serializer, kAwait);
+    if (ec) {
+      co_return CallerFailure(ec, "write head", request_.peer);
+    }
+    co_return outcome<void>();
+  }
+
+  auto WriteChunk(std::string_view data)
+      -> asio::awaitable<outcome<void>> override {
+    auto chunk = http::make_chunk(asio::buffer(data.data(), data.size()));
+    stream_.expires_after(write_limit_);
+    auto [ec, n] = co_await asio::async_write(stream_, chunk, kAwait);
+    if (ec) {
+      co_return CallerFailure(ec, "write chunk", request_.peer);
+    }
+    co_return outcome<void>();
+  }
+
+  auto EndStream() -> asio::awaitable<outcome<void>> override {
+    auto last = http::make_chunk_last();
+    stream_.expires_after(write_limit_);
+    auto [ec, n] = co_await asio::async_write(stream_, last, kAwait);
+    if (ec) {
+      co_return CallerFailure(ec, "write last chunk", request_.peer);
+    }
+    complete_ = true;
+    co_return outcome<void>();
+  }
+
+  auto HasBegun() const -> bool override { return begun_; }
+  /** Whether the next request may be read from the connection. */
+  auto MayContinue() const -> bool { return complete_ && keep_alive_; }
+
+ private:
+  beast::tcp_stream& stream_;
+  http_request request_;
+  bool keep_alive_;
+  std::chrono::milliseconds write_limit_;
+  bool begun_ = false;
+  bool complete_ = false;
+};
+
+/** Copies a parsed request into plain types. */
+auto ToRequest(http::request<http::string_body>& message, std::string peer)
+    -> http_request {
+  http_request request;
+  request.method = message.method_string();
+  request.target = message.target();
+  for (const auto& field : message) {
+    request.headers.fields.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  request.body = std::move(message.body());
+  request.peer = std::move(peer);
+  return request;
+}
+
+/** Answers a request that could not be read, if it is the caller's fault. */
+auto RefuseRequest(beast::tcp_stream& stream,
+                   const beast::error_code& ec,
+                   const std::string& peer,
+                   std::chrono::milliseconds write_limit)
+    -> asio::awaitable<void> {
+  const bool too_large = ec == http::error::body_limit ||
+                         ec == http::error::header_limit ||
+                         ec == http::error::buffer_overflow;
+  const bool is_protocol =
+      ec.category() ==
+      http::make_error_code(http::error::body_limit).category();
+  if (!is_protocol || ec == http::error::end_of_stream ||
+      ec == http::error::partial_message) {
+    co_return;
+  }
+  failure error{
+      .code = too_large ? error_code::kTooLarge : error_code::kBadRequest,
+      .message = ec.message(),
+      .ran = ran_state::kNo,
+      .step = "read request",
+      .peer = peer};
+  beast_exchange exchange(stream, http_request{}, false, write_limit);
+  co_await exchange.RespondFailure(std::move(error));
+}
+
+/** Runs the handler; an exception ends the connection and is logged. */
+auto RunHandler(const http_handler& handler, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  try {
+    co_await handler(exchange);
+  } catch (const std::exception& e) {
+    Log(log_level::kError, log_category::kHttp,
+        {std::string("handler failed: ") + e.what(), "answer request",
+         exchange.Request().peer});
+  }
+}
+
+/** Counts a request as active while it lives. */
+class active_guard {
+ public:
+  explicit active_guard(std::atomic<std::size_t>& count) : count_(count) {
+    ++count_;
+  }
+  active_guard(const active_guard&) = delete;
+  auto operator=(const active_guard&) -> active_guard& = delete;
+  ~active_guard() { --count_; }
+
+ private:
+  std::atomic<std::size_t>& count_;
+};
+
+/** Serves one connection until it ends. */
+template <typename State>
+auto Serve(std::shared_ptr<State> state, tcp::socket accepted)
+    -> asio::awaitable<void> {
+  beast::error_code ec;
+  const auto remote = accepted.remote_endpoint(ec);
+  const auto peer = ec ? std::string("unknown") : FormatEndpoint(remote);
+  accepted.set_option(tcp::no_delay(true), ec);
+  beast::tcp_stream stream(std::move(accepted));
+  beast::flat_buffer buffer;
+  const std::chrono::milliseconds idle(state->limits.idle_ms);
+  while (true) {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(state->limits.header_bytes));
+    parser.body_limit(state->limits.body_bytes);
+    stream.expires_after(idle);
+    auto [read_ec, n] =
+        co_await http::async_read(stream, buffer, parser, kAwait);
+    if (read_ec) {
+      co_await RefuseRequest(stream, read_ec, peer, idle);
+      break;
+    }
+    active_guard guard(state->active);
+    auto message = parser.release();
+    const bool keep_alive = message.keep_alive() && !state->draining;
+    beast_exchange exchange(stream, ToRequest(message, peer), keep_alive, idle);
+    stream.expires_never();
+    co_await RunHandler(state->handler, exchange);
+    if (!exchange.MayContinue()) {
+      break;
+    }
+  }
+  stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+  stream.close();
+}
+
+/** Accepts connections until the acceptor is closed. */
+template <typename State>
+auto AcceptLoop(std::shared_ptr<State> state) -> asio::awaitable<void> {
+  while (state->acceptor.is_open()) {
+    auto strand = asio::make_strand(state->io);
+    auto [ec, socket] = co_await state->acceptor.async_accept(strand, kAwait);
+    if (!ec) {
+      asio::co_spawn(strand, Serve(state, std::move(socket)), asio::detached);
+    }
+  }
+}
+
+}  // namespace
+
+auto http_exchange::RespondFailure(failure error, unsigned retry_after_s)
+    -> asio::awaitable<outcome<void>> {
+  auto response = JsonResponse(HttpStatusOf(error.code),
+                               boost::json::serialize(ToJson(error)));
+  response.headers.Set("Dogwood-Ran", NameOf(error.ran));
+  if (retry_after_s > 0) {
+    response.headers.Set("Retry-After", std::to_string(retry_after_s));
+  }
+  co_return co_await Respond(std::move(response));
+}
+
+http_server::http_server(asio::io_context& io,
+                         http_limits limits,
+                         http_handler handler)
+    : state_(new state{io, limits, std::move(handler),
+                       tcp::acceptor(asio::make_strand(io))}) {}
+
+http_server::~http_server() = default;
+
+auto http_server::Listen(const tcp::endpoint& endpoint) -> outcome<void> {
+  boost::system::error_code ec;
+  auto& acceptor = state_->acceptor;
+  acceptor.open(endpoint.protocol(), ec);
+  if (!ec) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  }
+  if (!ec) {
+    acceptor.bind(endpoint, ec);
+  }
+  if (!ec) {
+    acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return failure{.code = error_code::kUnavailable,
+                   .message = ec.message(),
+                   .step = "listen for HTTP",
+                   .peer = FormatEndpoint(endpoint)};
+  }
+  asio::co_spawn(acceptor.get_executor(), AcceptLoop(state_), asio::detached);
+  return {};
+}
+
+auto http_server::BeginDrain() -> void {
+  state_->draining = true;
+}
+
+auto http_server::StopListening() -> void {
+  asio::post(state_->acceptor.get_executor(), [state = state_] {
+    boost::system::error_code ignored;
+    state->acceptor.close(ignored);
+  });
+}
+
+auto http_server::ActiveRequests() const -> std::size_t {
+  return state_->active;
+}
+
+auto ParseEndpoint(std::string_view text) -> outcome<tcp::endpoint> {
+  const failure bad{.code = error_code::kBadRequest,
+                    .message = "\"" + std::string(text) +
+                               "\" is not an address of the form ip:port",
+                    .step = "parse address",
+                    .peer = ""};
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return bad;
+  }
+  boost::system::error_code ec;
+  const auto address =
+      asio::ip::make_address(std::string(text.substr(0, colon)), ec);
+  std::uint16_t port = 0;
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+  if (ec || parsed.ec != std::errc() || parsed.ptr != end) {
+    return bad;
+  }
+  return tcp::endpoint(address, port);
+}
+
+auto FormatEndpoint(const tcp::endpoint& endpoint) -> std::string {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/link_client.cc
@@ -0,0 +1,201 @@
+#include "src/link_client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "src/core.h"
+#include "src/link_codec.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+/** A call that waits for its answer. */
+struct pending_call {
+  explicit pending_call(const asio::any_io_executor& executor,
+                        time_point deadline)
+      : timer(executor, deadline) {}
+  asio::steady_timer timer;                     ///< Cancelled on an answer.
+  std::optional<outcome<wire_message>> answer;  ///< Set once known.
+};
+
+/** One connection and the calls on it. */
+struct connection {
+  explicit connection(std::shared_ptr<link_channel> c)
+      : channel(std::move(c)), ready(channel->socket().get_executor()) {
+    ready.expires_at(time_point::max());
+  }
+  std::shared_ptr<link_channel> channel;  ///< Frames.
+  asio::steady_timer ready;               ///< Cancelled when connected.
+  bool is_ready = false;                  ///< Handshake has ended.
+  std::optional<failure> broken;          ///< Why it cannot be used.
+  std::map<std::uint64_t, std::shared_ptr<pending_call>> calls;  ///< By id.
+
+  /** Ends the connection and every call on it. */
+  auto Break(const failure& why) -> void {
+    if (!broken) {
+      broken = why;
+    }
+    channel->Close();
+    ready.cancel();
+    for (auto& [id, call] : calls) {
+      if (!call->answer) {
+        call->answer = outcome<wire_message>(why);
+        call->timer.cancel();
+      }
+    }
+    calls.clear();
+  }
+};
+
+/** The failure that a wire::error stands for. */
+auto FailureOf(const wire::errorT& error) -> failure {
+  return {.code = ErrorCodeOf(error.code),
+          .message = error.message,
+          .ran = error.ran_maybe ? ran_state::kMaybe : ran_state::kNo,
+          .step = error.step,
+          .peer = error.peer};
+}
+
+/** Reads answers and hands them to their calls. */
+auto ReadLoop(std::shared_ptr<connection> conn, std::string peer)
+    -> asio::awaitable<void> {
+  while (!conn->broken) {
+    auto frame = co_await conn->channel->ReadFrame(peer);
+    if (!frame) {
+      conn->Break(frame.error());
+      co_return;
+    }
+    const auto found = conn->calls.find(frame->call_id);
+    if (found == conn->calls.end()) {
+      continue;
+    }
+    auto call = found->second;
+    conn->calls.erase(found);
+    const auto* error = frame->message.Aserror();
+    call->answer = error != nullptr
+                       ? outcome<wire_message>(FailureOf(*error))
+                       : outcome<wire_message>(std::move(frame->message));
+    call->timer.cancel();
+  }
+}
+
+}  // namespace
+
+/** Lives on one strand, so that calls from any thread may share it. */
+struct link_client::state : std::enable_shared_from_this<state> {
+  state(asio::io_context& io, link_identity identity, tcp::endpoint to)
+      : strand(asio::make_strand(io)),
+        self(std::move(identity)),
+        endpoint(std::move(to)),
+        name(endpoint.address().to_string() + ":" +
+             std::to_string(endpoint.port())) {}
+
+  asio::strand<asio::io_context::executor_type> strand;  ///< Serialises all.
+  link_identity self;                                    ///< This process.
+  tcp::endpoint endpoint;                                ///< The peer.
+  std::string name;                     ///< The peer's address for failures.
+  std::uint64_t next_call_id = 1;       ///< Id of the next call.
+  std::shared_ptr<connection> current;  ///< Connection in use, if any.
+
+  /** Connects and authenticates; marks the connection ready or broken. */
+  auto Open(std::shared_ptr<connection> conn) -> asio::awaitable<void> {
+    auto [ec] =
+        co_await conn->channel->socket().async_connect(endpoint, kAwait);
+    if (ec) {
+      conn->Break({.code = error_code::kUnavailable,
+                   .message = ec.message(),
+                   .step = "connect",
+                   .peer = name});
+      co_return;
+    }
+    auto peer = co_await conn->channel->HandshakeAsClient(self);
+    if (!peer) {
+      conn->Break(peer.error());
+      co_return;
+    }
+    conn->is_ready = true;
+    conn->ready.cancel();
+    co_await ReadLoop(conn, peer->Name());
+  }
+
+  /** The connection in use, or a new one that is being opened. */
+  auto Connection() -> std::shared_ptr<connection> {
+    if (!current || current->broken) {
+      current = std::make_shared<connection>(
+          std::make_shared<link_channel>(tcp::socket(strand)));
+      auto opening = [self = shared_from_this(), conn = current] {
+        return self->Open(conn);
+      };
+      asio::co_spawn(strand, std::move(opening), asio::detached);
+    }
+    return current;
+  }
+
+  /** One call; runs on the strand. */
+  auto Call(wire_message message, time_point deadline)
+      -> asio::awaitable<outcome<wire_message>> {
+    auto conn = Connection();
+    failure late{.code = error_code::kDeadlineExceeded,
+                 .message = "no answer before the deadline",
+                 .step = "call",
+                 .peer = name};
+    asio::steady_timer connect_limit(strand, deadline);
+    connect_limit.async_wait([conn, late](boost::system::error_code ec) {
+      if (!ec && !conn->is_ready) {
+        conn->Break(late);
+      }
+    });
+    if (!conn->is_ready && !conn->broken) {
+      co_await conn->ready.async_wait(kAwait);
+    }
+    connect_limit.cancel();
+    if (conn->broken) {
+      co_return *conn->broken;
+    }
+    const auto id = next_call_id++;
+    auto call = std::make_shared<pending_call>(strand, deadline);
+    conn->calls[id] = call;
+    conn->channel->Write(EncodeFrame(id, message));
+    co_await call->timer.async_wait(kAwait);
+    if (!call->answer) {
+      conn->calls.erase(id);
+      late.ran = ran_state::kMaybe;
+      conn->Break(late);
+      co_return late;
+    }
+    co_return std::move(*call->answer);
+  }
+};
+
+link_client::link_client(asio::io_context& io,
+                         link_identity self,
+                         const tcp::endpoint& endpoint)
+    : state_(std::make_shared<state>(io, std::move(self), endpoint)) {}
+
+link_client::~link_client() = default;
+
+auto link_client::Call(wire_message message, time_point deadline)
+    -> asio::awaitable<outcome<wire_message>> {
+  auto call = [](std::shared_ptr<state> s, wire_message m,
+                 time_point d) -> asio::awaitable<outcome<wire_message>> {
+    co_return co_await s->Call(std::move(m), d);
+  };
+  auto spawned =
+      asio::co_spawn(state_->strand, call(state_, std::move(message), deadline),
+                     asio::use_awaitable);
+  co_return co_await std::move(spawned);
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/link_codec.cc
@@ -0,0 +1,226 @@
+#include "src/link_codec.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+#include <utility>
+
+#include "src/core.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kNonceBytes = 32;
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+/** A failure of the link itself; the call may have reached the peer. */
+auto LinkFailure(std::string message, std::string step, std::string peer)
+    -> failure {
+  return {.code = error_code::kUnavailable,
+          .message = std::move(message),
+          .ran = ran_state::kNo,
+          .step = std::move(step),
+          .peer = std::move(peer)};
+}
+
+/** What one side proves: the secret, over both nonces and its name. */
+auto MacOf(const link_identity& self,
+           std::string_view role,
+           const wire::helloT& client,
+           const wire::helloT& server) -> std::string {
+  std::string text(role);
+  for (const auto* hello : {&client, &server}) {
+    text += "\n" + hello->host + "\n" + hello->daemon + "\n" + hello->nonce;
+  }
+  return ToHex(HmacSha256(self.secret, text));
+}
+
+/** A hello of this process with a new nonce. */
+auto NewHello(const link_identity& self) -> wire::helloT {
+  wire::helloT hello;
+  hello.host = self.host;
+  hello.daemon = self.daemon;
+  hello.nonce = ToHex(RandomBytes(kNonceBytes));
+  return hello;
+}
+
+/** A message of one proof. */
+auto ProofMessage(std::string mac) -> wire_message {
+  wire::proofT proof;
+  proof.mac = std::move(mac);
+  return MakeMessage(std::move(proof));
+}
+
+}  // namespace
+
+auto EncodeFrame(std::uint64_t call_id, const wire_message& message)
+    -> std::string {
+  wire::envelopeT envelope;
+  envelope.version = kWireVersion;
+  envelope.call_id = call_id;
+  envelope.payload = message;
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(wire::envelope::Pack(builder, &envelope));
+  const auto length = boost::endian::native_to_little(
+      static_cast<std::uint32_t>(builder.GetSize()));
+  std::string frame(reinterpret_cast<const char*>(&length), kLengthBytes);
+  frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()),
+               builder.GetSize());
+  return frame;
+}
+
+auto ErrorMessage(const failure& error) -> wire_message {
+  wire::errorT message;
+  message.code = HttpStatusOf(error.code);
+  message.message = error.message;
+  message.ran_maybe = error.ran == ran_state::kMaybe;
+  message.step = error.step;
+  message.peer = error.peer;
+  return MakeMessage(std::move(message));
+}
+
+link_channel::link_channel(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket)) {
+  boost::system::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+auto link_channel::ReadFrame(std::string peer)
+    -> asio::awaitable<outcome<link_frame>> {
+  std::uint32_t length = 0;
+  auto length_buffer = asio::buffer(&length, kLengthBytes);
+  auto [ec, n] = co_await asio::async_read(socket_, length_buffer, kAwait);
+  if (ec) {
+    co_return LinkFailure(ec.message(), "read frame", peer);
+  }
+  length = boost::endian::little_to_native(length);
+  if (length == 0 || length > kMaxFrameBytes) {
+    co_return LinkFailure(
+        "frame of " + std::to_string(length) + " bytes is not permitted",
+        "read frame", peer);
+  }
+  std::string bytes(length, '\0');
+  auto body_buffer = asio::buffer(bytes);
+  auto [body_ec, m] = co_await asio::async_read(socket_, body_buffer, kAwait);
+  if (body_ec) {
+    co_return LinkFailure(body_ec.message(), "read frame", peer);
+  }
+  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier(data, bytes.size());
+  if (!wire::VerifyenvelopeBuffer(verifier)) {
+    co_return LinkFailure("damaged frame", "decode frame", peer);
+  }
+  std::unique_ptr<wire::envelopeT> envelope(wire::Getenvelope(data)->UnPack());
+  if (envelope->version != kWireVersion ||
+      envelope->payload.type == wire::payload::NONE) {
+    co_return LinkFailure("frame of wire version " +
+                              std::to_string(envelope->version) +
+                              " or of unknown kind, this is version " +
+                              std::to_string(kWireVersion),
+                          "decode frame", peer);
+  }
+  link_frame frame;
+  frame.call_id = envelope->call_id;
+  frame.message = std::move(envelope->payload);
+  co_return frame;
+}
+
+auto link_channel::Write(std::string frame) -> void {
+  if (closed_) {
+    return;
+  }
+  outgoing_.push_back(std::move(frame));
+  if (!writing_) {
+    writing_ = true;
+    asio::co_spawn(
+        socket_.get_executor(),
+        [self = shared_from_this()] { return self->WriteLoop(); },
+        asio::detached);
+  }
+}
+
+auto link_channel::WriteLoop() -> asio::awaitable<void> {
+  while (!outgoing_.empty() && !closed_) {
+    const auto frame = std::move(outgoing_.front());
+    outgoing_.pop_front();
+    auto buffer = asio::buffer(frame);
+    auto [ec, n] = co_await asio::async_write(socket_, buffer, kAwait);
+    if (ec) {
+      Close();
+    }
+  }
+  writing_ = false;
+}
+
+auto link_channel::Close() -> void {
+  closed_ = true;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+auto link_channel::HandshakeAsClient(const link_identity& self)
+    -> asio::awaitable<outcome<link_peer>> {
+  const auto mine = NewHello(self);
+  Write(EncodeFrame(0, MakeMessage(wire::helloT(mine))));
+  auto answer = co_await ReadFrame("server");
+  if (!answer) {
+    co_return answer.error();
+  }
+  const auto* theirs = answer->message.Ashello();
+  if (theirs == nullptr) {
+    co_return LinkFailure("no hello", "handshake", "server");
+  }
+  Write(EncodeFrame(0, ProofMessage(MacOf(self, "client", mine, *theirs))));
+  auto last = co_await ReadFrame(theirs->host);
+  if (!last) {
+    co_return last.error();
+  }
+  const auto* proof = last->message.Asproof();
+  if (proof == nullptr ||
+      !EqualInConstantTime(proof->mac, MacOf(self, "server", mine, *theirs))) {
+    co_return LinkFailure("peer does not prove the shared secret", "handshake",
+                          theirs->host);
+  }
+  link_peer peer;
+  peer.host = theirs->host;
+  peer.daemon = theirs->daemon;
+  co_return peer;
+}
+
+auto link_channel::HandshakeAsServer(const link_identity& self)
+    -> asio::awaitable<outcome<link_peer>> {
+  auto first = co_await ReadFrame("client");
+  if (!first) {
+    co_return first.error();
+  }
+  const auto* theirs = first->message.Ashello();
+  if (theirs == nullptr) {
+    co_return LinkFailure("no hello", "handshake", "client");
+  }
+  const auto mine = NewHello(self);
+  Write(EncodeFrame(0, MakeMessage(wire::helloT(mine))));
+  auto second = co_await ReadFrame(theirs->host);
+  if (!second) {
+    co_return second.error();
+  }
+  const auto* proof = second->message.Asproof();
+  if (proof == nullptr ||
+      !EqualInConstantTime(proof->mac, MacOf(self, "client", *theirs, mine))) {
+    co_return LinkFailure("peer does not prove the shared secret", "handshake",
+                          theirs->host);
+  }
+  Write(EncodeFrame(0, ProofMessage(MacOf(self, "server", *theirs, mine))));
+  link_peer peer;
+  peer.host = theirs->host;
+  peer.daemon = theirs->daemon;
+  co_return peer;
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/setting_func.h
@@ -0,0 +1,41 @@
+/** Reading, checking and printing of settings files. */
+#ifndef SRC_SETTING_FUNC_H_
+#define SRC_SETTING_FUNC_H_
+
+#include <string>
+#include <string_view>
+
+#include "src/error_type.h"
+#include "src/setting_type.h"
+
+namespace dogwood {
+
+/** Reads settings from JSON with comments. Fails with kBadRequest naming
+ * `source`, the setting, its value and the permitted range. */
+auto ParseSettings(setting_table table,
+                   std::string_view json,
+                   std::string_view source) -> result<setting_values>;
+
+/** Reads the file at `path` as ParseSettings() does. */
+auto ReadSettings(setting_table table, const std::string& path)
+    -> result<setting_values>;
+
+/** The table with its defaults as a settings file with comments. */
+auto PrintSettings(setting_table table) -> std::string;
+
+/** The table as Markdown for docs/settings.md. */
+auto DescribeSettings(setting_table table, std::string_view title)
+    -> std::string;
+
+/** Handles a daemon's command line: --settings FILE, --check-settings,
+ * --print-settings, --describe-settings, --help. Returns the values if the
+ * daemon is to run; otherwise sets `exit_code`. */
+auto SettingsFromCommandLine(setting_table table,
+                             std::string_view program,
+                             int argc,
+                             const char* const* argv,
+                             int& exit_code) -> const setting_values*;
+
+}  // namespace dogwood
+
+#endif  // SRC_SETTING_FUNC_H_
--- /dev/null
+++ b/src/setting_type.h
@@ -0,0 +1,60 @@
+/** Settings of a daemon: one table of rows, from which checking, printing and
+ * the documentation come. */
+#ifndef SRC_SETTING_TYPE_H_
+#define SRC_SETTING_TYPE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dogwood {
+
+/** Type of a setting's value. */
+enum class setting_kind {
+  kInteger,   ///< Whole number within [min, max].
+  kReal,      ///< Number within [min, max].
+  kText,      ///< String; `choices` limits it if not empty.
+  kTextList,  ///< List of strings.
+  kBoolean,   ///< true or false.
+};
+
+/** One row of a settings table. */
+struct setting_row {
+  std::string_view name;          ///< Key in the file.
+  setting_kind kind;              ///< Type.
+  std::string_view unit;          ///< Unit, empty if none.
+  double min = 0;                 ///< Least permitted number.
+  double max = 0;                 ///< Greatest permitted number.
+  std::string_view fallback;      ///< Default as JSON; empty if required.
+  std::string_view doc;           ///< One line for docs/settings.md.
+  std::string_view choices = "";  ///< Permitted strings, split by '|'.
+};
+
+using setting_table = std::span<const setting_row>;
+
+/** Checked values by name. The getters require a name of the table. */
+class setting_values {
+ public:
+  auto Integer(std::string_view name) const -> std::int64_t;
+  auto Real(std::string_view name) const -> double;
+  auto Text(std::string_view name) const -> const std::string&;
+  auto TextList(std::string_view name) const -> const std::vector<std::string>&;
+  auto Boolean(std::string_view name) const -> bool;
+  /** The integer setting `name` as milliseconds. */
+  auto Milliseconds(std::string_view name) const -> std::chrono::milliseconds;
+
+ private:
+  friend class setting_reader;
+  std::map<std::string, double, std::less<>> numbers_;
+  std::map<std::string, std::string, std::less<>> texts_;
+  std::map<std::string, std::vector<std::string>, std::less<>> lists_;
+};
+
+}  // namespace dogwood
+
+#endif  // SRC_SETTING_TYPE_H_
