--- /dev/null
+++ b/src/limit.h
@@ -0,0 +1,8 @@
+/** Public header of library limit. */
+#ifndef SRC_LIMIT_H_
+#define SRC_LIMIT_H_
+
+#include "src/limit_base.h"
+#include "src/limit_type.h"
+
+#endif  // SRC_LIMIT_H_
