Add configuration fold, ownership and platform client

The daemons need the configuration as a deterministic fold over the stream "config", the choice of owners, and a client of the platform's log.

The fold drops a record whose seq is not above the writer's last one instead of keeping every (writer, seq): a writer appends in order, and a record that it gave up must not take effect after a later one.

A page with as many records as asked for is not taken as the end of the stream: the interface gives the end only for shorter ones.

--- a/cmake/client.cmake
+++ b/cmake/client.cmake
@@ -1,1 +1,3 @@
 # Targets of this area.
+dogwood_test(config dogwood_config)
+dogwood_test(ownership dogwood_config)
--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -5,4 +5,8 @@
                 LIBS dogwood_core PkgConfig::FLATBUFFERS)
 dogwood_library(http SOURCES http_type.cc http_server.cc http_client.cc
                 LIBS dogwood_core Boost::url)
+dogwood_library(config SOURCES config_cmd.cc config_codec.cc config_func.cc
+                               config_query.cc ownership_func.cc
+                LIBS dogwood_core)
+dogwood_library(platform SOURCES platform_client.cc LIBS dogwood_http)
 dogwood_test(core dogwood_core dogwood_setting)
--- a/src/config_base.h
+++ b/src/config_base.h
@@ -16,7 +16,11 @@
 namespace dogwood {
 
 /** Tree of nodes, keys and members. A deterministic function of the records
- * applied; has no clock and no I/O. Not thread-safe, see config_replica. */
+ * applied; has no clock and no I/O. Not thread-safe, see config_replica.
+ *
+ * A writer numbers its records from 1 and appends them in that order. A record
+ * whose seq is not above the writer's last one is dropped, so a record that its
+ * writer gave up takes no effect once a later one is in the log. */
 class config_tree {
  public:
   // Commands (config_cmd.cc).
@@ -24,7 +28,8 @@
   /** Applies the record at `offset`, which must be next_offset(). */
   auto Apply(log_offset offset, std::string_view record) -> fold_verdict;
   /** Replaces everything by a snapshot's state; next_offset() becomes the
-   * snapshot's as_of. Fails with kBadRequest if `record` is no snapshot. */
+   * snapshot's as_of. Fails with kBadRequest if `record` is no snapshot; the
+   * tree is unchanged then. */
   auto LoadSnapshot(std::string_view record) -> result<void>;
 
   // Queries (config_query.cc).
@@ -69,18 +74,35 @@
  private:
   friend class config_folder;
   using node_map = std::map<std::string, config_node, std::less<>>;
+  /** Last record of a writing host. */
+  struct writer_mark {
+    incarnation start;      ///< Its latest start.
+    std::uint64_t seq = 0;  ///< Highest seq of that start.
+    log_offset last;        ///< Offset of its last record.
+  };
+
+  /** Why the change would not apply now, nothing if it would. */
+  auto Refusal(const config_change& change) const -> std::optional<failure>;
 
   log_offset next_offset_;
   node_map nodes_;
   std::map<std::string, key_entry, std::less<>> keys_;  // By hash.
   std::map<host_id, member> members_;
   std::uint64_t members_version_ = 0;
-  std::map<host_id, std::pair<incarnation, std::uint64_t>> last_seq_;
+  std::map<host_id, writer_mark> last_seq_;
   std::deque<audit_entry> audit_;
+  std::size_t audit_bytes_ = 0;  // Size of audit_ as JSON.
 };
 
 /** Most audit entries kept in memory; older ones are in the log. */
-constexpr std::size_t kAuditLimit = 10000;
+constexpr std::size_t kAuditLimit = 1000;
+/** Most bytes of audit entries, as JSON. The entries are part of a snapshot,
+ * which must fit into one append (1 MiB). */
+constexpr std::size_t kAuditBytes = 200UL << 10;
+/** The last seq of a host that is no member is forgotten once this many records
+ * follow its last one, which takes days at 10,000 records a day. No resend is
+ * that late. */
+constexpr std::uint64_t kWriterMemory = 20000;
 
 /** Record of an operator's change. */
 auto ChangeRecord(const record_writer& writer, const config_change& change)
--- /dev/null
+++ b/src/ownership_func.cc
@@ -0,0 +1,100 @@
+#include "src/ownership_func.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "src/text_func.h"
+
+namespace dogwood {
+namespace {
+
+/** Name of a kind within the hashed text. */
+auto PrefixOf(owned_kind kind) -> std::string_view {
+  switch (kind) {
+    case owned_kind::kLimit:
+      return "limit";
+    case owned_kind::kPartition:
+      return "partition";
+    case owned_kind::kServer:
+      return "server";
+  }
+  return "";
+}
+
+/** Rank of a host for a thing; the highest one owns it. Names do not hold the
+ * separator, so that no two pairs give the same text. */
+auto RankOf(const host_id& host, std::string_view name) -> std::uint64_t {
+  std::string text;
+  text.reserve(host.value.size() + 1 + name.size());
+  text += host.value;
+  text += '\n';
+  text += name;
+  return StableHash(text);
+}
+
+/** A host and its rank. */
+using ranked_host = std::pair<std::uint64_t, const host_id*>;
+
+/** Order by rank; equal ranks by name, so that every host decides alike. */
+auto IsHigher(const ranked_host& a, const ranked_host& b) -> bool {
+  return a.first != b.first ? a.first > b.first
+                            : a.second->value < b.second->value;
+}
+
+/** The live members with the highest rank, in `region` only if given. */
+auto Highest(std::span<const member> members,
+             std::string_view name,
+             const region_id* region) -> const host_id* {
+  ranked_host best{0, nullptr};
+  for (const auto& m : members) {
+    if (m.state != member_state::kLive ||
+        (region != nullptr && m.region != *region)) {
+      continue;
+    }
+    const ranked_host candidate{RankOf(m.host, name), &m.host};
+    if (best.second == nullptr || IsHigher(candidate, best)) {
+      best = candidate;
+    }
+  }
+  return best.second;
+}
+
+}  // namespace
+
+auto OwnerOf(std::span<const member> members,
+             owned_kind kind,
+             std::string_view name,
+             const region_id& region) -> std::optional<host_id> {
+  const auto thing = std::string(PrefixOf(kind)) + '\n' + std::string(name);
+  const host_id* owner = nullptr;
+  if (!region.value.empty()) {
+    owner = Highest(members, thing, &region);
+  }
+  if (owner == nullptr) {
+    owner = Highest(members, thing, nullptr);
+  }
+  return owner == nullptr ? std::nullopt : std::optional(*owner);
+}
+
+auto TopOwners(std::span<const member> members,
+               std::string_view name,
+               std::size_t count) -> std::vector<host_id> {
+  std::vector<ranked_host> ranked;
+  for (const auto& m : members) {
+    if (m.state == member_state::kLive) {
+      ranked.emplace_back(RankOf(m.host, name), &m.host);
+    }
+  }
+  const auto kept = std::min(count, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                    ranked.end(), IsHigher);
+  std::vector<host_id> top;
+  for (std::size_t i = 0; i < kept; ++i) {
+    top.push_back(*ranked[i].second);
+  }
+  return top;
+}
+
+}  // namespace dogwood
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -16,11 +16,12 @@
 struct log_page {
   log_offset first;                  ///< Oldest retained offset.
   log_offset from;                   ///< Offset of the first record here.
-  log_offset next;                   ///< End of the stream.
+  log_offset next;                   ///< End of the stream, see `is_full`.
   std::vector<std::string> records;  ///< Records from `from` on.
+  bool is_full = false;  ///< As many as asked for; `next` may not be the end.
   /** Whether the records reach the end of the stream. */
   auto IsTail() const -> bool {
-    return from.value + records.size() >= next.value;
+    return !is_full && from.value + records.size() >= next.value;
   }
 };
 
--- a/src/unit_type.h
+++ b/src/unit_type.h
@@ -19,7 +19,9 @@
 
   constexpr strong() = default;
   constexpr explicit strong(Rep v) : value(std::move(v)) {}
-  auto operator<=>(const strong&) const = default;
+  // clang-tidy 14 takes the comparison with 0 in the default for a pointer.
+  auto operator<=>(const strong&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 };
 
 using host_id = strong<struct host_tag, std::string>;
