Add fleet-wide limits: owner buckets and host shares

Hosts need to admit requests without a round trip each, and the sum over all hosts must stay within rate and burst. Instead the owner counts outstanding tokens against the burst and hosts report what they used and return what they do not need.

--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -6,3 +6,4 @@
 dogwood_library(http SOURCES http_type.cc http_server.cc http_client.cc
                 LIBS dogwood_core Boost::url)
 dogwood_test(core dogwood_core dogwood_setting)
+dogwood_library(limit SOURCES limit_granter.cc limit_share.cc LIBS dogwood_core)
--- a/src/limit_base.h
+++ b/src/limit_base.h
@@ -1,49 +1,67 @@
 /** Fleet-wide limits: the owner's buckets and each host's share.
  *
  * A workspace with rate r and burst b may have at most b + r*T requests
- * admitted in any interval T over all hosts. The owner's bucket holds at most
- * b - r*d tokens, d being the life of a grant; tokens used in an interval T
- * were granted within T + d, so at most (b - r*d) + r*(T + d) are used. */
+ * admitted in any interval of length T over all hosts. The owner keeps
+ * level + outstanding <= b, where outstanding counts every token granted and
+ * neither reported nor expired. The requests admitted in an interval use
+ * tokens that were in the level or outstanding at its start, or filled since,
+ * which are at most b + r*T. */
 #ifndef SRC_LIMIT_BASE_H_
 #define SRC_LIMIT_BASE_H_
 
 #include <map>
 #include <mutex>
+#include <span>
 #include <vector>
 
 #include "src/limit_type.h"
 
 namespace dogwood {
 
+/** Owners count grants this much longer than the hosts that use them, so that
+ * clock rates may differ by up to 5% each way. */
+constexpr double kLimitDriftFactor = 1.15;
+
 /** Buckets of the limits that this host owns. Thread-safe. */
 class granter_table {
  public:
-  /** Life of grants at most; shorter where the burst is small. */
+  /** `grant_life`: tokens expire this long after they were asked for. */
   explicit granter_table(duration grant_life);
 
-  /** Takes up to `want` tokens. `owner_since` is when this host became owner
-   * for certain: a bucket that is new since then starts empty, because the
-   * former owner's last grants may still be in use. A changed rate keeps the
-   * tokens, bounded by the new capacity. */
+  /** Takes reports and gives up to `want` tokens. `owner_since` is when this
+   * host became owner for certain. A bucket that is new since then starts
+   * empty once the former owner's last grants have expired. */
   auto Grant(const workspace_id& workspace,
              const limit_rate& rate,
              std::uint32_t want,
+             std::span<const lot_report> reports,
              time_point owner_since,
              time_point now) -> token_grant;
-  /** Forgets buckets unused since `before`. A forgotten bucket starts empty
-   * again. */
+  /** Forgets buckets unused since `before`, which start empty again. */
   auto Forget(time_point before) -> void;
 
  private:
+  struct lot {
+    std::uint32_t tokens = 0;  ///< Neither reported nor expired.
+    time_point expires;        ///< No host uses them from then on.
+  };
   struct bucket {
-    limit_rate rate;         ///< Rate it is filled at.
-    double tokens = 0;       ///< Tokens at `filled_at`.
-    time_point filled_at;    ///< Last fill.
-    time_point owner_since;  ///< Ownership that it belongs to.
+    double level = 0;            ///< Tokens not granted.
+    double outstanding = 0;      ///< Sum over `lots`.
+    std::map<lot_id, lot> lots;  ///< By id, so oldest first.
+    time_point filled_at;        ///< Time of the last fill.
+    time_point owner_since;      ///< Ownership that it belongs to.
   };
 
+  auto BucketOf(const workspace_id& workspace,
+                time_point owner_since,
+                time_point now) -> bucket&;
+  auto Advance(bucket& b, const limit_rate& rate, time_point now) -> void;
+  auto NewLotId() -> lot_id;
+
   std::mutex mutex_;
   duration grant_life_;
+  std::uint64_t next_lot_ = 0;
   std::map<workspace_id, bucket> buckets_;
 };
 
@@ -62,8 +80,10 @@
   auto AdmitWaiting(const workspace_id& workspace,
                     const limit_rate& rate,
                     time_point now) -> bool;
+  /** A request that waited has given up. */
+  auto StopWaiting(const workspace_id& workspace) -> void;
   /** Asks that are due now. At most one for a workspace is outstanding; it
-   * counts as lost at `deadline`. */
+   * counts as lost at `deadline`. Reports in them are given up here. */
   auto DueAsks(time_point now, time_point deadline) -> std::vector<token_ask>;
   /** Takes the answer to an ask that was sent at `sent`. */
   auto TakeGrant(const workspace_id& workspace,
@@ -74,22 +94,30 @@
 
  private:
   struct lot {
+    lot_id id;                 ///< The owner's name of the grant.
     std::uint32_t tokens = 0;  ///< Tokens left.
+    std::uint32_t used = 0;    ///< Used since the last report.
     time_point expires;        ///< Not used from then on.
   };
   struct share {
     std::vector<lot> lots;      ///< Oldest first.
-    double demand_per_s = 0;    ///< EWMA of requests.
-    double seen = 0;            ///< Requests since `window_start`.
-    std::uint32_t waiting = 0;  ///< Requests not admitted since the last ask.
+    double demand_per_s = 0;    ///< Smoothed requests a second.
+    std::uint32_t arrived = 0;  ///< Requests since `window_start`.
+    std::uint32_t waiting = 0;  ///< Requests waiting for a token.
     time_point window_start;    ///< Start of the demand window.
     time_point next_ask;        ///< No ask before then.
     time_point ask_deadline;    ///< An ask is outstanding until then.
-    double local_tokens = 0;    ///< kStaticSplit: own bucket.
-    time_point local_filled;    ///< kStaticSplit: last fill.
+    time_point retry_at;        ///< From the last grant of none.
+    double local_level = 0;     ///< kStaticSplit: tokens.
+    time_point local_filled;    ///< kStaticSplit: last fill; 0 if never.
   };
 
-  auto AdmitShare(share& s, const limit_rate& rate, time_point now) -> bool;
+  auto TakeToken(share& s, const limit_rate& rate, time_point now) -> bool;
+  auto TakeLocalToken(share& s, const limit_rate& rate, time_point now) -> bool;
+  auto MeasureDemand(share& s, time_point now) -> void;
+  auto HeldTarget(const share& s) const -> std::uint32_t;
+  auto MakeAsk(const workspace_id& workspace, share& s, time_point now)
+      -> token_ask;
 
   std::mutex mutex_;
   limit_mode mode_;
--- /dev/null
+++ b/src/limit_granter.cc
@@ -0,0 +1,110 @@
+#include <algorithm>
+#include <cmath>
+
+#include "src/limit_base.h"
+
+namespace dogwood {
+namespace {
+
+/** Seconds in `d`. */
+auto Seconds(duration d) -> double {
+  return std::chrono::duration<double>(d).count();
+}
+
+/** `d` stretched by the drift that owners allow for. */
+auto Stretched(duration d) -> duration {
+  return std::chrono::duration_cast<duration>(d * kLimitDriftFactor);
+}
+
+}  // namespace
+
+granter_table::granter_table(duration grant_life) : grant_life_(grant_life) {}
+
+auto granter_table::BucketOf(const workspace_id& workspace,
+                             time_point owner_since,
+                             time_point now) -> bucket& {
+  auto& b = buckets_[workspace];
+  const bool is_new = b.filled_at == time_point();
+  if (is_new || b.owner_since != owner_since) {
+    b = bucket();
+    b.owner_since = owner_since;
+    // The former owner's last grants expire one life after it stopped, and
+    // a bucket that was forgotten here may have grants in use as well.
+    b.filled_at = std::max(owner_since, now) + Stretched(grant_life_);
+  }
+  return b;
+}
+
+auto granter_table::Advance(bucket& b, const limit_rate& rate, time_point now)
+    -> void {
+  // Fill up to each expiry in turn: tokens that expire make room for the
+  // fill from their expiry on, not before.
+  const auto fill_until = [&](time_point until) {
+    if (until > b.filled_at) {
+      b.level += rate.per_s * Seconds(until - b.filled_at);
+      b.filled_at = until;
+    }
+    b.level = std::min(b.level, std::max(0.0, rate.burst - b.outstanding));
+  };
+  while (!b.lots.empty() && b.lots.begin()->second.expires <= now) {
+    const auto expired = b.lots.begin();
+    fill_until(expired->second.expires);
+    b.outstanding -= expired->second.tokens;
+    b.lots.erase(expired);
+  }
+  fill_until(now);
+}
+
+auto granter_table::NewLotId() -> lot_id {
+  return lot_id(++next_lot_);
+}
+
+auto granter_table::Grant(const workspace_id& workspace,
+                          const limit_rate& rate,
+                          std::uint32_t want,
+                          std::span<const lot_report> reports,
+                          time_point owner_since,
+                          time_point now) -> token_grant {
+  const std::lock_guard lock(mutex_);
+  auto& b = BucketOf(workspace, owner_since, now);
+  Advance(b, rate, now);
+  for (const auto& report : reports) {
+    const auto found = b.lots.find(report.lot);
+    if (found == b.lots.end()) {
+      continue;
+    }
+    const auto settled =
+        std::min(found->second.tokens, report.used + report.returned);
+    found->second.tokens -= settled;
+    b.outstanding -= settled;
+    b.level += std::min(settled, report.returned);
+    if (found->second.tokens == 0) {
+      b.lots.erase(found);
+    }
+  }
+  token_grant grant;
+  grant.life = grant_life_;
+  grant.tokens = std::min(want, static_cast<std::uint32_t>(b.level));
+  if (grant.tokens > 0) {
+    grant.lot = NewLotId();
+    b.level -= grant.tokens;
+    b.outstanding += grant.tokens;
+    b.lots[grant.lot] = {grant.tokens, now + Stretched(grant_life_)};
+  } else if (want > 0 && rate.per_s > 0) {
+    const auto missing_s = (1 - b.level) / rate.per_s;
+    grant.retry_after =
+        std::max<duration>(b.filled_at - now, duration::zero()) +
+        std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(missing_s));
+  }
+  return grant;
+}
+
+auto granter_table::Forget(time_point before) -> void {
+  const std::lock_guard lock(mutex_);
+  std::erase_if(buckets_, [before](const auto& entry) {
+    return entry.second.filled_at < before;
+  });
+}
+
+}  // namespace dogwood
