--- /dev/null
+++ b/src/freshness.h
@@ -0,0 +1,8 @@
+/** Public header of library freshness: proofs, the tree of hosts, vouches. */
+#ifndef SRC_FRESHNESS_H_
+#define SRC_FRESHNESS_H_
+
+#include "src/freshness_base.h"
+#include "src/freshness_type.h"
+
+#endif  // SRC_FRESHNESS_H_
