Add stand-ins for the platform and a plain service

The daemons need the platform's log and host list and a plain service to run against. Both are in memory, run on one thread, and take faults at run time (POST /fault): outage, delay, answers lost after taking effect, silent connections.

http_exchange gains IsCallerGone(), so that work for a caller that has closed its connection can be given up before anything is written to it.

--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -1,1 +1,7 @@
 # Targets of this area.
+add_library(dogwood_fake_common STATIC tests/fakes/fake_common.cc)
+target_link_libraries(dogwood_fake_common PUBLIC dogwood_http dogwood_core)
+foreach(fake fake_platform fake_service)
+  dogwood_binary(${fake} SOURCES tests/fakes/${fake}.cc
+                 LIBS dogwood_fake_common)
+endforeach()
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -1,5 +1,7 @@
 #include "src/http_server.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,6 +11,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json/serialize.hpp>
+#include <cerrno>
 #include <charconv>
 #include <utility>
 
@@ -140,6 +143,15 @@
   }
 
   auto HasBegun() const -> bool override { return begun_; }
+
+  auto IsCallerGone() -> bool override {
+    char byte = 0;
+    const auto n = ::recv(stream_.socket().native_handle(), &byte, 1,
+                          MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                      errno != EINTR);
+  }
+
   /** Whether the next request may be read from the connection. */
   auto MayContinue() const -> bool { return complete_ && keep_alive_; }
 
