Add a stand-in for model engines

A continuous-batching engine: all running sequences get a token in each step, whose time grows with the sequences that run and with prompt tokens that are not in the bounded prefix cache; requests beyond the slots wait in order of arrival. It streams, resumes, cancels, publishes late load reports and late cache events with gaps, and takes orders with or without checking fencing numbers. Tokens carry a hash of the prompt, so that a test can tell whose answer it has.

--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -5,3 +5,6 @@
   dogwood_binary(${fake} SOURCES tests/fakes/${fake}.cc
                  LIBS dogwood_fake_common)
 endforeach()
+dogwood_binary(fake_engine SOURCES tests/fakes/fake_engine.cc
+               tests/fakes/engine_api.cc tests/fakes/engine_model.cc
+               tests/fakes/engine_state.cc LIBS dogwood_fake_common)
--- a/tests/fakes/fake_common.cc
+++ b/tests/fakes/fake_common.cc
@@ -160,12 +160,13 @@
                   error_code code,
                   std::string message,
                   unsigned retry_after_s) -> asio::awaitable<void> {
-  failure error{.code = code,
-                .message = std::move(message),
-                .ran = ran_state::kNo,
-                .step = "stand-in",
-                .peer = exchange.Request().peer};
-  co_await exchange.RespondFailure(std::move(error), retry_after_s);
+  const json::object body{
+      {"error", {{"code", NameOf(code)}, {"message", message}}}};
+  auto response = JsonResponse(HttpStatusOf(code), json::serialize(body));
+  if (retry_after_s > 0) {
+    response.headers.Set("Retry-After", std::to_string(retry_after_s));
+  }
+  co_await exchange.Respond(std::move(response));
 }
 
 auto QueryNumber(const http_request& request,
--- /dev/null
+++ b/tests/fakes/fake_engine.cc
@@ -0,0 +1,544 @@
+/** Stand-in for a model engine with continuous batching. */
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "tests/fakes/engine_api.h"
+#include "tests/fakes/engine_model.h"
+#include "tests/fakes/engine_state.h"
+#include "tests/fakes/fake_common.h"
+
+namespace dogwood::fakes {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+/** Time between load samples while nothing runs. */
+constexpr std::chrono::milliseconds kIdlePeriod{20};
+/** Digits of a prompt's hash in each token. */
+constexpr std::size_t kTextKeyDigits = 8;
+
+/** Everything. */
+struct engine_state {
+  explicit engine_state(engine_options o)
+      : options(std::move(o)), engine(options.costs) {}
+  engine_options options;                      ///< Command line.
+  batch_engine engine;                         ///< The batch.
+  fault_state faults;                          ///< Injected faults.
+  request_journal journal;                     ///< Requests seen.
+  load_history load;                           ///< Reports.
+  cache_event_log events;                      ///< Cache events.
+  order_book orders;                           ///< Orders.
+  resume_store resumes;                        ///< Cancelled streams.
+  std::map<std::string, sequence_ptr> active;  ///< By request id.
+  std::set<asio::steady_timer*> waiters;       ///< Woken after each step.
+  std::uint64_t next_id = 0;                   ///< For requests without id.
+  sequence last;  ///< Last one, for crossed answers.
+};
+
+/** A request in work. */
+struct work {
+  completion_request asked;  ///< As read.
+  sequence_ptr seq;          ///< Its sequence.
+  sequence shown;            ///< What answers name; differs if crossed.
+  std::uint64_t sent = 0;    ///< Tokens sent, or got before a resume.
+};
+
+/** Runs the batch for ever. */
+auto RunSteps(engine_state& s) -> asio::awaitable<void> {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  auto next = clock::now();
+  while (true) {
+    const auto step_ms = s.engine.BeginStep();
+    const auto step =
+        step_ms > 0 ? std::chrono::duration_cast<duration>(
+                          std::chrono::duration<double, std::milli>(step_ms))
+                    : duration(kIdlePeriod);
+    // Steps follow each other without the timer's delay adding up.
+    next = std::max(next, clock::now() - duration(kIdlePeriod)) + step;
+    timer.expires_at(next);
+    if (step_ms == 0) {
+      s.waiters.insert(&timer);
+    }
+    co_await timer.async_wait(kAwait);
+    s.waiters.erase(&timer);
+    if (step_ms > 0) {
+      s.engine.EndStep();
+    } else {
+      next = clock::now();
+    }
+    s.events.Add(clock::now(), s.engine.TakeCacheEvents());
+    s.load.Note(clock::now(), s.options.load_lag, s.engine.Running(),
+                s.engine.Waiting(), s.engine.Cache().Size());
+    for (auto* waiter : s.waiters) {
+      waiter->cancel();
+    }
+  }
+}
+
+/** Waits for the end of the next step. */
+auto WaitForStep(engine_state& s) -> asio::awaitable<void> {
+  asio::steady_timer timer(co_await asio::this_coro::executor,
+                           std::chrono::milliseconds(100));
+  s.waiters.insert(&timer);
+  co_await timer.async_wait(kAwait);
+  s.waiters.erase(&timer);
+}
+
+/** Wakes the step loop if it idles. */
+auto Submit(engine_state& s, const sequence_ptr& seq) -> void {
+  s.engine.Submit(seq);
+  for (auto* waiter : s.waiters) {
+    waiter->cancel();
+  }
+}
+
+/** Ends a request early; it can be resumed for some time. */
+auto EndEarly(engine_state& s, const sequence_ptr& seq) -> void {
+  if (!seq->cancelled) {
+    s.engine.Cancel(seq);
+    ++s.journal.Counts(seq->request_id).cancelled;
+    s.resumes.Keep(*seq, clock::now() + s.options.resume_keep);
+  }
+}
+
+/** Counts the end of a request when its coroutine ends. */
+class work_guard {
+ public:
+  work_guard(engine_state& s, sequence_ptr seq) : s_(s), seq_(std::move(seq)) {
+    s_.active[seq_->request_id] = seq_;
+  }
+  work_guard(const work_guard&) = delete;
+  auto operator=(const work_guard&) -> work_guard& = delete;
+  ~work_guard() {
+    if (seq_->IsFinished()) {
+      ++s_.journal.Counts(seq_->request_id).finished;
+    } else {
+      EndEarly(s_, seq_);
+    }
+    const auto found = s_.active.find(seq_->request_id);
+    if (found != s_.active.end() && found->second == seq_) {
+      s_.active.erase(found);
+    }
+  }
+
+ private:
+  engine_state& s_;
+  sequence_ptr seq_;
+};
+
+/** Value of X-Resume-From, if it is one. */
+auto ResumeFrom(const http_request& request) -> std::optional<std::uint64_t> {
+  const auto text = request.headers.Get("X-Resume-From");
+  std::uint64_t number = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (text.empty() || parsed.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+/** Makes the sequence of a request, or continues a cancelled one. Fails with
+ * kConflict if the tokens to resume from are not kept. */
+auto MakeWork(engine_state& s,
+              const http_request& request,
+              completion_request asked) -> outcome<work> {
+  auto seq = std::make_shared<sequence>();
+  seq->request_id = request.headers.Get("X-Request-Id");
+  if (seq->request_id.empty()) {
+    seq->request_id = "unnamed-" + std::to_string(++s.next_id);
+  }
+  seq->text_key = Sha256Hex(asked.prompt).substr(0, kTextKeyDigits);
+  seq->prompt = SplitWords(asked.prompt);
+  seq->max_tokens = asked.max_tokens;
+  work w{.asked = std::move(asked), .seq = seq, .shown = {}, .sent = 0};
+  auto& counts = s.journal.Counts(seq->request_id);
+  if (const auto from = ResumeFrom(request); from && *from > 0) {
+    const auto produced = s.resumes.Take(seq->request_id, clock::now());
+    if (produced < *from) {
+      return failure{.code = error_code::kConflict,
+                     .message = "the stream to resume is not kept any more",
+                     .step = "resume",
+                     .peer = request.peer};
+    }
+    seq->produced = std::min(produced, seq->max_tokens);
+    seq->prefilled = true;
+    w.sent = *from;
+    ++counts.resumed;
+  }
+  ++counts.started;
+  w.shown = *seq;
+  if (!s.last.request_id.empty() && TakeOne(s.faults.cross_answers)) {
+    w.shown.request_id = s.last.request_id;
+    w.shown.text_key = s.last.text_key;
+  }
+  s.last = *seq;
+  return w;
+}
+
+/** Waits until the request has more tokens than `sent`, or all of them if it
+ * is not streamed. Returns false if the caller is gone, the request was
+ * cancelled, or a fault ends or silences the connection. */
+auto WaitForTokens(engine_state& s, work& w, http_exchange& exchange)
+    -> asio::awaitable<bool> {
+  while (true) {
+    const auto& faults = s.faults;
+    const auto produced = w.seq->produced;
+    if (exchange.IsCallerGone() || w.seq->cancelled) {
+      co_return false;
+    }
+    if (faults.close_after_tokens > 0 &&
+        produced >= faults.close_after_tokens) {
+      co_return false;
+    }
+    const bool silent = faults.silent_after_tokens > 0 &&
+                        produced >= faults.silent_after_tokens;
+    if (silent || faults.silent_peers.contains(exchange.Request().peer)) {
+      co_await WaitUntilGone(exchange);
+      co_return false;
+    }
+    if (w.seq->IsFinished() || (w.asked.stream && produced > w.sent)) {
+      co_return true;
+    }
+    co_await WaitForStep(s);
+  }
+}
+
+/** Fields that every answer has. */
+auto AnswerHeaders(const work& w) -> http_headers {
+  http_headers headers;
+  headers.Set("X-Request-Id", w.shown.request_id);
+  if (w.sent > 0) {
+    headers.Set("X-Resumed-From", std::to_string(w.sent));
+  }
+  return headers;
+}
+
+/** Answers a request that is not streamed. */
+auto AnswerWhole(engine_state& s, work& w, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  const bool whole = co_await WaitForTokens(s, w, exchange);
+  if (!whole) {
+    if (w.seq->cancelled) {
+      co_await RespondError(exchange, error_code::kConflict, "cancelled");
+    }
+    co_return;
+  }
+  if (s.faults.delay_ms > 0) {
+    co_await Sleep(std::chrono::milliseconds(s.faults.delay_ms));
+  }
+  if (LosesAnswer(s.faults)) {
+    co_return;
+  }
+  w.shown.produced = w.seq->produced;
+  const auto body = WholeAnswer(w.asked, w.shown, w.sent);
+  auto response = JsonResponse(200, json::serialize(body));
+  response.headers.fields.push_back({"X-Request-Id", w.shown.request_id});
+  co_await exchange.Respond(std::move(response));
+}
+
+/** Sends the tokens made since the last call. */
+auto SendTokens(work& w, http_exchange& exchange) -> asio::awaitable<bool> {
+  std::string events;
+  for (; w.sent < w.seq->produced; ++w.sent) {
+    events += TokenEvent(w.asked, w.shown, w.sent);
+  }
+  if (events.empty()) {
+    co_return true;
+  }
+  const auto written = co_await exchange.WriteChunk(events);
+  co_return written.has_value();
+}
+
+/** Answers a request with server-sent events. */
+auto AnswerStream(engine_state& s, work& w, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  http_head head;
+  head.headers = AnswerHeaders(w);
+  head.headers.Set("Content-Type", "text/event-stream");
+  if (s.faults.delay_ms > 0) {
+    co_await Sleep(std::chrono::milliseconds(s.faults.delay_ms));
+  }
+  auto written = co_await exchange.BeginStream(std::move(head));
+  if (!written) {
+    co_return;
+  }
+  while (w.sent < w.seq->max_tokens) {
+    const bool more = co_await WaitForTokens(s, w, exchange);
+    if (!more) {
+      co_return;
+    }
+    const bool sent = co_await SendTokens(w, exchange);
+    if (!sent) {
+      co_return;
+    }
+  }
+  const auto last = FinishEvent(w.asked, w.shown) + std::string(kDoneEvent);
+  written = co_await exchange.WriteChunk(last);
+  if (written) {
+    co_await exchange.EndStream();
+  }
+}
+
+/** POST /v1/completions and /v1/chat/completions. */
+auto Complete(engine_state& s, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  const auto& request = exchange.Request();
+  auto asked = ReadCompletion(request);
+  if (!asked) {
+    co_await RespondError(exchange, asked.error().code, asked.error().message);
+    co_return;
+  }
+  if (!s.options.models.contains(asked->model)) {
+    co_await RespondError(exchange, error_code::kNotFound,
+                          "model \"" + asked->model + "\" is not loaded");
+    co_return;
+  }
+  auto made = MakeWork(s, request, std::move(*asked));
+  if (!made) {
+    co_await RespondError(exchange, made.error().code, made.error().message);
+    co_return;
+  }
+  auto& w = *made;
+  const work_guard guard(s, w.seq);
+  if (!w.seq->IsFinished()) {
+    Submit(s, w.seq);
+  }
+  if (w.asked.stream) {
+    co_await AnswerStream(s, w, exchange);
+  } else {
+    co_await AnswerWhole(s, w, exchange);
+  }
+}
+
+/** POST /cancel/{request_id}. */
+auto CancelRequest(engine_state& s, std::string id, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  const auto found = s.active.find(id);
+  const bool known = found != s.active.end();
+  if (known) {
+    EndEarly(s, found->second);
+  }
+  const json::object answer{{"id", id}, {"cancelled", known}};
+  co_await RespondJson(exchange, known ? 200 : 404, answer);
+}
+
+/** GET /load. */
+auto ShowLoad(engine_state& s, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  auto answer = s.load.At(clock::now(), s.options.load_lag);
+  answer["slots"] = s.options.costs.slots;
+  co_await RespondJson(exchange, 200, answer);
+}
+
+/** GET /v1/models. */
+auto ShowModels(engine_state& s, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  json::array rows;
+  for (const auto& model : s.options.models) {
+    rows.push_back({{"id", model}, {"object", "model"}});
+  }
+  const json::object answer{{"object", "list"}, {"data", std::move(rows)}};
+  co_await RespondJson(exchange, 200, answer);
+}
+
+/** POST /orders. */
+auto TakeOrder(engine_state& s, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  const auto body = ParseBody(exchange.Request());
+  const auto taken =
+      body ? s.orders.Take(*body, s.options.checks_fencing, s.options.models)
+           : body.error();
+  if (!taken) {
+    co_await RespondError(exchange, taken.error().code, taken.error().message);
+    co_return;
+  }
+  const json::object answer{{"state", "done"}};
+  co_await RespondJson(exchange, 200, answer);
+}
+
+/** GET and PUT /kv/{prefix}: export and import of one cached prefix. */
+auto MoveCache(engine_state& s, std::string prefix, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  auto& cache = s.engine.Cache();
+  if (exchange.Request().method == "PUT") {
+    std::vector<std::string> evicted;
+    cache.Insert(prefix, evicted);
+  }
+  const bool held = cache.Contains(prefix);
+  const json::object answer{{"prefix", prefix}, {"held", held}};
+  co_await RespondJson(exchange, held ? 200 : 404, answer);
+}
+
+/** GET /cache_events?from=. */
+auto ShowEvents(engine_state& s, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  const auto from = QueryNumber(exchange.Request(), "from", 0);
+  const auto page = s.events.Page(from, clock::now(), s.options.event_lag,
+                                  s.options.event_gap);
+  co_await RespondJson(exchange, 200, page);
+}
+
+/** POST /fault. */
+auto SetFaults(engine_state& s, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  const auto body = ParseBody(exchange.Request());
+  const auto set = body ? ApplyFault(s.faults, *body) : body.error();
+  if (!set) {
+    co_await RespondError(exchange, set.error().code, set.error().message);
+    co_return;
+  }
+  const json::object answer{{"state", "set"}};
+  co_await RespondJson(exchange, 200, answer);
+}
+
+/** Answers a call of the published interface. */
+auto HandlePublished(engine_state& s, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  constexpr std::string_view kCancel = "/cancel/";
+  constexpr std::string_view kCache = "/kv/";
+  const auto& request = exchange.Request();
+  const auto path = request.Path();
+  const bool post = request.method == "POST";
+  if (post && (path == "/v1/completions" || path == "/v1/chat/completions")) {
+    co_await Complete(s, exchange);
+  } else if (post && path.starts_with(kCancel)) {
+    std::string id(path.substr(kCancel.size()));
+    co_await CancelRequest(s, std::move(id), exchange);
+  } else if (path == "/v1/models") {
+    co_await ShowModels(s, exchange);
+  } else if (path == "/load") {
+    co_await ShowLoad(s, exchange);
+  } else if (path == "/cache_events") {
+    co_await ShowEvents(s, exchange);
+  } else if (path == "/orders" && post) {
+    co_await TakeOrder(s, exchange);
+  } else if (path.starts_with(kCache)) {
+    std::string prefix(path.substr(kCache.size()));
+    co_await MoveCache(s, std::move(prefix), exchange);
+  } else {
+    co_await RespondError(exchange, error_code::kNotFound, "no such call");
+  }
+}
+
+/** Answers one request: first the calls that only tests make. */
+auto Handle(engine_state& s, http_exchange& exchange) -> asio::awaitable<void> {
+  const auto& request = exchange.Request();
+  const auto path = request.Path();
+  if (path == "/fault") {
+    co_await SetFaults(s, exchange);
+    co_return;
+  }
+  if (path == "/requests") {
+    const auto answer = s.journal.ToJson();
+    co_await RespondJson(exchange, 200, answer);
+    co_return;
+  }
+  if (path == "/orders" && request.method == "GET") {
+    const auto answer = s.orders.ToJson();
+    co_await RespondJson(exchange, 200, answer);
+    co_return;
+  }
+  s.journal.NoteArrival(request);
+  if (IsSilent(s.faults, request)) {
+    co_await WaitUntilGone(exchange);
+    co_return;
+  }
+  if (s.faults.outage || Refuses(s.faults)) {
+    co_await RespondError(exchange, error_code::kUnavailable, "fault: refuse");
+    co_return;
+  }
+  co_await HandlePublished(s, exchange);
+}
+
+/** Options of the command line. */
+auto DescribeOptions() -> cxxopts::Options {
+  cxxopts::Options options("fake_engine", "Stand-in for a model engine.");
+  auto add = options.add_options();
+  const auto text = [](const char* fallback) {
+    return cxxopts::value<std::string>()->default_value(fallback);
+  };
+  const auto number = [](const char* fallback) {
+    return cxxopts::value<double>()->default_value(fallback);
+  };
+  add("port", "port on 127.0.0.1", cxxopts::value<std::uint16_t>());
+  add("model", "models loaded at the start, split by commas", text("m"));
+  add("slots", "sequences that run at once", number("8"));
+  add("base-ms", "time of each step", number("4"));
+  add("per-sequence-ms", "more for each running sequence", number("0.5"));
+  add("prefill-ms", "for each prompt token not in the cache", number("0.2"));
+  add("cached-prefixes", "prefixes kept", number("64"));
+  add("load-lag-ms", "age of load reports", number("200"));
+  add("event-lag-ms", "age of cache events", number("1000"));
+  add("event-gap", "each such cache event is missing, 0 for none", number("7"));
+  add("resume-keep-ms", "life of cancelled streams", number("10000"));
+  add("ignore-fencing", "take orders with old fencing numbers");
+  add("help", "this text");
+  return options;
+}
+
+/** Values of the command line. */
+auto ReadOptions(const cxxopts::ParseResult& given) -> engine_options {
+  const auto number = [&given](const char* name) {
+    return given[name].as<double>();
+  };
+  const auto time = [&number](const char* name) {
+    return std::chrono::milliseconds(static_cast<std::int64_t>(number(name)));
+  };
+  engine_options o;
+  std::istringstream models(given["model"].as<std::string>());
+  for (std::string model; std::getline(models, model, ',');) {
+    o.models.insert(model);
+  }
+  o.costs.slots = static_cast<unsigned>(number("slots"));
+  o.costs.base_ms = number("base-ms");
+  o.costs.per_sequence_ms = number("per-sequence-ms");
+  o.costs.prefill_ms = number("prefill-ms");
+  o.costs.cached_prefixes = static_cast<std::size_t>(number("cached-prefixes"));
+  o.load_lag = time("load-lag-ms");
+  o.event_lag = time("event-lag-ms");
+  o.event_gap = static_cast<std::uint64_t>(number("event-gap"));
+  o.resume_keep = time("resume-keep-ms");
+  o.checks_fencing = given.count("ignore-fencing") == 0;
+  return o;
+}
+
+/** Reads the command line and serves. */
+auto Run(int argc, char** argv) -> int {
+  auto options = DescribeOptions();
+  const auto given = options.parse(argc, argv);
+  if (given.count("help") != 0 || given.count("port") == 0) {
+    std::cout << options.help();
+    return given.count("help") != 0 ? 0 : 2;
+  }
+  engine_state s(ReadOptions(given));
+  asio::io_context io(1);
+  asio::co_spawn(io, RunSteps(s), asio::detached);
+  return RunServer(
+      io, "fake_engine", given["port"].as<std::uint16_t>(),
+      [&s](http_exchange& exchange) { return Handle(s, exchange); });
+}
+
+}  // namespace
+}  // namespace dogwood::fakes
+
+/** Entry point. */
+auto main(int argc, char** argv) -> int {
+  try {
+    return dogwood::fakes::Run(argc, argv);
+  } catch (const std::exception& e) {
+    std::cerr << e.what() << "\n";
+    return 2;
+  }
+}
--- a/tests/fakes/fake_platform.cc
+++ b/tests/fakes/fake_platform.cc
@@ -173,7 +173,8 @@
   }
   auto records = RecordsOf(exchange.Request());
   if (!records) {
-    co_await exchange.RespondFailure(records.error());
+    co_await RespondError(exchange, records.error().code,
+                          records.error().message);
     co_return;
   }
   if (!s.appends.Take(clock::now())) {
@@ -245,8 +246,7 @@
   auto& stream = s.streams[name];
   Trim(s, stream);
   if (from < stream.first) {
-    const json::object bounds{{"first", stream.first},
-                              {"next", stream.Next()}};
+    const json::object bounds{{"first", stream.first}, {"next", stream.Next()}};
     co_await RespondJson(exchange, 410, bounds);
     co_return;
   }
@@ -286,7 +286,7 @@
     -> asio::awaitable<void> {
   auto row = ParseBody(exchange.Request());
   if (!row) {
-    co_await exchange.RespondFailure(row.error());
+    co_await RespondError(exchange, row.error().code, row.error().message);
     co_return;
   }
   const bool removes = exchange.Request().method == "DELETE";
@@ -323,7 +323,7 @@
   auto body = ParseBody(exchange.Request());
   const auto set = body ? ApplyFault(s.faults, *body) : body.error();
   if (!set) {
-    co_await exchange.RespondFailure(set.error());
+    co_await RespondError(exchange, set.error().code, set.error().message);
     co_return;
   }
   for (auto& [name, stream] : s.streams) {
--- a/tests/fakes/fake_service.cc
+++ b/tests/fakes/fake_service.cc
@@ -97,7 +97,7 @@
     const auto body = ParseBody(request);
     const auto set = body ? ApplyFault(s.faults, *body) : body.error();
     if (!set) {
-      co_await exchange.RespondFailure(set.error());
+      co_await RespondError(exchange, set.error().code, set.error().message);
       co_return;
     }
     const json::object answer{{"calls", s.calls}};
