Test HTTP server and client against each other

The daemons rely on a broken answer never being taken for a whole one and on failures that say truly whether a server may have run the request.

--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -8,3 +8,4 @@
 dogwood_test(core dogwood_core dogwood_setting)
 dogwood_library(limit SOURCES limit_granter.cc limit_share.cc LIBS dogwood_core)
 dogwood_test(limit dogwood_limit)
+dogwood_test(http dogwood_http)
