--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -10,3 +10,6 @@
                 LIBS dogwood_core)
 dogwood_library(platform SOURCES platform_client.cc LIBS dogwood_http)
 dogwood_test(core dogwood_core dogwood_setting)
+dogwood_library(limit SOURCES limit_granter.cc limit_share.cc LIBS dogwood_core)
+dogwood_test(limit dogwood_limit)
+dogwood_test(http dogwood_http)
