--- /dev/null
+++ b/src/controld_base.h
@@ -0,0 +1,123 @@
+/** State that the parts of dogwood_controld share. */
+#ifndef SRC_CONTROLD_BASE_H_
+#define SRC_CONTROLD_BASE_H_
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "src/config.h"
+#include "src/controld_append.h"
+#include "src/controld_metric.h"
+#include "src/controld_setting.h"
+#include "src/controld_store.h"
+#include "src/freshness.h"
+#include "src/link.h"
+#include "src/platform.h"
+#include "src/replica_base.h"
+
+namespace dogwood {
+
+/** A pull of another daemon that was answered here. */
+struct answered_pull {
+  log_offset from;  ///< It had applied the records before.
+  time_point at;    ///< When the request arrived.
+};
+
+/** Who pulled here last. Thread-safe. */
+class pull_table {
+ public:
+  /** Notes a pull. */
+  auto Note(const link_peer& peer, log_offset from, time_point now) -> void;
+  /** When controld of `host` last pulled, min() if never. */
+  auto LastPull(const host_id& host) const -> time_point;
+  /** All, by "host/daemon". */
+  auto All() const -> std::map<std::string, answered_pull>;
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<std::string, answered_pull> pulls_;
+};
+
+/** Clients for the control links of other hosts. Thread-safe. */
+class peer_table {
+ public:
+  peer_table(boost::asio::io_context& io, link_identity self)
+      : io_(io), self_(std::move(self)) {}
+  /** The client for "ip:port"; nullptr if that is no address. */
+  auto Client(const std::string& address) -> std::shared_ptr<link_client>;
+  /** Ends the clients of addresses that are not in `used`. */
+  auto Keep(const std::vector<member>& used) -> void;
+
+ private:
+  std::mutex mutex_;
+  boost::asio::io_context& io_;
+  link_identity self_;
+  std::map<std::string, std::shared_ptr<link_client>> clients_;
+};
+
+/** What controld is doing with its membership. */
+enum class serve_state {
+  kServing,   ///< Joined or joining.
+  kDraining,  ///< Planned stop; still answers its daemons and children.
+  kStopped,   ///< Planned stop; answers nobody any more.
+};
+
+/** Everything that the coroutines of one controld share. */
+struct controld {
+  controld(boost::asio::io_context& io_context, controld_settings given);
+
+  boost::asio::io_context& io;       ///< Runs everything.
+  const controld_settings settings;  ///< Settings.
+  const incarnation process_start;   ///< Start of this process, unix us.
+  platform_client platform;          ///< Log and host list.
+  config_replica replica;            ///< Configuration.
+  freshness_tracker tracker;         ///< Proofs and vouches.
+  record_store store;                ///< Records for other daemons.
+  pull_table pulls;                  ///< Who pulls here.
+  peer_table peers;                  ///< Links to other hosts.
+  seen_table seen;                   ///< Own records that are waited for.
+  controld_metrics metrics;          ///< Metrics.
+  record_appender appender;          ///< Appends own records.
+  std::atomic<serve_state> state{serve_state::kServing};  ///< Planned stop.
+  std::atomic<std::uint64_t> member_start{0};  ///< Start in the join record.
+  std::atomic<std::uint64_t> snapshot_at{0};  ///< as_of of the newest snapshot.
+  std::atomic<std::uint64_t> log_first{0};    ///< Oldest retained offset.
+};
+
+/** Offset of the first record that is not applied. */
+auto NextOffset(const controld& c) -> log_offset;
+
+/** Members in member order. */
+auto MembersOf(const controld& c) -> std::vector<member>;
+
+/** Applies records from the log or from another host, whose next record is at
+ * `known_end`; updates store, tracker and watched records. A run that starts
+ * beyond the next offset is one snapshot. Called by one coroutine only. */
+auto TakeRecords(controld& c, const record_run& run, log_offset known_end)
+    -> void;
+
+/** Unix time in microseconds. */
+auto UnixMicroseconds() -> std::uint64_t;
+
+/** Microseconds as messages have them; 0 for negative lengths. */
+auto MicrosecondsOf(duration length) -> std::uint64_t;
+
+/** Length of a message's microseconds; huge values become a century. */
+auto DurationOf(std::uint64_t us) -> duration;
+
+/** Logs a failure. */
+auto LogFailure(log_level level, log_category category, const failure& error)
+    -> void;
+
+/** Waits for `length`. */
+auto Sleep(duration length) -> boost::asio::awaitable<void>;
+
+}  // namespace dogwood
+
+#endif  // SRC_CONTROLD_BASE_H_
--- /dev/null
+++ b/src/controld_metric.cc
@@ -0,0 +1,70 @@
+#include "src/controld_metric.h"
+
+#include <algorithm>
+#include <chrono>
+#include <sstream>
+
+namespace dogwood {
+namespace {
+
+constexpr double kMsPerSecond = 1000;
+
+/** Help and type lines. */
+auto Heading(std::string_view name,
+             std::string_view help,
+             std::string_view type) -> std::string {
+  std::ostringstream text;
+  text << "# HELP " << name << " " << help << "\n";
+  text << "# TYPE " << name << " " << type << "\n";
+  return text.str();
+}
+
+/** Edges of the axis; the underflow bin is never used. */
+auto Edges() -> std::vector<double> {
+  std::vector<double> edges{0};
+  edges.insert(edges.end(), kTimeBucketsMs.begin(), kTimeBucketsMs.end());
+  return edges;
+}
+
+}  // namespace
+
+time_histogram::time_histogram()
+    : counts_(boost::histogram::make_histogram(axis(Edges()))) {}
+
+auto time_histogram::Observe(duration value) -> void {
+  const auto ms = std::chrono::duration<double, std::milli>(value).count();
+  const std::lock_guard lock(mutex_);
+  counts_(std::max(ms, 0.0));
+  sum_s_ += ms / kMsPerSecond;
+}
+
+auto time_histogram::Print(std::string_view name, std::string_view help) const
+    -> std::string {
+  const std::lock_guard lock(mutex_);
+  std::ostringstream text;
+  text << Heading(name, help, "histogram");
+  double total = 0;
+  for (std::size_t i = 0; i < kTimeBucketsMs.size(); ++i) {
+    total += counts_.at(static_cast<int>(i));
+    text << name << "_bucket{le=\"" << kTimeBucketsMs[i] / kMsPerSecond
+         << "\"} " << total << "\n";
+  }
+  total += counts_.at(static_cast<int>(kTimeBucketsMs.size()));
+  text << name << "_bucket{le=\"+Inf\"} " << total << "\n";
+  text << name << "_sum " << sum_s_ << "\n";
+  text << name << "_count " << total << "\n";
+  return text.str();
+}
+
+auto PrintMetric(std::string_view name,
+                 std::string_view help,
+                 std::string_view type,
+                 double value) -> std::string {
+  std::ostringstream text;
+  // Enough digits for offsets and microsecond counts.
+  text.precision(16);
+  text << Heading(name, help, type) << name << " " << value << "\n";
+  return text.str();
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/controld_pull.cc
@@ -0,0 +1,336 @@
+#include "src/controld_pull.h"
+
+#include <algorithm>
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "src/core.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+namespace {
+
+/** Records asked for at once. */
+constexpr unsigned kPageRecords = 1000;
+/** A host or log that did not answer is not asked again for so long. */
+constexpr std::chrono::milliseconds kRetryAfter{1000};
+/** A proof from an ancestor older than this share of the limit is taken as a
+ * sign that the ancestor has lost touch, and the log is asked too. */
+constexpr int kOldProofDivisor = 2;
+
+/** A reply that was received, to be echoed. */
+struct received_reply {
+  std::uint64_t start = 0;     ///< Start of the sender.
+  std::uint64_t stamp_us = 0;  ///< Clock of the sender.
+  time_point arrived;          ///< When it was received.
+};
+
+/** The last replies by control link; one per process. */
+class reply_table {
+ public:
+  auto Note(const std::string& address, const received_reply& reply) -> void {
+    const std::lock_guard lock(mutex_);
+    replies_[address] = reply;
+  }
+  auto Find(const std::string& address) -> std::optional<received_reply> {
+    const std::lock_guard lock(mutex_);
+    const auto found = replies_.find(address);
+    return found == replies_.end() ? std::nullopt
+                                   : std::optional(found->second);
+  }
+
+ private:
+  std::mutex mutex_;
+  std::map<std::string, received_reply> replies_;
+};
+
+auto Replies() -> reply_table& {
+  static reply_table table;
+  return table;
+}
+
+/** The request for `peer`, with this subtree's vouch. */
+auto MakeRequest(controld& c, const member& peer, time_point now)
+    -> wire::tail_requestT {
+  wire::tail_requestT request;
+  request.host = c.settings.self.host.value;
+  request.daemon = "controld";
+  request.from_offset = NextOffset(c).value;
+  request.limit = kPageRecords;
+  if (const auto up = c.tracker.Gather(now)) {
+    request.up = std::make_unique<wire::vouchT>();
+    request.up->known_offset = up->known_offset.value;
+    request.up->covered = up->covered.words();
+    request.up->age_us = MicrosecondsOf(now - up->as_of);
+  }
+  if (const auto last = Replies().Find(peer.control_link)) {
+    request.echo_start = last->start;
+    request.echo_stamp_us = last->stamp_us;
+    request.echo_elapsed_us = MicrosecondsOf(now - last->arrived);
+  }
+  return request;
+}
+
+/** Takes records, proof and fleet vouch of a reply to a request sent at
+ * `sent`. */
+auto TakeReply(controld& c, wire::tail_replyT reply, time_point sent) -> void {
+  const record_run run{log_offset(reply.from), std::move(reply.records)};
+  TakeRecords(c, run, log_offset(reply.next));
+  if (reply.proven) {
+    const freshness_proof proof{log_offset(reply.next),
+                                sent - DurationOf(reply.age_us)};
+    c.tracker.TakeProof(proof);
+  }
+  if (reply.down) {
+    vouch fleet;
+    fleet.known_offset = log_offset(reply.down->known_offset);
+    fleet.covered = rank_set(reply.down->covered);
+    fleet.as_of = sent - DurationOf(reply.down->age_us);
+    c.tracker.TakeFleetVouch(fleet);
+  }
+}
+
+/** Hands the tracker's proof to the replica, which also serves as the source
+ * of RequireFresh() for operators. */
+auto ShareProof(controld& c) -> void {
+  const auto proof = c.tracker.Proof();
+  if (proof.as_of != time_point::min()) {
+    c.replica.TakeProof(proof.next, proof.as_of);
+    c.metrics.proof_age.Observe(clock::now() - proof.as_of);
+  }
+}
+
+/** The member `host`. */
+auto FindMember(const std::vector<member>& members, const host_id& host)
+    -> const member* {
+  const auto found =
+      std::find_if(members.begin(), members.end(),
+                   [&host](const member& m) { return m.host == host; });
+  return found == members.end() ? nullptr : &*found;
+}
+
+/** Follows the stream; keeps whom not to ask for a while. */
+class follower {
+ public:
+  explicit follower(controld& c) : c_(c) {}
+
+  /** One round: the first ancestor that answers, else the log. */
+  auto Round() -> asio::awaitable<void> {
+    const auto started = clock::now();
+    const auto members = MembersOf(c_);
+    const auto position =
+        TreePosition(members, c_.settings.self.host, c_.settings.log_region);
+    c_.peers.Keep(members);
+    const bool answered = co_await PullFromAncestors(members, position);
+    const bool asks_log = !answered || HasOldProof();
+    bool log_answered = false;
+    if (asks_log && clock::now() >= log_retry_at_) {
+      // Only the root waits at the log, as its loop has no other pace.
+      log_answered = co_await ReadLog(position.ancestors.empty());
+    }
+    // The root gathers here what its children vouch for.
+    c_.tracker.Gather(clock::now());
+    ShareProof(c_);
+    const bool is_root = position.ancestors.empty() && log_answered;
+    const auto next_round = started + c_.settings.pull_period;
+    if (!is_root && clock::now() < next_round) {
+      co_await Sleep(next_round - clock::now());
+    }
+  }
+
+ private:
+  /** Pulls from the nearest ancestor that answers. */
+  auto PullFromAncestors(const std::vector<member>& members,
+                         const tree_position& position)
+      -> asio::awaitable<bool> {
+    for (const auto& host : position.ancestors) {
+      const auto* peer = FindMember(members, host);
+      if (peer == nullptr || retry_at_[host] > clock::now()) {
+        continue;
+      }
+      const auto sent = clock::now();
+      auto reply = co_await AskPeer(c_, *peer, sent + c_.settings.pull_timeout);
+      if (reply) {
+        retry_at_.erase(host);
+        TakeReply(c_, std::move(reply.value()), sent);
+        co_return true;
+      }
+      retry_at_[host] = clock::now() + kRetryAfter;
+    }
+    co_return false;
+  }
+
+  /** Reads the log's tail; with `wait` for up to one pull period. */
+  auto ReadLog(bool wait) -> asio::awaitable<bool> {
+    const auto period =
+        wait ? c_.settings.pull_period : std::chrono::milliseconds(0);
+    while (true) {
+      const auto sent = clock::now();
+      const auto next = NextOffset(c_);
+      auto page =
+          co_await c_.platform.Read("config", next, kPageRecords, period,
+                                    sent + period + c_.settings.pull_timeout);
+      if (!page) {
+        co_await HandleReadFailure(page.error());
+        co_return false;
+      }
+      ++c_.metrics.log_reads;
+      c_.log_first = page->first.value;
+      const bool is_tail = page->IsTail();
+      const record_run run{page->from, std::move(page->records)};
+      const log_offset end(run.from.value + run.records.size());
+      TakeRecords(c_, run, end);
+      if (is_tail) {
+        c_.tracker.TakeProof({end, sent});
+        co_return true;
+      }
+    }
+  }
+
+  /** Notes a failed read; loads a snapshot if this host fell behind the
+   * retained range. */
+  auto HandleReadFailure(const failure& error) -> asio::awaitable<void> {
+    ++c_.metrics.log_read_errors;
+    LogFailure(log_level::kWarning, log_category::kConfig, error);
+    log_retry_at_ = clock::now() + kRetryAfter;
+    if (error.code == error_code::kNotFound) {
+      co_await LoadConfig(c_);
+    }
+  }
+
+  /** Whether the proof is getting too old to rely on the ancestors. */
+  auto HasOldProof() const -> bool {
+    const auto as_of = c_.tracker.Proof().as_of;
+    return clock::now() - c_.settings.freshness_limit / kOldProofDivisor >
+           as_of;
+  }
+
+  controld& c_;
+  std::map<host_id, time_point> retry_at_;
+  time_point log_retry_at_ = time_point::min();
+};
+
+/** All retained records. */
+auto ReadRetained(controld& c) -> asio::awaitable<outcome<record_run>> {
+  const auto bounds_deadline = clock::now() + c.settings.pull_timeout;
+  auto bounds = co_await c.platform.Bounds("config", bounds_deadline);
+  if (!bounds) {
+    co_return bounds.error();
+  }
+  c.log_first = bounds->first.value;
+  record_run run;
+  run.from = bounds->first;
+  while (run.from.value + run.records.size() < bounds->next.value) {
+    const log_offset next(run.from.value + run.records.size());
+    auto page = co_await c.platform.Read(
+        "config", next, kPageRecords, std::chrono::milliseconds(0),
+        clock::now() + c.settings.pull_timeout);
+    if (!page) {
+      co_return page.error();
+    }
+    if (page->records.empty()) {
+      break;
+    }
+    std::move(page->records.begin(), page->records.end(),
+              std::back_inserter(run.records));
+  }
+  co_return run;
+}
+
+/** The newest snapshot among `run`; nothing if there is none. */
+auto NewestSnapshot(const record_run& run)
+    -> std::optional<std::pair<log_offset, std::string>> {
+  for (auto i = run.records.size(); i-- > 0;) {
+    config_tree scratch;
+    if (run.records[i].find("\"snapshot\"") != std::string::npos &&
+        ToOutcome([&] { return scratch.LoadSnapshot(run.records[i]); })) {
+      return std::pair(scratch.next_offset(), run.records[i]);
+    }
+  }
+  return std::nullopt;
+}
+
+/** Applies what is retained; false if the configuration before it is needed
+ * but is not there. */
+auto TakeRetained(controld& c, record_run run) -> bool {
+  const log_offset end(run.from.value + run.records.size());
+  const auto snapshot = NewestSnapshot(run);
+  if (snapshot && snapshot->first > NextOffset(c)) {
+    TakeRecords(c, {snapshot->first, {snapshot->second}}, snapshot->first);
+  }
+  const auto next = NextOffset(c);
+  if (next < run.from) {
+    return false;
+  }
+  const auto skip =
+      std::min<std::uint64_t>(next.value - run.from.value, run.records.size());
+  run.records.erase(run.records.begin(),
+                    run.records.begin() + static_cast<std::ptrdiff_t>(skip));
+  run.from = next;
+  TakeRecords(c, run, end);
+  return NextOffset(c) >= end;
+}
+
+}  // namespace
+
+auto AskPeer(controld& c, const member& peer, time_point deadline)
+    -> asio::awaitable<outcome<wire::tail_replyT>> {
+  auto client = c.peers.Client(peer.control_link);
+  if (!client) {
+    failure bad{.code = error_code::kBadRequest,
+                .message = "the join record has no valid control_link",
+                .step = "pull",
+                .peer = peer.host.value};
+    co_return bad;
+  }
+  auto request = MakeMessage(MakeRequest(c, peer, clock::now()));
+  auto answer = co_await client->Call(std::move(request), deadline);
+  if (!answer) {
+    ++c.metrics.pull_errors;
+    LogFailure(log_level::kDebug, log_category::kConfig, answer.error());
+    co_return answer.error();
+  }
+  auto* reply = answer->Astail_reply();
+  if (reply == nullptr) {
+    failure bad{.code = error_code::kBadGateway,
+                .message = "the answer is no tail_reply",
+                .step = "pull",
+                .peer = peer.host.value};
+    co_return bad;
+  }
+  ++c.metrics.pulls;
+  const received_reply received{reply->start, reply->stamp_us, clock::now()};
+  Replies().Note(peer.control_link, received);
+  c.tracker.Confirm(log_offset(reply->next));
+  co_return std::move(*reply);
+}
+
+auto LoadConfig(controld& c) -> asio::awaitable<void> {
+  while (true) {
+    auto run = co_await ReadRetained(c);
+    if (run && TakeRetained(c, std::move(run.value()))) {
+      co_return;
+    }
+    const failure error =
+        run ? failure{.code = error_code::kUnavailable,
+                      .message =
+                          "the retained records hold no snapshot and "
+                          "do not start at offset 0",
+                      .step = "load configuration",
+                      .peer = "platform"}
+            : run.error();
+    LogFailure(log_level::kError, log_category::kConfig, error);
+    co_await Sleep(kRetryAfter);
+  }
+}
+
+auto FollowConfig(controld& c) -> asio::awaitable<void> {
+  follower following(c);
+  while (true) {
+    co_await following.Round();
+  }
+}
+
+}  // namespace dogwood
--- a/src/freshness_base.cc
+++ b/src/freshness_base.cc
@@ -164,6 +164,10 @@
   seen_ = std::max(seen_, next);
   rank_ = rank;
   members_ = members;
+  if (rank == kNoRank) {
+    joined_.reset();
+    confirmed_ = false;
+  }
 }
 
 auto freshness_tracker::SetJoined(log_offset join) -> void {
@@ -172,12 +176,6 @@
   confirmed_ = false;
 }
 
-auto freshness_tracker::ClearJoined() -> void {
-  const std::lock_guard lock(mutex_);
-  joined_.reset();
-  confirmed_ = false;
-}
-
 auto freshness_tracker::Confirm(log_offset peer_next) -> bool {
   const std::lock_guard lock(mutex_);
   if (joined_ && peer_next > *joined_) {
--- a/src/freshness_base.h
+++ b/src/freshness_base.h
@@ -66,13 +66,12 @@
    * are applied, and when an own append is acknowledged. */
   auto NoteSeen(log_offset end) -> void;
   /** Notes that exactly the records before `next` are applied, and the own
-   * rank and the number of members that follow from them. */
+   * rank and the number of members that follow from them. With kNoRank the host
+   * has left or was declared lost, and has to join again. */
   auto SetApplied(log_offset next, std::size_t rank, std::size_t members)
       -> void;
   /** Notes the join record at `join`; the host is unconfirmed from now on. */
   auto SetJoined(log_offset join) -> void;
-  /** Ends the joined state: the host left or was declared lost. */
-  auto ClearJoined() -> void;
   /** Takes the end of what another, confirmed host has applied; confirms this
    * host if that includes its join record. Returns whether it is confirmed. */
   auto Confirm(log_offset peer_next) -> bool;
