--- /dev/null
+++ b/scripts/dogwood_cluster.py
@@ -0,0 +1,563 @@
+"""A cluster of plain processes on 127.0.0.1: start, set up, stop.
+
+Used by scripts/cluster, scripts/experiment and the failure tests. Standard
+library only. Processes are ended by the ids that were recorded when they were
+started, never by name.
+"""
+
+import concurrent.futures
+import hashlib
+import http.client
+import json
+import os
+import pathlib
+import re
+import secrets
+import signal
+import socket
+import subprocess
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = pathlib.Path(os.environ.get("DOGWOOD_BUILD", ROOT / "build"))
+SCENARIOS = ROOT / "tests" / "scenarios"
+DAEMONS = ("dogwood_controld", "dogwood_entryd", "dogwood_batchd")
+# Ports are taken in blocks; a block holds a scenario of 15 hosts.
+PORT_BASE = int(os.environ.get("DOGWOOD_PORT_BASE", "25000"))
+PORT_BLOCK = 125
+PORT_BLOCKS = 8
+LOOPBACK = "127.0.0.1"
+STATE_FILE = "cluster.json"
+
+
+class ClusterError(Exception):
+    """The cluster could not do what was asked."""
+
+
+def request(address, method, path, body=None, headers=None, timeout=10):
+    """Sends one HTTP request; returns (status, headers, body as bytes)."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        if isinstance(body, (dict, list)):
+            body = json.dumps(body)
+        connection.request(method, path, body=body, headers=headers or {})
+        answer = connection.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read()
+    finally:
+        connection.close()
+
+
+def request_json(address, method, path, body=None, headers=None, timeout=10):
+    """As request(), but returns (status, body read as JSON or None)."""
+    status, _, text = request(address, method, path, body, headers, timeout)
+    try:
+        return status, json.loads(text)
+    except ValueError:
+        return status, None
+
+
+def wait_until(check, what, timeout=30.0, period=0.1):
+    """Calls `check` until it returns a true value, which is returned. Errors
+    of connections count as false. Raises ClusterError after `timeout`."""
+    deadline = time.monotonic() + timeout
+    last = None
+    while time.monotonic() < deadline:
+        try:
+            value = check()
+            if value:
+                return value
+        except (OSError, http.client.HTTPException) as error:
+            last = error
+        time.sleep(period)
+    raise ClusterError(f"{what}: not within {timeout} s (last error: {last})")
+
+
+def load_scenario(name, hosts=None, engines=None):
+    """Reads tests/scenarios/NAME.json, or the file NAME, and takes only the
+    first `hosts` and `engines` in turn over the data centres."""
+    path = pathlib.Path(name)
+    if path.suffix != ".json":
+        path = SCENARIOS / f"{name}.json"
+    scenario = json.loads(path.read_text())
+    for kind, count in (("hosts", hosts), ("engines", engines)):
+        counts = scenario[kind]
+        order = [
+            centre
+            for turn in range(max(counts.values(), default=0))
+            for centre in counts
+            if counts[centre] > turn
+        ]
+        if count is not None:
+            if count > len(order):
+                order += [order[i % len(order)] for i in range(count - len(order))]
+            order = order[:count]
+        scenario[kind] = order
+    return scenario
+
+
+def port_is_free(port):
+    """Whether nothing listens on the port."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((LOOPBACK, port))
+            return True
+        except OSError:
+            return False
+
+
+def take_ports(count):
+    """`count` free ports of one block."""
+    for block in range(PORT_BLOCKS):
+        first = PORT_BASE + block * PORT_BLOCK
+        ports = range(first, first + count)
+        if count <= PORT_BLOCK and all(port_is_free(p) for p in ports):
+            return iter(ports)
+    raise ClusterError(f"no {count} free ports from {PORT_BASE} on")
+
+
+def process_start_time(pid):
+    """Start time of a process in clock ticks, None if it has ended. With the
+    id it names a process for good."""
+    try:
+        text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    except OSError:
+        return None
+    fields = text.rsplit(")", 1)[1].split()
+    return None if fields[0] == "Z" else int(fields[19])
+
+
+class Process:
+    """One process that this project started."""
+
+    def __init__(self, record):
+        self.record = record
+
+    @property
+    def pid(self):
+        return self.record["pid"]
+
+    def is_alive(self):
+        self._reap()
+        return process_start_time(self.pid) == self.record["start_time"]
+
+    def signal(self, number):
+        if self.is_alive():
+            os.kill(self.pid, number)
+
+    def _reap(self):
+        try:
+            os.waitpid(self.pid, os.WNOHANG)
+        except OSError:
+            pass
+
+    def stop(self, timeout=10.0):
+        """SIGTERM, and SIGKILL if it has not ended within `timeout`."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        deadline = time.monotonic() + timeout
+        while self.is_alive() and time.monotonic() < deadline:
+            time.sleep(0.05)
+        self.kill()
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        while self.is_alive():
+            time.sleep(0.01)
+
+
+def start_process(arguments, log_path):
+    """Starts a program with its output in `log_path`; returns its record."""
+    with open(log_path, "ab") as log:
+        child = subprocess.Popen(
+            [str(a) for a in arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            start_new_session=True,
+        )
+    return {
+        "pid": child.pid,
+        "start_time": process_start_time(child.pid),
+        "arguments": [str(a) for a in arguments],
+        "log": str(log_path),
+    }
+
+
+def known_settings(program):
+    """Names of a daemon's settings: {name: whether it is required}."""
+    printed = subprocess.run(
+        [BUILD / program, "--print-settings"], capture_output=True, text=True, check=True
+    ).stdout
+    names = {n: True for n in re.findall(r'^  // required: "(\w+)"', printed, re.M)}
+    names.update({n: False for n in re.findall(r'^  "(\w+)":', printed, re.M)})
+    return names
+
+
+def keep_known(program, values):
+    """The values that the daemon knows. Raises if a required one is missing."""
+    known = known_settings(program)
+    missing = [n for n, required in known.items() if required and n not in values]
+    if missing:
+        raise ClusterError(f"{program} requires settings {missing}")
+    return {n: v for n, v in values.items() if n in known}
+
+
+class Cluster:
+    """A running cluster, described by the state file in its directory."""
+
+    def __init__(self, directory):
+        self.directory = pathlib.Path(directory).resolve()
+        self.state = {}
+
+    # Reading.
+
+    @classmethod
+    def open(cls, directory):
+        cluster = cls(directory)
+        path = cluster.directory / STATE_FILE
+        if not path.exists():
+            raise ClusterError(f"no cluster in {cluster.directory}")
+        cluster.state = json.loads(path.read_text())
+        return cluster
+
+    @property
+    def platform(self):
+        return self.state["platform"]["address"]
+
+    @property
+    def hosts(self):
+        return self.state["hosts"]
+
+    @property
+    def servers(self):
+        return self.state["backend_servers"]
+
+    def engines(self):
+        return [s for s in self.servers if s["models"]]
+
+    def services(self):
+        return [s for s in self.servers if s["services"]]
+
+    def entry(self, index=0):
+        return self.hosts[index]["entry_address"]
+
+    def operator(self, index=0):
+        return self.hosts[index]["operator_address"]
+
+    def operator_headers(self):
+        token = pathlib.Path(self.state["operator_token_file"]).read_text().strip()
+        return {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
+
+    def key(self, workspace, key="main"):
+        keys = json.loads(pathlib.Path(self.state["keys_file"]).read_text())
+        return keys[workspace][key]
+
+    def caller_headers(self, workspace, key="main", **more):
+        headers = {"Authorization": f"Bearer {self.key(workspace, key)}"}
+        headers.update({n.replace("_", "-"): v for n, v in more.items()})
+        return headers
+
+    def process(self, host_index, daemon):
+        return Process(self.hosts[host_index]["processes"][daemon])
+
+    def server_process(self, server_id):
+        return Process(self.server(server_id)["process"])
+
+    def server(self, server_id):
+        return next(s for s in self.servers if s["id"] == server_id)
+
+    def all_processes(self):
+        """All recorded processes, daemons first and the platform last."""
+        records = []
+        for host in self.state.get("hosts", []):
+            records += [host["processes"][d] for d in reversed(DAEMONS) if d in host["processes"]]
+        records += [s["process"] for s in self.state.get("backend_servers", [])]
+        if "platform" in self.state:
+            records.append(self.state["platform"]["process"])
+        return [Process(r) for r in records]
+
+    def save(self):
+        path = self.directory / STATE_FILE
+        part = path.with_suffix(".part")
+        part.write_text(json.dumps(self.state, indent=1))
+        part.replace(path)
+
+    # Starting.
+
+    def start(self, scenario):
+        """Starts everything and sets it up; on failure stops what it started."""
+        self.directory.mkdir(parents=True, exist_ok=True)
+        if (self.directory / STATE_FILE).exists():
+            old = Cluster.open(self.directory)
+            if any(p.is_alive() for p in old.all_processes()):
+                raise ClusterError(f"a cluster runs in {self.directory}; stop it first")
+        try:
+            self._start(scenario)
+        except BaseException:
+            self.save()
+            self.stop()
+            raise
+
+    def _start(self, scenario):
+        services = scenario.get("services", {})
+        count = 1 + 5 * len(scenario["hosts"]) + len(scenario["engines"]) + len(services)
+        ports = take_ports(count)
+        self.scenario = scenario
+        self.state = {"scenario": scenario["name"], "hosts": [], "backend_servers": []}
+        self._write_secrets(scenario)
+        self._start_platform(scenario, next(ports))
+        self._start_servers(scenario, ports)
+        self._plan_hosts(scenario, ports)
+        for index in range(len(self.hosts)):
+            for daemon in DAEMONS:
+                self.start_daemon(index, daemon)
+        self.save()
+        self.wait_ready()
+        self._configure(scenario)
+        self.save()
+
+    def _write_secrets(self, scenario):
+        self.state["operator_token_file"] = str(self.directory / "operator_token")
+        self.state["keys_file"] = str(self.directory / "keys.json")
+        self.state["secret_file"] = str(self.directory / "secret")
+        keys = {
+            name: {key: f"dgw-{secrets.token_hex(16)}" for key in w.get("keys", ["main"])}
+            for name, w in scenario["workspaces"].items()
+        }
+        self.write_private("operator_token", secrets.token_hex(16))
+        self.write_private("secret", secrets.token_hex(32))
+        self.write_private("keys.json", json.dumps(keys, indent=1))
+
+    def write_private(self, name, text):
+        path = self.directory / name
+        path.touch(mode=0o600)
+        path.write_text(text)
+
+    def log_path(self, name):
+        return self.directory / f"{name}.log"
+
+    def _start_platform(self, scenario, port):
+        arguments = [BUILD / "fake_platform", "--port", port]
+        arguments += scenario.get("platform_arguments", [])
+        record = start_process(arguments, self.log_path("platform"))
+        self.state["platform"] = {"address": f"{LOOPBACK}:{port}", "process": record}
+        wait_until(
+            lambda: request(self.platform, "GET", "/stats")[0] == 200, "platform answers"
+        )
+
+    def _start_servers(self, scenario, ports):
+        regions = scenario["data_centres"]
+        model = scenario["model"]
+        for i, centre in enumerate(scenario["engines"]):
+            slots = scenario.get("engine_slots", 8)
+            row = {"id": f"engine-{i}", "models": [model], "services": [], "slots": slots}
+            arguments = [BUILD / "fake_engine", "--model", model, "--slots", slots]
+            # Every third server ignores fencing numbers.
+            row["checks_fencing"] = i % 3 != 2
+            arguments += [] if row["checks_fencing"] else ["--ignore-fencing"]
+            arguments += scenario.get("engine_arguments", [])
+            self._start_server(row, arguments, next(ports), centre, regions[centre])
+        for name, centre in scenario.get("services", {}).items():
+            row = {"id": f"service-{name}", "models": [], "services": [name], "slots": 64}
+            row["checks_fencing"] = False
+            arguments = [BUILD / "fake_service"]
+            self._start_server(row, arguments, next(ports), centre, regions[centre])
+        for server in self.servers:
+            wait_until(
+                lambda s=server: request(s["address"], "GET", "/load")[0] < 500,
+                f"{server['id']} answers",
+            )
+
+    def _start_server(self, row, arguments, port, centre, region):
+        row.update(
+            kind="backend_server",
+            address=f"{LOOPBACK}:{port}",
+            data_centre=centre,
+            region=region,
+            state="live",
+        )
+        self.register(row)
+        record = start_process([*arguments, "--port", port], self.log_path(row["id"]))
+        self.servers.append({**row, "process": record})
+
+    def register(self, row):
+        """Puts a row into the platform's host list."""
+        status, _, text = request(self.platform, "PUT", f"/hosts/{row['id']}", row)
+        if status != 200:
+            raise ClusterError(f"host list refused {row['id']}: {status} {text}")
+
+    def unregister(self, row_id):
+        """Removes a row from the platform's host list."""
+        request(self.platform, "DELETE", f"/hosts/{row_id}")
+
+    def _plan_hosts(self, scenario, ports):
+        for i, centre in enumerate(scenario["hosts"]):
+            host = {
+                "id": f"host-{i}",
+                "data_centre": centre,
+                "region": scenario["data_centres"][centre],
+                "processes": {},
+            }
+            for name in (
+                "entry_address",
+                "operator_address",
+                "control_link",
+                "entry_link",
+                "batch_link",
+            ):
+                host[name] = f"{LOOPBACK}:{next(ports)}"
+            self.hosts.append(host)
+            self.register(
+                {
+                    "id": host["id"],
+                    "kind": "host",
+                    "address": host["entry_address"],
+                    "data_centre": centre,
+                    "region": host["region"],
+                    "state": "live",
+                    "models": [],
+                    "services": [],
+                    "slots": 1,
+                    "checks_fencing": False,
+                }
+            )
+
+    def settings_of(self, host, daemon):
+        """Settings of one daemon: those of the scenario over the addresses."""
+        secret = pathlib.Path(self.state["secret_file"]).read_text()
+        token = pathlib.Path(self.state["operator_token_file"]).read_text()
+        addresses = ("entry_address", "operator_address", "control_link", "entry_link")
+        values = {n: host[n] for n in (*addresses, "batch_link", "data_centre", "region")}
+        values.update(
+            host=host["id"],
+            controld_link=host["control_link"],
+            entryd_link=host["entry_link"],
+            batchd_link=host["batch_link"],
+            platform_address=self.platform,
+            log_region=self.scenario["log_region"],
+            secret=secret,
+            operator_tokens=["local:" + hashlib.sha256(token.encode()).hexdigest()],
+        )
+        overrides = self.scenario.get("settings", {})
+        values.update(overrides.get("all", {}))
+        values.update(overrides.get(daemon, {}))
+        return keep_known(daemon, values)
+
+    def start_daemon(self, index, daemon):
+        """Starts a daemon of a host, again if it had ended."""
+        host = self.hosts[index]
+        name = f"{host['id']}-{daemon}"
+        path = self.directory / f"{name}.json"
+        if not path.exists() or daemon not in host["processes"]:
+            self.write_private(path.name, json.dumps(self.settings_of(host, daemon), indent=1))
+        arguments = [BUILD / daemon, "--settings", path]
+        host["processes"][daemon] = start_process(arguments, self.log_path(name))
+        self.save()
+
+    def is_ready(self, index):
+        """Whether all daemons of a host run and report that they are ready."""
+        host = self.hosts[index]
+        for daemon, record in host["processes"].items():
+            if not Process(record).is_alive():
+                raise ClusterError(f"{daemon} of {host['id']} ended; see {record['log']}")
+        return all(
+            request(host[name], "GET", "/readyz", timeout=2)[0] == 200
+            for name in ("operator_address", "entry_address")
+        )
+
+    def wait_ready(self, timeout=60.0):
+        for index in range(len(self.hosts)):
+            name = self.hosts[index]["id"]
+            wait_until(lambda i=index: self.is_ready(i), f"{name} is ready", timeout)
+
+    # Configuration.
+
+    def node_version(self, path, index=0):
+        """Version of a node, 0 if absent."""
+        status, body = request_json(
+            self.operator(index), "GET", f"/v1/tree?path={path}", headers=self.operator_headers()
+        )
+        if status != 200 or body is None:
+            return 0
+        nodes = body.get("nodes", [body])
+        if isinstance(nodes, dict):
+            nodes = [{"path": p, **n} for p, n in nodes.items()]
+        return next((n.get("version", 0) for n in nodes if n.get("path", path) == path), 0)
+
+    def change(self, path, values, index=0, timeout=60.0, **more):
+        """Sets values at a node through the operator interface; waits until the
+        change is accepted. Sends it again after answers that do not decide."""
+
+        def attempt():
+            body = {
+                "path": path,
+                "expected_version": self.node_version(path, index),
+                "set": values,
+                **more,
+            }
+            status, answer = request_json(
+                self.operator(index), "POST", "/v1/changes", body, self.operator_headers(), 30
+            )
+            if status in (400, 401, 403, 404, 413):
+                raise ClusterError(f"change of {path} refused: {status} {answer}")
+            return answer if status == 200 else None
+
+        return wait_until(attempt, f"change of {path} is accepted", timeout)
+
+    def _configure(self, scenario):
+        changes = []
+        for name, workspace in scenario["workspaces"].items():
+            values = {n: workspace[n] for n in ("rate_per_s", "burst", "weight") if n in workspace}
+            group = [(f"/workspaces/{name}", values)]
+            for key in workspace.get("keys", ["main"]):
+                digest = hashlib.sha256(self.key(name, key).encode()).hexdigest()
+                group.append((f"/workspaces/{name}/keys/{key}", {"hash": digest}))
+            changes.append(group)
+        changes.append([(f"/models/{scenario['model']}", {})])
+        for name, values in scenario.get("routes", {}).items():
+            changes.append([(f"/routes/{name}", values)])
+
+        def apply(group):
+            for path, values in group:
+                self.change(path, values)
+
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            list(pool.map(apply, changes))
+
+    # Stopping.
+
+    def stop(self):
+        """Ends exactly the recorded processes: daemons first, all at once."""
+        daemons = [Process(r) for h in self.state.get("hosts", []) for r in h["processes"].values()]
+        others = [p for p in self.all_processes() if p.pid not in {d.pid for d in daemons}]
+        for group in (daemons, others):
+            with concurrent.futures.ThreadPoolExecutor(max(1, len(group))) as pool:
+                list(pool.map(lambda p: p.stop(), group))
+
+    def status(self):
+        """What scripts/cluster status prints."""
+        alive = {"operator_token_file", "keys_file", "scenario"}
+        report = {n: self.state[n] for n in alive if n in self.state}
+        report["platform"] = {
+            "address": self.platform,
+            "pid": self.state["platform"]["process"]["pid"],
+        }
+        report["hosts"] = [
+            {
+                **{n: h[n] for n in h if n != "processes"},
+                "processes": {d: r["pid"] for d, r in h["processes"].items()},
+                "running": {d: Process(r).is_alive() for d, r in h["processes"].items()},
+            }
+            for h in self.hosts
+        ]
+        report["backend_servers"] = [
+            {
+                **{n: s[n] for n in s if n != "process"},
+                "pid": s["process"]["pid"],
+                "running": Process(s["process"]).is_alive(),
+            }
+            for s in self.servers
+        ]
+        return report
