Add dogwood_load, an open-loop load tool

Requests are sent at seeded Poisson arrivals with bursts and idle windows by workspace, over the addresses of GET /v1/addresses, with batch jobs beside them. The report holds first-token and inter-token quantiles, refusals by reason, refusals of requests that were within their workspace's rate, and batch progress. Times are counted from the arrival and not from the send, so that a stalled tool does not hide waiting.

load_test passes; not run against a cluster yet.

--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -8,3 +8,7 @@
 dogwood_binary(fake_engine SOURCES tests/fakes/fake_engine.cc
                tests/fakes/engine_api.cc tests/fakes/engine_model.cc
                tests/fakes/engine_state.cc LIBS dogwood_fake_common)
+dogwood_library(load_lib SOURCES load_func.cc load_report.cc load_run.cc
+                load_stream.cc LIBS dogwood_http dogwood_core)
+dogwood_binary(dogwood_load SOURCES src/load_main.cc LIBS dogwood_load_lib)
+dogwood_test(load dogwood_load_lib)
