Add the configuration replica with its proof and acting ownership

A daemon must know until when it may serve on what it has, and whether it may act as owner of a thing without a second host doing so at the same instant.

The replica keeps every set of members that it saw during the last wait. A host acts only if it is the owner by all of them. Comparing only the sets before and after a batch of records is not enough: a host that is declared lost and joins again within one batch looks unchanged, while another host owned the thing in between.

The wait is freshness limit * 1.05 / 0.95 (5.26 s for 5 s is not enough when one clock runs 5% fast and the other 5% slow; 5.53 s is).

Property test: 4 hosts, 200 runs of 2,000 steps, never two acting owners, and owners act.

--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -8,6 +8,8 @@
 dogwood_library(config SOURCES config_cmd.cc config_codec.cc config_func.cc
                                config_query.cc ownership_func.cc
                 LIBS dogwood_core)
+dogwood_library(replica SOURCES replica_base.cc replica_client.cc
+                LIBS dogwood_config dogwood_wire)
 dogwood_library(platform SOURCES platform_client.cc LIBS dogwood_http)
 dogwood_test(core dogwood_core dogwood_setting)
 dogwood_library(limit SOURCES limit_granter.cc limit_share.cc LIBS dogwood_core)
--- a/src/config_base.h
+++ b/src/config_base.h
@@ -104,6 +104,10 @@
  * that late. */
 constexpr std::uint64_t kWriterMemory = 20000;
 
+/** Whether `record` is a snapshot made for one reader: its seq is 0, which no
+ * record of the log has. It stands for the records before its as_of and is
+ * itself at no offset. */
+auto IsReaderSnapshot(std::string_view record) -> bool;
 /** Record of an operator's change. */
 auto ChangeRecord(const record_writer& writer, const config_change& change)
     -> std::string;
--- a/src/config_codec.cc
+++ b/src/config_codec.cc
@@ -234,6 +234,19 @@
   return json::serialize(record);
 }
 
+auto IsReaderSnapshot(std::string_view record) -> bool {
+  if (record.find("\"snapshot\"") == std::string_view::npos) {
+    return false;
+  }
+  const auto object = ReadObject(record);
+  if (!object || ReadText(*object, "kind") != "snapshot") {
+    return false;
+  }
+  const auto* writer = object->if_contains("writer");
+  return writer != nullptr && writer->is_object() &&
+         ReadNumber(writer->get_object(), "seq") == 0;
+}
+
 auto JoinRecord(const record_writer& writer, const member& joining)
     -> std::string {
   auto record = NewRecord("member_join", writer);
--- /dev/null
+++ b/src/replica.h
@@ -0,0 +1,7 @@
+/** Public header of library replica. */
+#ifndef SRC_REPLICA_H_
+#define SRC_REPLICA_H_
+
+#include "src/replica_base.h"
+
+#endif  // SRC_REPLICA_H_
--- a/src/replica_base.h
+++ b/src/replica_base.h
@@ -3,26 +3,61 @@
 #define SRC_REPLICA_BASE_H_
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
+#include <deque>
 #include <functional>
-#include <map>
-#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 
 #include "src/config.h"
-#include "src/freshness.h"
 #include "src/link.h"
 #include "src/unit_type.h"
 
 namespace dogwood {
 
+/** Most that the rate of a clock is off, as a share. */
+constexpr double kClockDrift = 0.05;
+
+/** How long a new owner waits after it saw the change that made it owner. By
+ * its own clock, which may run fast, that is long enough for `freshness_limit`
+ * to pass on the former owner's clock, which may run slow. */
+auto OwnershipWait(std::chrono::milliseconds freshness_limit) -> duration;
+
+/** The sets of members that this host saw during the last wait. */
+class member_history {
+ public:
+  explicit member_history(duration wait) : wait_(wait) {}
+
+  /** Notes that the members are `members` from `now` on. */
+  auto Note(std::vector<member> members, time_point now) -> void;
+  /** Forgets everything, for members whose past is unknown. */
+  auto Clear() -> void { sets_.clear(); }
+  /** Whether `self` was the owner by every set since `now` - wait. */
+  auto IsOwner(const host_id& self,
+               owned_kind kind,
+               std::string_view name,
+               time_point now,
+               const region_id& region) const -> bool;
+
+ private:
+  /** One set; in force until the next one's `since`. */
+  struct member_set {
+    std::vector<member> members;  ///< Name, region and state only.
+    time_point since;             ///< When this host saw it.
+  };
+
+  duration wait_;
+  std::deque<member_set> sets_;  // Oldest first.
+};
+
 /** Shared table of the configuration. Thread-safe; first in lock order.
  *
- * Ownership: a host is owner of a thing only while its proof is fresh and the
- * members have been unchanged, as it saw them, for longer than the freshness
- * limit plus drift, unless it owned the thing before the change too. */
+ * Ownership: a host is owner of a thing only while its proof is fresh and while
+ * it was the owner by every set of members that it saw during the last
+ * OwnershipWait(). Two hosts are never owner at once: let B be owner by a later
+ * set than A. B saw the change after the last set by which it was not the owner
+ * at least one wait ago. A has not applied that change, so its proof is from
+ * before B saw it, and expired before the wait ended. */
 class config_replica {
  public:
   config_replica(host_id self, std::chrono::milliseconds freshness_limit);
@@ -54,7 +89,10 @@
 
   // Commands, for RunReplica() and controld.
 
-  /** Applies records from `from` on; returns how many were new. */
+  /** Applies records from `from` on; returns how many were new. A single
+   * record beyond next_offset() is taken as a snapshot with as_of `from`. A
+   * snapshot that is not newer than the state is ignored. `now` must not be
+   * before the records were received. */
   auto ApplyRecords(log_offset from,
                     const std::vector<std::string>& records,
                     time_point now) -> std::size_t;
@@ -63,18 +101,21 @@
   auto TakeProof(log_offset next, time_point as_of) -> void;
 
  private:
+  /** Loads a snapshot that is newer than the state; false if it is not. */
+  auto LoadNewer(log_offset as_of, const std::string& record, time_point now)
+      -> bool;
+
   mutable std::mutex mutex_;
   host_id self_;
   std::chrono::milliseconds freshness_limit_;
   config_tree tree_;
   time_point proven_as_of_ = time_point::min();
-  // Members before the last change, and when this host saw the change.
-  std::vector<member> previous_members_;
-  time_point members_changed_ = time_point::min();
+  member_history history_;
 };
 
 /** Pulls from the host's controld every `period` for ever: records, proof.
- * Called by entryd and batchd. `on_change` runs after new records. */
+ * Called by entryd and batchd. `on_change` runs after new records and must not
+ * throw. */
 auto RunReplica(config_replica& replica,
                 link_client& controld,
                 std::string daemon,
