--- a/cmake/control.cmake
+++ b/cmake/control.cmake
@@ -1,2 +1,13 @@
 # Targets of this area.
 dogwood_library(freshness SOURCES freshness_base.cc LIBS dogwood_core)
+dogwood_library(control SOURCES controld_append.cc controld_base.cc
+                                controld_change.cc controld_http.cc
+                                controld_member.cc controld_metric.cc
+                                controld_pull.cc controld_query.cc
+                                controld_serve.cc controld_setting.cc
+                                controld_store.cc controld_watch.cc
+                LIBS dogwood_setting dogwood_freshness dogwood_wire
+                     dogwood_http dogwood_config dogwood_replica
+                     dogwood_platform)
+dogwood_binary(dogwood_controld SOURCES src/controld_main.cc
+               LIBS dogwood_control)
--- a/src/controld_base.h
+++ b/src/controld_base.h
@@ -16,6 +16,7 @@
 #include "src/controld_metric.h"
 #include "src/controld_setting.h"
 #include "src/controld_store.h"
+#include "src/core.h"
 #include "src/freshness.h"
 #include "src/link.h"
 #include "src/platform.h"
--- a/src/controld_metric.cc
+++ b/src/controld_metric.cc
@@ -1,13 +1,19 @@
 #include "src/controld_metric.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <sstream>
+#include <vector>
 
 namespace dogwood {
 namespace {
 
 constexpr double kMsPerSecond = 1000;
+/** Upper bounds in milliseconds of the buckets of time histograms. */
+constexpr std::array kTimeBucketsMs{1.0,   2.0,   5.0,    10.0,   20.0,
+                                    50.0,  100.0, 200.0,  500.0,  1000.0,
+                                    2000., 5000., 10000., 20000., 60000.};
 
 /** Help and type lines. */
 auto Heading(std::string_view name,
--- a/src/controld_metric.h
+++ b/src/controld_metric.h
@@ -2,7 +2,6 @@
 #ifndef SRC_CONTROLD_METRIC_H_
 #define SRC_CONTROLD_METRIC_H_
 
-#include <array>
 #include <atomic>
 #include <boost/histogram.hpp>
 #include <cstdint>
@@ -14,11 +13,6 @@
 
 namespace dogwood {
 
-/** Upper bounds in milliseconds of the buckets of time histograms. */
-constexpr std::array kTimeBucketsMs{1.0,   2.0,   5.0,    10.0,   20.0,
-                                    50.0,  100.0, 200.0,  500.0,  1000.0,
-                                    2000., 5000., 10000., 20000., 60000.};
-
 /** Distribution of a time. Thread-safe. */
 class time_histogram {
  public:
