--- /dev/null
+++ b/src/entryd_base.cc
@@ -0,0 +1,47 @@
+#include "src/entryd_base.h"
+
+#include <utility>
+
+#include "src/entryd_fleet.h"
+#include "src/entryd_limit.h"
+
+namespace dogwood {
+
+auto link_registry::Get(const std::string& address)
+    -> std::shared_ptr<link_client> {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    return nullptr;
+  }
+  const std::lock_guard lock(mutex_);
+  auto& link = links_[address];
+  if (!link) {
+    link = std::make_shared<link_client>(io_, self_, endpoint.value());
+  }
+  return link;
+}
+
+entry_state::entry_state(boost::asio::io_context& context,
+                         entry_options settings)
+    : io(context),
+      options(std::move(settings)),
+      replica(options.host, options.freshness_limit),
+      shares(options.mode, options.ask_period),
+      granters(options.grant_life),
+      servers(options.place,
+              MakeRoutePolicy(options.policy, options.affinity_slack),
+              options.route),
+      retries(options.retry_share, options.retry_burst),
+      pool(options.pool_per_server, options.pool_idle),
+      links(context, {options.host.value, "entryd", options.secret}),
+      grants(std::make_unique<grant_exchange>(*this)),
+      reports(std::make_unique<online_reporter>(*this)) {}
+
+entry_state::~entry_state() = default;
+
+auto UnixMs() -> std::int64_t {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/entryd_batch.h
@@ -0,0 +1,21 @@
+/** Batch requests, which the batch daemons answer. */
+#ifndef SRC_ENTRYD_BATCH_H_
+#define SRC_ENTRYD_BATCH_H_
+
+#include <boost/asio/awaitable.hpp>
+
+#include "src/entryd_identity.h"
+#include "src/http.h"
+
+namespace dogwood {
+
+struct entry_state;
+
+/** Passes a request below /v1/batches to this host's batch daemon or, if that
+ * does not answer, to another member's. */
+auto ForwardBatch(entry_state& state, http_exchange& exchange, caller who)
+    -> boost::asio::awaitable<void>;
+
+}  // namespace dogwood
+
+#endif  // SRC_ENTRYD_BATCH_H_
--- /dev/null
+++ b/src/entryd_limit.cc
@@ -0,0 +1,310 @@
+#include "src/entryd_limit.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cstring>
+#include <utility>
+
+#include "src/entryd_base.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+using std::chrono::microseconds;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+/** An ask counts as lost after this; a new one is sent then. */
+constexpr std::chrono::milliseconds kAskLimit{300};
+/** Period of the loop while requests wait. */
+constexpr std::chrono::milliseconds kWaitingTick{5};
+/** A host that is not owner tells the asker to come back after this. */
+constexpr std::chrono::milliseconds kNotOwnerRetry{200};
+
+/** A random number for one run of the process. */
+auto RandomSalt() -> std::uint64_t {
+  std::uint64_t salt = 0;
+  const auto bytes = RandomBytes(sizeof salt);
+  std::memcpy(&salt, bytes.data(), sizeof salt);
+  return salt;
+}
+
+/** Whole microseconds of `d`. */
+auto Microseconds(duration d) -> std::uint64_t {
+  const auto count = std::chrono::duration_cast<microseconds>(d).count();
+  return count > 0 ? static_cast<std::uint64_t>(count) : 0;
+}
+
+/** The ask as a message. */
+auto ToWire(const token_ask& ask) -> std::unique_ptr<wire::grant_askT> {
+  auto message = std::make_unique<wire::grant_askT>();
+  message->workspace = ask.workspace.value;
+  message->tokens = ask.tokens;
+  for (const auto& report : ask.reports) {
+    auto r = std::make_unique<wire::lot_reportT>();
+    r->lot = report.lot.value;
+    r->used = report.used;
+    r->returned = report.returned;
+    message->reports.push_back(std::move(r));
+  }
+  return message;
+}
+
+}  // namespace
+
+auto RateOf(const config_tree& tree, const workspace_id& limit)
+    -> std::optional<limit_rate> {
+  const auto path = limit.value.starts_with('/')
+                        ? limit.value
+                        : "/workspaces/" + limit.value;
+  constexpr double kUnset = -1;
+  limit_rate rate;
+  rate.per_s = tree.LookupNumber(path, "rate_per_s", kUnset);
+  if (rate.per_s < 0) {
+    return std::nullopt;
+  }
+  rate.burst =
+      tree.LookupNumber(path, "burst", std::max(1.0, rate.per_s));
+  return rate;
+}
+
+grant_exchange::grant_exchange(entry_state& state)
+    : state_(state),
+      strand_(asio::make_strand(state.io)),
+      timer_(strand_),
+      lot_salt_(RandomSalt()) {}
+
+auto grant_exchange::Admit(workspace_id limit)
+    -> asio::awaitable<outcome<void>> {
+  const auto rate = state_.replica.Read(
+      [&](const config_tree& tree) { return RateOf(tree, limit); });
+  auto now = clock::now();
+  if (!rate || state_.shares.Admit(limit, *rate, now)) {
+    co_return outcome<void>();
+  }
+  const auto deadline = now + state_.options.limit_wait;
+  Kick();
+  while (now < deadline) {
+    auto executor = co_await asio::this_coro::executor;
+    auto timer = std::make_shared<asio::steady_timer>(executor, deadline);
+    // Enlisted before the check, so that no grant passes unnoticed.
+    Enlist(limit, timer);
+    if (state_.shares.AdmitWaiting(limit, *rate, now)) {
+      Delist(limit, timer);
+      co_return outcome<void>();
+    }
+    co_await timer->async_wait(kAwait);
+    Delist(limit, timer);
+    now = clock::now();
+  }
+  if (state_.shares.AdmitWaiting(limit, *rate, now)) {
+    co_return outcome<void>();
+  }
+  state_.shares.StopWaiting(limit);
+  co_return failure{.code = error_code::kTooManyRequests,
+                    .message = "the workspace is over its rate and burst",
+                    .ran = ran_state::kNo,
+                    .step = "admit",
+                    .peer = ""};
+}
+
+auto grant_exchange::Enlist(const workspace_id& limit, shared_timer timer)
+    -> void {
+  const std::lock_guard lock(mutex_);
+  waiters_[limit].push_back(std::move(timer));
+}
+
+auto grant_exchange::Delist(const workspace_id& limit,
+                            const shared_timer& timer) -> void {
+  const std::lock_guard lock(mutex_);
+  const auto found = waiters_.find(limit);
+  if (found == waiters_.end()) {
+    return;
+  }
+  std::erase(found->second, timer);
+  if (found->second.empty()) {
+    waiters_.erase(found);
+  }
+}
+
+auto grant_exchange::Wake(const workspace_id& limit) -> void {
+  std::vector<shared_timer> timers;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = waiters_.find(limit);
+    if (found == waiters_.end()) {
+      return;
+    }
+    timers = std::move(found->second);
+    waiters_.erase(found);
+  }
+  for (auto& timer : timers) {
+    asio::post(timer->get_executor(), [timer] { timer->cancel(); });
+  }
+}
+
+auto grant_exchange::Kick() -> void {
+  asio::post(strand_, [this] { timer_.cancel(); });
+}
+
+auto grant_exchange::Start() -> void {
+  asio::co_spawn(strand_, Run(), asio::detached);
+}
+
+auto grant_exchange::Run() -> asio::awaitable<void> {
+  while (true) {
+    bool is_waiting = false;
+    {
+      const std::lock_guard lock(mutex_);
+      is_waiting = !waiters_.empty();
+    }
+    const duration period = is_waiting
+                                ? std::min<duration>(kWaitingTick,
+                                                     state_.options.ask_period)
+                                : state_.options.ask_period;
+    timer_.expires_after(period);
+    co_await timer_.async_wait(kAwait);
+    DropLostOwnerships();
+    SendDue();
+  }
+}
+
+auto grant_exchange::SendDue() -> void {
+  const auto now = clock::now();
+  const auto hosts = state_.replica.Read([](const config_tree& tree) {
+    const auto members = tree.Members();
+    return std::ranges::count(members, member_state::kLive, &member::state);
+  });
+  state_.shares.SetHostCount(static_cast<std::size_t>(hosts));
+  std::map<std::string, wire::grant_requestT> requests;
+  for (const auto& ask : state_.shares.DueAsks(now, now + kAskLimit)) {
+    const auto owner =
+        state_.replica.OwnerHost(owned_kind::kLimit, ask.workspace.value);
+    if (!owner) {
+      continue;
+    }
+    const bool is_self = owner->host == state_.options.host;
+    auto& request = requests[is_self ? "" : owner->entry_link];
+    request.host = state_.options.host.value;
+    request.asks.push_back(ToWire(ask));
+  }
+  for (auto& [address, request] : requests) {
+    if (address.empty()) {
+      Take(Answer(request), now);
+      continue;
+    }
+    asio::co_spawn(strand_, Ask(address, std::move(request)), asio::detached);
+  }
+}
+
+auto grant_exchange::Ask(std::string address, wire::grant_requestT request)
+    -> asio::awaitable<void> {
+  auto link = state_.links.Get(address);
+  if (!link) {
+    co_return;
+  }
+  const auto sent = clock::now();
+  auto message = MakeMessage(std::move(request));
+  auto answer = co_await link->Call(std::move(message), sent + kAskLimit);
+  if (!answer) {
+    const auto& error = answer.error();
+    Log(log_level::kDebug, log_category::kLimit,
+        {error.message, "ask for grants", error.peer});
+    co_return;
+  }
+  const auto* reply = answer->Asgrant_reply();
+  if (reply != nullptr) {
+    Take(*reply, sent);
+  }
+}
+
+auto grant_exchange::Take(const wire::grant_replyT& reply, time_point sent)
+    -> void {
+  bool any = false;
+  for (const auto& given : reply.grants) {
+    const workspace_id limit(given->workspace);
+    token_grant grant;
+    grant.lot = lot_id(given->lot);
+    grant.tokens = given->tokens;
+    grant.life = microseconds(given->life_us);
+    grant.retry_after = microseconds(given->retry_after_us);
+    state_.shares.TakeGrant(limit, grant, sent);
+    if (grant.tokens > 0) {
+      Wake(limit);
+      any = true;
+    }
+  }
+  if (any) {
+    Kick();
+  }
+}
+
+auto grant_exchange::OwnerSince(const workspace_id& limit,
+                                time_point now,
+                                bool may_begin) -> std::optional<time_point> {
+  const bool is_owner =
+      state_.replica.IsOwner(owned_kind::kLimit, limit.value, now);
+  const std::lock_guard lock(mutex_);
+  if (!is_owner) {
+    owner_since_.erase(limit);
+    return std::nullopt;
+  }
+  if (!may_begin && !owner_since_.contains(limit)) {
+    return std::nullopt;
+  }
+  return owner_since_.try_emplace(limit, now).first->second;
+}
+
+auto grant_exchange::DropLostOwnerships() -> void {
+  std::vector<workspace_id> limits;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [limit, since] : owner_since_) {
+      limits.push_back(limit);
+    }
+  }
+  const auto now = clock::now();
+  for (const auto& limit : limits) {
+    OwnerSince(limit, now, false);
+  }
+}
+
+auto grant_exchange::Answer(const wire::grant_requestT& request)
+    -> wire::grant_replyT {
+  wire::grant_replyT reply;
+  const auto now = clock::now();
+  for (const auto& ask : request.asks) {
+    const workspace_id limit(ask->workspace);
+    const auto rate = state_.replica.Read(
+        [&](const config_tree& tree) { return RateOf(tree, limit); });
+    const auto since = OwnerSince(limit, now, true);
+    token_grant grant;
+    if (since && rate) {
+      std::vector<lot_report> reports;
+      for (const auto& report : ask->reports) {
+        reports.push_back({lot_id(report->lot - lot_salt_), report->used,
+                           report->returned});
+      }
+      grant = state_.granters.Grant(limit, *rate, ask->tokens, reports, *since,
+                                    now);
+    } else {
+      grant.retry_after = kNotOwnerRetry;
+    }
+    auto given = std::make_unique<wire::grant_givenT>();
+    given->workspace = limit.value;
+    // Owners number their lots from 1. The salt keeps a report on a former
+    // owner's lot from being taken for one on a lot of this owner.
+    given->lot = grant.lot.value + lot_salt_;
+    given->tokens = grant.tokens;
+    given->life_us = Microseconds(grant.life);
+    given->retry_after_us = Microseconds(grant.retry_after);
+    reply.grants.push_back(std::move(given));
+  }
+  return reply;
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/entryd_limit.h
@@ -0,0 +1,73 @@
+/** Admission of requests, and grants between entry daemons. */
+#ifndef SRC_ENTRYD_LIMIT_H_
+#define SRC_ENTRYD_LIMIT_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/core.h"
+#include "src/limit.h"
+#include "src/link.h"
+#include "src/replica_base.h"
+
+namespace dogwood {
+
+struct entry_state;
+
+/** A limit by its name: a workspace, or "/routes/R" for the callers of an open
+ * route who have no key. Nothing if the configuration sets no rate. */
+auto RateOf(const config_tree& tree, const workspace_id& limit)
+    -> std::optional<limit_rate>;
+
+/** Gets tokens from the owners of limits and gives tokens as an owner.
+ * Thread-safe. */
+class grant_exchange {
+ public:
+  explicit grant_exchange(entry_state& state);
+
+  /** Admits one request, waiting at most the setting limit_wait_ms. Fails
+   * with kTooManyRequests, ran=no. */
+  auto Admit(workspace_id limit) -> boost::asio::awaitable<outcome<void>>;
+  /** Begins to send the asks that are due, for ever. */
+  auto Start() -> void;
+  /** Answers another entry daemon's asks. */
+  auto Answer(const wire::grant_requestT& request) -> wire::grant_replyT;
+
+ private:
+  using strand_type =
+      boost::asio::strand<boost::asio::io_context::executor_type>;
+
+  using shared_timer = std::shared_ptr<boost::asio::steady_timer>;
+
+  auto Run() -> boost::asio::awaitable<void>;
+  auto Enlist(const workspace_id& limit, shared_timer timer) -> void;
+  auto Delist(const workspace_id& limit, const shared_timer& timer) -> void;
+  auto Wake(const workspace_id& limit) -> void;
+  auto Kick() -> void;
+  auto SendDue() -> void;
+  auto Ask(std::string address, wire::grant_requestT request)
+      -> boost::asio::awaitable<void>;
+  auto Take(const wire::grant_replyT& reply, time_point sent) -> void;
+  auto OwnerSince(const workspace_id& limit, time_point now, bool may_begin)
+      -> std::optional<time_point>;
+  auto DropLostOwnerships() -> void;
+
+  entry_state& state_;
+  strand_type strand_;                 // Of the loop and its timer.
+  boost::asio::steady_timer timer_;    // Cancelled to send asks at once.
+  const std::uint64_t lot_salt_;       // Added to the ids of own lots.
+  std::mutex mutex_;                   // Of the members below.
+  std::map<workspace_id, std::vector<shared_timer>> waiters_;
+  std::map<workspace_id, time_point> owner_since_;
+};
+
+}  // namespace dogwood
+
+#endif  // SRC_ENTRYD_LIMIT_H_
--- /dev/null
+++ b/src/entryd_main.cc
@@ -0,0 +1,156 @@
+/** dogwood_entryd: callers' requests and their way to backend servers. */
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <iostream>
+#include <thread>
+#include <vector>
+
+#include "src/entryd_base.h"
+#include "src/entryd_fleet.h"
+#include "src/entryd_http.h"
+#include "src/entryd_limit.h"
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+/** Added to address_keep_ms for answers that are on their way. */
+constexpr std::chrono::seconds kAddressMargin{1};
+/** Period of checks whether requests are still active. */
+constexpr std::chrono::milliseconds kDrainTick{20};
+/** No request may have been active for this long at the end: a request that
+ * is being read counts as active only once it is whole. */
+constexpr std::chrono::milliseconds kQuietTime{200};
+
+/** Answers a call over a link. */
+auto HandleLink(entry_state& state, wire_message message)
+    -> asio::awaitable<outcome<wire_message>> {
+  const auto* request = message.Asgrant_request();
+  if (request == nullptr) {
+    co_return failure{.code = error_code::kBadRequest,
+                      .message = "entryd answers grant requests only",
+                      .ran = ran_state::kNo,
+                      .step = "answer call",
+                      .peer = state.options.host.value};
+  }
+  co_return MakeMessage(state.grants->Answer(*request));
+}
+
+/** Waits for `period` on the coroutine's executor. */
+auto Sleep(duration period) -> asio::awaitable<void> {
+  asio::steady_timer timer(co_await asio::this_coro::executor, period);
+  co_await timer.async_wait(kAwait);
+}
+
+/** Waits until no request is active, at most until `deadline`. */
+auto FinishRequests(const http_server& server, time_point deadline)
+    -> asio::awaitable<void> {
+  auto quiet_since = clock::now();
+  while (clock::now() < deadline) {
+    if (server.ActiveRequests() > 0) {
+      quiet_since = clock::now();
+    }
+    if (clock::now() - quiet_since >= kQuietTime) {
+      co_return;
+    }
+    co_await Sleep(kDrainTick);
+  }
+}
+
+/** Waits for a signal, then stops without cutting a request: callers keep
+ * addresses for a while, so the daemon serves on until the last of its own
+ * answers has expired. */
+auto StopOnSignal(entry_state& state, http_server& server)
+    -> asio::awaitable<void> {
+  asio::signal_set signals(state.io, SIGTERM, SIGINT);
+  co_await signals.async_wait(kAwait);
+  Log(log_level::kInfo, log_category::kCore, {"draining", "stop", ""});
+  state.draining = true;
+  server.BeginDrain();
+  co_await Sleep(state.options.address_keep + kAddressMargin);
+  server.StopListening();
+  co_await FinishRequests(server, clock::now() + state.options.drain_limit);
+  Log(log_level::kInfo, log_category::kCore,
+      {"stopped with " + std::to_string(server.ActiveRequests()) +
+           " active requests",
+       "stop", ""});
+  state.io.stop();
+}
+
+/** Starts every loop. */
+auto StartLoops(entry_state& state, link_client& controld) -> void {
+  auto& io = state.io;
+  auto on_change = [&state] { ApplyDraining(state); };
+  asio::co_spawn(asio::make_strand(io),
+                 RunReplica(state.replica, controld, "entryd",
+                            state.options.pull_period, on_change),
+                 asio::detached);
+  asio::co_spawn(asio::make_strand(io), PollHosts(state), asio::detached);
+  asio::co_spawn(asio::make_strand(io), PollLoads(state), asio::detached);
+  state.grants->Start();
+  state.reports->Start();
+}
+
+/** Serves until a signal; returns the exit code. */
+auto Serve(entry_options options) -> int {
+  asio::io_context io(static_cast<int>(options.worker_threads));
+  const link_identity self{options.host.value, "entryd", options.secret};
+  entry_state state(io, std::move(options));
+  link_client controld(io, self, state.options.control_endpoint);
+  link_server links(io, self, [&state](link_peer, wire_message message) {
+    return HandleLink(state, std::move(message));
+  });
+  http_server server(io, state.options.limits, [&state](http_exchange& e) {
+    return HandleCaller(state, e);
+  });
+  for (const auto& listening :
+       {links.Listen(state.options.link_endpoint),
+        server.Listen(state.options.entry_endpoint)}) {
+    if (!listening) {
+      const auto& error = listening.error();
+      Log(log_level::kError, log_category::kCore,
+          {error.message, error.step, error.peer});
+      return 1;
+    }
+  }
+  StartLoops(state, controld);
+  asio::co_spawn(asio::make_strand(io), StopOnSignal(state, server),
+                 asio::detached);
+  Log(log_level::kInfo, log_category::kCore,
+      {"serving callers", "start", state.options.entry_address});
+  std::vector<std::jthread> threads;
+  for (unsigned i = 1; i < state.options.worker_threads; ++i) {
+    threads.emplace_back([&io] { io.run(); });
+  }
+  io.run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace dogwood
+
+auto main(int argc, char** argv) -> int {
+  int exit_code = 0;
+  const auto* values = dogwood::SettingsFromCommandLine(
+      dogwood::EntrySettings(), "dogwood_entryd", argc, argv, exit_code);
+  if (values == nullptr) {
+    return exit_code;
+  }
+  auto options = dogwood::ReadEntryOptions(*values);
+  if (!options) {
+    std::cerr << options.error().message << "\n";
+    return 2;
+  }
+  if (!dogwood::StartLog(options->host.value, "entryd", options->log_levels)) {
+    std::cerr << "setting \"log_levels\" cannot be read\n";
+    return 2;
+  }
+  return dogwood::Serve(std::move(options.value()));
+}
--- /dev/null
+++ b/src/entryd_proxy.cc
@@ -0,0 +1,285 @@
+#include "src/entryd_proxy.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "src/entryd_base.h"
+#include "src/entryd_fleet.h"
+#include "src/entryd_relay.h"
+#include "src/entryd_watch.h"
+#include "src/proxy.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+
+namespace {
+
+/** Longest wait for a server to take a cancel. */
+constexpr std::chrono::seconds kCancelLimit{2};
+/** Longest answer to a cancel. */
+constexpr std::size_t kMaxCancelBytes = 64UL << 10;
+/** Random bytes of a request id. */
+constexpr std::size_t kRequestIdBytes = 12;
+
+/** Counts a request as in flight on a server while it lives. */
+class server_lease {
+ public:
+  server_lease(entry_state& state, server_id server)
+      : state_(state), server_(std::move(server)) {
+    state_.reports->NoteChange(server_);
+  }
+  server_lease(const server_lease&) = delete;
+  auto operator=(const server_lease&) -> server_lease& = delete;
+  ~server_lease() {
+    state_.servers.Release(server_);
+    state_.reports->NoteChange(server_);
+  }
+
+ private:
+  entry_state& state_;
+  server_id server_;
+};
+
+/** Tells an engine that nobody waits for a request any more. */
+auto SendCancel(std::string address, std::string request_id)
+    -> asio::awaitable<void> {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    co_return;
+  }
+  http_request request;
+  request.method = "POST";
+  request.target = "/cancel/" + request_id;
+  auto answer = co_await Fetch(endpoint.value(), std::move(request),
+                               clock::now() + kCancelLimit, kMaxCancelBytes);
+  if (!answer) {
+    Log(log_level::kDebug, log_category::kRoute,
+        {answer.error().message, "cancel request", address});
+  }
+}
+
+/** A connection for one attempt: idle ones only for idempotent requests. */
+auto OpenConnection(entry_state& state,
+                    const proxy_plan& plan,
+                    const route_choice& choice)
+    -> asio::awaitable<outcome<std::shared_ptr<backend_connection>>> {
+  const auto now = clock::now();
+  if (plan.idempotent) {
+    if (auto idle = state.pool.Take(choice.address, now)) {
+      co_return idle;
+    }
+  }
+  const auto deadline = std::min<time_point>(
+      plan.deadline, now + state.options.connect);
+  auto opened = co_await backend_connection::Connect(state.io, choice.address,
+                                                     deadline);
+  if (!opened) {
+    state.servers.NoteConnectFailure(choice.server, clock::now());
+  }
+  co_return opened;
+}
+
+/** Sends the request over `connection` and passes the answer on. */
+auto Exchange(entry_state& state,
+              http_exchange& exchange,
+              const proxy_plan& plan,
+              backend_connection& connection,
+              relay_progress& progress,
+              bool last_attempt) -> asio::awaitable<outcome<void>> {
+  const auto first_byte = std::min<time_point>(
+      plan.deadline, clock::now() + state.options.first_byte);
+  auto sent = co_await connection.Send(plan.request, first_byte);
+  if (!sent) {
+    co_return sent.error();
+  }
+  auto head = co_await connection.ReadHead(first_byte);
+  if (!head) {
+    co_return head.error();
+  }
+  if (!IsAnswerTo(head.value(), plan.request_id)) {
+    co_return failure{.code = error_code::kBadGateway,
+                      .message = "the answer names another request",
+                      .ran = ran_state::kMaybe,
+                      .step = "match answer",
+                      .peer = connection.address()};
+  }
+  if (head->status == 503 && plan.idempotent && !last_attempt) {
+    co_return failure{.code = error_code::kUnavailable,
+                      .message = "the server answered with status 503",
+                      .ran = ran_state::kMaybe,
+                      .step = "read head",
+                      .peer = connection.address()};
+  }
+  co_return co_await Relay(state, exchange, plan, connection,
+                           std::move(head.value()), progress);
+}
+
+/** What the attempts of one request have come to. */
+struct attempt_log {
+  unsigned count = 0;                    ///< Attempts so far.
+  ran_state ran = ran_state::kNo;        ///< Over all attempts.
+  std::vector<server_id> tried;          ///< Servers of failed attempts.
+  relay_progress progress;               ///< What the caller has.
+};
+
+/** One attempt on one server. */
+auto Attempt(entry_state& state,
+             http_exchange& exchange,
+             const proxy_plan& plan,
+             request_watch& watch,
+             attempt_log& log) -> asio::awaitable<outcome<void>> {
+  auto route = plan.route;
+  route.tried = log.tried;
+  auto choice = ToOutcome(
+      [&] { return state.servers.Acquire(route, clock::now()); });
+  if (!choice) {
+    co_return choice.error();
+  }
+  const server_lease lease(state, choice->server);
+  ++log.count;
+  log.tried.push_back(choice->server);
+  if (choice->remote) {
+    state.metrics.CountRemote();
+  }
+  auto opened = co_await OpenConnection(state, plan, choice.value());
+  if (!opened) {
+    co_return opened.error();
+  }
+  auto connection = std::move(opened.value());
+  watch.SetConnection(connection);
+  if (watch.reason()) {
+    co_return *watch.reason();
+  }
+  const bool last = log.count >= state.options.max_attempts;
+  auto done = co_await Exchange(state, exchange, plan, *connection,
+                                log.progress, last);
+  watch.SetConnection(nullptr);
+  if (done) {
+    state.pool.Put(std::move(connection), clock::now());
+    co_return done;
+  }
+  connection->Abort();
+  log.ran = ran_state::kMaybe;
+  if (plan.route.kind == offer_kind::kModel) {
+    asio::co_spawn(asio::make_strand(state.io),
+                   SendCancel(choice->address, plan.request_id),
+                   asio::detached);
+  }
+  co_return done;
+}
+
+/** Attempts until one succeeds or no further one is allowed. */
+auto AttemptAll(entry_state& state,
+                http_exchange& exchange,
+                const proxy_plan& plan,
+                request_watch& watch,
+                attempt_log& log) -> asio::awaitable<outcome<void>> {
+  state.retries.NoteRequest();
+  std::optional<failure> last;
+  while (true) {
+    auto done = co_await Attempt(state, exchange, plan, watch, log);
+    if (done) {
+      co_return done;
+    }
+    auto error = done.error();
+    // A failure to find another server says less than the attempt before it.
+    const bool no_server = error.step == "choose server";
+    if (no_server && last) {
+      error = *last;
+    }
+    if (watch.reason()) {
+      error = *watch.reason();
+    }
+    if (log.ran == ran_state::kMaybe) {
+      error.ran = ran_state::kMaybe;
+    }
+    last = error;
+    retry_question question;
+    question.idempotent = plan.idempotent;
+    question.ran = log.ran;
+    question.bytes_sent_to_caller = exchange.HasBegun() ? 1 : 0;
+    question.attempts = log.count;
+    question.max_attempts = state.options.max_attempts;
+    question.deadline = plan.deadline;
+    if (no_server || watch.reason() ||
+        !state.retries.TryRetry(question, clock::now())) {
+      co_return error;
+    }
+    state.metrics.CountRetry();
+    Log(log_level::kInfo, log_category::kRoute,
+        {"retrying: " + error.message, error.step, error.peer});
+  }
+}
+
+/** Whether a running request may go on: the caller is there, its key is valid
+ * or its route still open, and the proof is fresh. */
+auto MayGoOn(entry_state& state,
+             http_exchange& exchange,
+             const caller& who,
+             const std::string& open_route) -> outcome<void> {
+  if (exchange.IsCallerGone()) {
+    return failure{.code = error_code::kUnavailable,
+                   .message = "the caller has closed its connection",
+                   .ran = ran_state::kMaybe,
+                   .step = "watch caller",
+                   .peer = exchange.Request().peer};
+  }
+  if (!open_route.empty()) {
+    const bool is_open = state.replica.Read([&](const config_tree& tree) {
+      return tree.LookupBoolean("/routes/" + open_route, "open", false);
+    });
+    if (!is_open) {
+      return failure{.code = error_code::kUnauthorized,
+                     .message = "the route is not open any more",
+                     .ran = ran_state::kMaybe,
+                     .step = "check key",
+                     .peer = ""};
+    }
+  }
+  return CheckStillValid(state, who);
+}
+
+}  // namespace
+
+auto NewRequestId(const entry_state& state) -> std::string {
+  return state.options.host.value + "-" + ToHex(RandomBytes(kRequestIdBytes));
+}
+
+auto Refuse(entry_state& state,
+            http_exchange& exchange,
+            failure error,
+            unsigned retry_after_s) -> asio::awaitable<void> {
+  state.metrics.CountFailure(error.step, NameOf(error.code));
+  const bool expected = HttpStatusOf(error.code) < 500;
+  Log(expected ? log_level::kDebug : log_level::kWarning, log_category::kHttp,
+      {error.message, error.step, error.peer});
+  if (exchange.HasBegun()) {
+    co_return;
+  }
+  state.metrics.CountAnswer(HttpStatusOf(error.code));
+  co_await exchange.RespondFailure(std::move(error), retry_after_s);
+}
+
+auto RunOnBackend(entry_state& state, http_exchange& exchange, proxy_plan plan)
+    -> asio::awaitable<void> {
+  auto executor = co_await asio::this_coro::executor;
+  auto check = [&state, &exchange, &plan] {
+    return MayGoOn(state, exchange, plan.who, plan.open_route);
+  };
+  const watch_guard watch(executor, state.options.recheck, std::move(check));
+  attempt_log log;
+  auto done = co_await AttemptAll(state, exchange, plan, watch.get(), log);
+  watch.get().Stop();
+  if (done) {
+    state.metrics.NoteTotal(plan.who.workspace_class,
+                            clock::now() - plan.begin);
+    co_return;
+  }
+  auto error = done.error();
+  co_await EndBrokenStream(exchange, log.progress, error);
+  co_await Refuse(state, exchange, std::move(error));
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/entryd_watch.cc
@@ -0,0 +1,55 @@
+#include "src/entryd_watch.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace dogwood {
+namespace asio = boost::asio;
+
+request_watch::request_watch(const asio::any_io_executor& strand,
+                             duration period,
+                             check may_go_on)
+    : timer_(strand), period_(period), may_go_on_(std::move(may_go_on)) {}
+
+auto request_watch::Start() -> void {
+  // The closure keeps the watch alive while its coroutine runs.
+  asio::co_spawn(
+      timer_.get_executor(), [self = shared_from_this()] { return self->Run(); },
+      asio::detached);
+}
+
+auto request_watch::Stop() -> void {
+  stopped_ = true;
+  connection_.reset();
+  timer_.cancel();
+}
+
+auto request_watch::SetConnection(
+    std::shared_ptr<backend_connection> connection) -> void {
+  connection_ = std::move(connection);
+  if (connection_ && reason_) {
+    connection_->Abort();
+  }
+}
+
+auto request_watch::Run() -> asio::awaitable<void> {
+  while (!stopped_ && !reason_) {
+    timer_.expires_after(period_);
+    co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (stopped_) {
+      co_return;
+    }
+    auto verdict = may_go_on_();
+    if (!verdict) {
+      reason_ = verdict.error();
+      if (connection_) {
+        connection_->Abort();
+      }
+    }
+  }
+}
+
+}  // namespace dogwood
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -11,6 +11,7 @@
 
 #include "src/core.h"
 #include "src/http_server.h"
+#include "src/http_socket.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
@@ -139,8 +140,11 @@
 }
 
 auto http_connection::CanBeReused() const -> bool {
+  // Bytes that nobody asked for would be taken for the next answer.
   return state_->whole && !state_->failed && state_->parser &&
-         state_->parser->get().keep_alive();
+         state_->parser->get().keep_alive() && state_->buffer.size() == 0 &&
+         StateOf(state_->stream.socket().native_handle()) ==
+             socket_state::kQuiet;
 }
 
 auto http_connection::Abort() -> void {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -35,7 +35,8 @@
    * end of the connection before that is a failure. */
   auto ReadSome(time_point deadline)
       -> boost::asio::awaitable<outcome<std::string>>;
-  /** Whether the answer was whole and the server keeps the connection. */
+  /** Whether the answer was whole, the server keeps the connection and no
+   * further bytes have come. */
   auto CanBeReused() const -> bool;
   /** Closes from any thread; pending operations fail. */
   auto Abort() -> void;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "src/core.h"
+#include "src/http_socket.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
@@ -140,6 +141,9 @@
   }
 
   auto HasBegun() const -> bool override { return begun_; }
+  auto IsCallerGone() -> bool override {
+    return StateOf(stream_.socket().native_handle()) == socket_state::kEnded;
+  }
   /** Whether the next request may be read from the connection. */
   auto MayContinue() const -> bool { return complete_ && keep_alive_; }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -35,6 +35,8 @@
   virtual auto EndStream() -> boost::asio::awaitable<outcome<void>> = 0;
   /** Whether any byte of an answer has been sent. */
   virtual auto HasBegun() const -> bool = 0;
+  /** Whether the caller has closed its connection, as far as is known. */
+  virtual auto IsCallerGone() -> bool { return false; }
   /** Sends `error` as JSON with its status and Dogwood-Ran; with
    * `retry_after_s` > 0 also Retry-After. */
   auto RespondFailure(failure error, unsigned retry_after_s = 0)
--- a/src/route_base.h
+++ b/src/route_base.h
@@ -93,6 +93,8 @@
   auto InFlight() const -> std::map<server_id, std::uint32_t>;
   /** Own requests on one server. */
   auto InFlightOf(const server_id& server) const -> std::uint32_t;
+  /** Region of a server, empty if it is unknown. */
+  auto RegionOf(const server_id& server) const -> region_id;
   /** Listed servers with `draining` as the configuration says. */
   auto Servers() const -> std::vector<backend_server>;
   /** Models of the servers that get new work, in order. */
--- a/src/route_query.cc
+++ b/src/route_query.cc
@@ -165,6 +165,12 @@
   return found == rows_.end() ? 0 : found->second.in_flight;
 }
 
+auto server_table::RegionOf(const server_id& server) const -> region_id {
+  const std::lock_guard lock(mutex_);
+  const auto found = rows_.find(server);
+  return found == rows_.end() ? region_id() : found->second.info.region;
+}
+
 auto server_table::Servers() const -> std::vector<backend_server> {
   const std::lock_guard lock(mutex_);
   std::vector<backend_server> servers;
--- /dev/null
+++ b/src/sse_base.cc
@@ -0,0 +1,70 @@
+#include "src/sse_base.h"
+
+#include "src/core.h"
+
+namespace dogwood {
+
+auto sse_parser::TakeLine(std::string_view line) -> void {
+  constexpr std::string_view kField = "data:";
+  if (!line.starts_with(kField)) {
+    return;
+  }
+  auto value = line.substr(kField.size());
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  if (value == "[DONE]") {
+    event_has_done_ = true;
+  }
+}
+
+auto sse_parser::Feed(std::string_view data)
+    -> result<std::vector<std::string>> {
+  std::vector<std::string> events;
+  for (const char c : data) {
+    // LF after CR belongs to the same line end.
+    const bool completes_crlf = c == '\n' && after_cr_;
+    after_cr_ = c == '\r';
+    if (completes_crlf) {
+      if (!buffer_.empty()) {
+        buffer_ += c;
+        line_start_ = buffer_.size();
+      } else if (!done_event_.empty()) {
+        done_event_ += done_event_.ends_with("\r\n\r") ? "\n" : "";
+      } else if (!events.empty()) {
+        events.back() += c;
+      }
+      continue;
+    }
+    buffer_ += c;
+    if (c != '\n' && c != '\r') {
+      continue;
+    }
+    const auto line = std::string_view(buffer_).substr(
+        line_start_, buffer_.size() - 1 - line_start_);
+    if (!line.empty()) {
+      TakeLine(line);
+      line_start_ = buffer_.size();
+      continue;
+    }
+    if (event_has_done_ && done_event_.empty()) {
+      done_event_ = std::move(buffer_);
+    } else if (done_event_.empty()) {
+      events.push_back(std::move(buffer_));
+    }
+    buffer_.clear();
+    line_start_ = 0;
+    event_has_done_ = false;
+  }
+  if (buffer_.size() > kMaxEventBytes) {
+    return Fail({.code = error_code::kBadGateway,
+                 .message = "event is longer than " +
+                            std::to_string(kMaxEventBytes) + " bytes",
+                 .ran = ran_state::kMaybe,
+                 .step = "read events",
+                 .peer = ""});
+  }
+  return events;
+}
+
+}  // namespace dogwood
