--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -9,5 +9,5 @@
           src/entryd_relay.cc src/entryd_proxy.cc src/entryd_batch.cc
           src/entryd_address.cc src/entryd_http.cc
   LIBS dogwood_setting dogwood_http dogwood_wire dogwood_limit dogwood_route
-       dogwood_proxy dogwood_platform dogwood_replica)
+       dogwood_proxy)
 dogwood_test(route dogwood_route)
--- a/src/entryd_backend.cc
+++ b/src/entryd_backend.cc
@@ -30,8 +30,8 @@
   if (!connected) {
     co_return connected.error();
   }
-  co_return std::make_shared<backend_connection>(
-      strand, std::move(address), std::move(connected.value()));
+  co_return std::make_shared<backend_connection>(strand, std::move(address),
+                                                 std::move(connected.value()));
 }
 
 auto backend_connection::Send(const http_request& request, time_point deadline)
@@ -89,8 +89,7 @@
 auto backend_pool::Expire(time_point now) -> void {
   const std::lock_guard lock(mutex_);
   for (auto& [address, kept] : idle_) {
-    std::erase_if(kept,
-                  [now](const idle& i) { return now >= i.usable_until; });
+    std::erase_if(kept, [now](const idle& i) { return now >= i.usable_until; });
   }
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
--- a/src/entryd_base.cc
+++ b/src/entryd_base.cc
@@ -1,5 +1,6 @@
 #include "src/entryd_base.h"
 
+#include <cstring>
 #include <utility>
 
 #include "src/entryd_fleet.h"
@@ -7,6 +8,18 @@
 
 namespace dogwood {
 
+namespace {
+
+/** A random number that differs between runs of the process. */
+auto RandomNumber() -> std::uint64_t {
+  std::uint64_t number = 0;
+  const auto bytes = RandomBytes(sizeof number);
+  std::memcpy(&number, bytes.data(), sizeof number);
+  return number;
+}
+
+}  // namespace
+
 auto link_registry::Get(const std::string& address)
     -> std::shared_ptr<link_client> {
   const auto endpoint = ParseEndpoint(address);
@@ -27,7 +40,7 @@
       options(std::move(settings)),
       replica(options.host, options.freshness_limit),
       shares(options.mode, options.ask_period),
-      granters(options.grant_life),
+      granters(options.grant_life, RandomNumber()),
       servers(options.place,
               MakeRoutePolicy(options.policy, options.affinity_slack),
               options.route),
--- a/src/entryd_base.h
+++ b/src/entryd_base.h
@@ -45,16 +45,16 @@
   entry_state(boost::asio::io_context& context, entry_options settings);
   ~entry_state();
 
-  boost::asio::io_context& io;  ///< Runs everything.
-  const entry_options options;  ///< Settings.
-  config_replica replica;       ///< Configuration and its proof.
-  share_table shares;           ///< Tokens held here.
-  granter_table granters;       ///< Buckets owned here.
-  server_table servers;         ///< Backend servers.
-  retry_budget retries;         ///< Budget of retries.
-  entry_metrics metrics;        ///< Counters.
-  backend_pool pool;            ///< Idle connections.
-  link_registry links;          ///< Links to other daemons.
+  boost::asio::io_context& io;               ///< Runs everything.
+  const entry_options options;               ///< Settings.
+  config_replica replica;                    ///< Configuration and its proof.
+  share_table shares;                        ///< Tokens held here.
+  granter_table granters;                    ///< Buckets owned here.
+  server_table servers;                      ///< Backend servers.
+  retry_budget retries;                      ///< Budget of retries.
+  entry_metrics metrics;                     ///< Counters.
+  backend_pool pool;                         ///< Idle connections.
+  link_registry links;                       ///< Links to other daemons.
   std::unique_ptr<grant_exchange> grants;    ///< Asks and answers.
   std::unique_ptr<online_reporter> reports;  ///< Reports to admitters.
   std::atomic<bool> draining{false};         ///< A planned stop has begun.
--- a/src/entryd_batch.cc
+++ b/src/entryd_batch.cc
@@ -61,8 +61,8 @@
       continue;
     }
     auto message = MakeMessage(wire::http_callT(call));
-    auto answer = co_await link->Call(
-        std::move(message), clock::now() + state.options.batch_call);
+    auto answer = co_await link->Call(std::move(message),
+                                      clock::now() + state.options.batch_call);
     if (answer) {
       co_return answer;
     }
--- a/src/entryd_fleet.cc
+++ b/src/entryd_fleet.cc
@@ -188,9 +188,8 @@
 }
 
 auto online_reporter::MarkChanged(const server_id& server) -> void {
-  const auto owner =
-      state_.replica.OwnerHost(owned_kind::kServer, server.value,
-                               state_.servers.RegionOf(server));
+  const auto owner = state_.replica.OwnerHost(owned_kind::kServer, server.value,
+                                              state_.servers.RegionOf(server));
   if (owner) {
     admitters_[owner->batch_link].changed.insert(server);
   }
--- a/src/entryd_fleet.h
+++ b/src/entryd_fleet.h
@@ -54,9 +54,9 @@
   auto Send(std::string address) -> boost::asio::awaitable<void>;
 
   entry_state& state_;
-  strand_type strand_;                        // Of all members.
-  bool send_is_due_ = false;                  // SendLater() is running.
-  std::map<std::string, admitter> admitters_;  // By link address.
+  strand_type strand_;                            // Of all members.
+  bool send_is_due_ = false;                      // SendLater() is running.
+  std::map<std::string, admitter> admitters_;     // By link address.
   std::map<server_id, time_point> in_use_until_;  // Reported until then.
 };
 
--- a/src/entryd_http.cc
+++ b/src/entryd_http.cc
@@ -143,8 +143,7 @@
   }
   plan.route.kind = offer_kind::kModel;
   plan.route.name = call->model.value;
-  plan.route.prefix_hash =
-      PrefixHash(call->prompt, state.options.prefix_bytes);
+  plan.route.prefix_hash = PrefixHash(call->prompt, state.options.prefix_bytes);
   // A completion changes nothing outside the engine.
   plan.idempotent = true;
   const auto admitted =
@@ -156,10 +155,10 @@
 
 /** What the configuration says of a route. */
 struct service_route {
-  bool known = false;                ///< There is such a route.
-  std::string service;               ///< Service that it leads to.
-  bool open = false;                 ///< No key is needed.
-  std::optional<bool> idempotent;    ///< Set by the configuration.
+  bool known = false;              ///< There is such a route.
+  std::string service;             ///< Service that it leads to.
+  bool open = false;               ///< No key is needed.
+  std::optional<bool> idempotent;  ///< Set by the configuration.
 };
 
 /** Reads a route. */
@@ -276,16 +275,14 @@
   } else if (path == kBatches ||
              path.starts_with(std::string(kBatches) + "/")) {
     const auto admitted =
-        !is_post ||
-        co_await AdmitOrRefuse(state, exchange, who.workspace);
+        !is_post || co_await AdmitOrRefuse(state, exchange, who.workspace);
     if (admitted) {
       co_await ForwardBatch(state, exchange, std::move(who));
     }
   } else {
-    auto error = Refusal(error_code::kNotFound,
-                         "there is no " + request.method + " " +
-                             std::string(path),
-                         "find path");
+    auto error = Refusal(
+        error_code::kNotFound,
+        "there is no " + request.method + " " + std::string(path), "find path");
     co_await Refuse(state, exchange, std::move(error));
   }
 }
--- a/src/entryd_limit.cc
+++ b/src/entryd_limit.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <cstring>
 #include <utility>
 
 #include "src/entryd_base.h"
@@ -22,17 +21,13 @@
 constexpr std::chrono::milliseconds kAskLimit{300};
 /** Period of the loop while requests wait. */
 constexpr std::chrono::milliseconds kWaitingTick{5};
+/** Period of looks at what this host owns. */
+constexpr std::chrono::seconds kOwnershipPeriod{1};
+constexpr std::string_view kWorkspaces = "/workspaces";
+constexpr std::string_view kRoutes = "/routes";
 /** A host that is not owner tells the asker to come back after this. */
 constexpr std::chrono::milliseconds kNotOwnerRetry{200};
 
-/** A random number for one run of the process. */
-auto RandomSalt() -> std::uint64_t {
-  std::uint64_t salt = 0;
-  const auto bytes = RandomBytes(sizeof salt);
-  std::memcpy(&salt, bytes.data(), sizeof salt);
-  return salt;
-}
-
 /** Whole microseconds of `d`. */
 auto Microseconds(duration d) -> std::uint64_t {
   const auto count = std::chrono::duration_cast<microseconds>(d).count();
@@ -58,25 +53,20 @@
 
 auto RateOf(const config_tree& tree, const workspace_id& limit)
     -> std::optional<limit_rate> {
-  const auto path = limit.value.starts_with('/')
-                        ? limit.value
-                        : "/workspaces/" + limit.value;
+  const auto path =
+      limit.value.starts_with('/') ? limit.value : "/workspaces/" + limit.value;
   constexpr double kUnset = -1;
   limit_rate rate;
   rate.per_s = tree.LookupNumber(path, "rate_per_s", kUnset);
   if (rate.per_s < 0) {
     return std::nullopt;
   }
-  rate.burst =
-      tree.LookupNumber(path, "burst", std::max(1.0, rate.per_s));
+  rate.burst = tree.LookupNumber(path, "burst", std::max(1.0, rate.per_s));
   return rate;
 }
 
 grant_exchange::grant_exchange(entry_state& state)
-    : state_(state),
-      strand_(asio::make_strand(state.io)),
-      timer_(strand_),
-      lot_salt_(RandomSalt()) {}
+    : state_(state), strand_(asio::make_strand(state.io)), timer_(strand_) {}
 
 auto grant_exchange::Admit(workspace_id limit)
     -> asio::awaitable<outcome<void>> {
@@ -156,19 +146,23 @@
 }
 
 auto grant_exchange::Run() -> asio::awaitable<void> {
+  auto ownerships_due = clock::now();
   while (true) {
     bool is_waiting = false;
     {
       const std::lock_guard lock(mutex_);
       is_waiting = !waiters_.empty();
     }
-    const duration period = is_waiting
-                                ? std::min<duration>(kWaitingTick,
-                                                     state_.options.ask_period)
-                                : state_.options.ask_period;
+    const duration period =
+        is_waiting ? std::min<duration>(kWaitingTick, state_.options.ask_period)
+                   : state_.options.ask_period;
     timer_.expires_after(period);
     co_await timer_.async_wait(kAwait);
-    DropLostOwnerships();
+    const auto now = clock::now();
+    if (now >= ownerships_due) {
+      NoteOwnerships(now);
+      ownerships_due = now + kOwnershipPeriod;
+    }
     SendDue();
   }
 }
@@ -243,9 +237,8 @@
   }
 }
 
-auto grant_exchange::OwnerSince(const workspace_id& limit,
-                                time_point now,
-                                bool may_begin) -> std::optional<time_point> {
+auto grant_exchange::OwnerSince(const workspace_id& limit, time_point now)
+    -> std::optional<time_point> {
   const bool is_owner =
       state_.replica.IsOwner(owned_kind::kLimit, limit.value, now);
   const std::lock_guard lock(mutex_);
@@ -253,24 +246,29 @@
     owner_since_.erase(limit);
     return std::nullopt;
   }
-  if (!may_begin && !owner_since_.contains(limit)) {
-    return std::nullopt;
-  }
   return owner_since_.try_emplace(limit, now).first->second;
 }
 
-auto grant_exchange::DropLostOwnerships() -> void {
-  std::vector<workspace_id> limits;
-  {
-    const std::lock_guard lock(mutex_);
-    for (const auto& [limit, since] : owner_since_) {
-      limits.push_back(limit);
+auto grant_exchange::NoteOwnerships(time_point now) -> void {
+  // A host that loses an ownership regains it only after the freshness limit,
+  // so a look each second sees every gap. Buckets fill from the first look on.
+  auto limits = state_.replica.Read([](const config_tree& tree) {
+    std::vector<workspace_id> found;
+    for (const auto& path : tree.PathsBelow(kWorkspaces)) {
+      const auto name = path.substr(kWorkspaces.size() + 1);
+      if (name.find('/') == std::string::npos) {
+        found.push_back(workspace_id(name));
+      }
     }
-  }
-  const auto now = clock::now();
+    for (const auto& path : tree.PathsBelow(kRoutes)) {
+      found.push_back(workspace_id(path));
+    }
+    return found;
+  });
   for (const auto& limit : limits) {
-    OwnerSince(limit, now, false);
+    OwnerSince(limit, now);
   }
+  state_.granters.ForgetFull(now);
 }
 
 auto grant_exchange::Answer(const wire::grant_requestT& request)
@@ -281,13 +279,13 @@
     const workspace_id limit(ask->workspace);
     const auto rate = state_.replica.Read(
         [&](const config_tree& tree) { return RateOf(tree, limit); });
-    const auto since = OwnerSince(limit, now, true);
+    const auto since = OwnerSince(limit, now);
     token_grant grant;
     if (since && rate) {
       std::vector<lot_report> reports;
       for (const auto& report : ask->reports) {
-        reports.push_back({lot_id(report->lot - lot_salt_), report->used,
-                           report->returned});
+        reports.push_back(
+            {lot_id(report->lot), report->used, report->returned});
       }
       grant = state_.granters.Grant(limit, *rate, ask->tokens, reports, *since,
                                     now);
@@ -296,9 +294,7 @@
     }
     auto given = std::make_unique<wire::grant_givenT>();
     given->workspace = limit.value;
-    // Owners number their lots from 1. The salt keeps a report on a former
-    // owner's lot from being taken for one on a lot of this owner.
-    given->lot = grant.lot.value + lot_salt_;
+    given->lot = grant.lot.value;
     given->tokens = grant.tokens;
     given->life_us = Microseconds(grant.life);
     given->retry_after_us = Microseconds(grant.retry_after);
--- a/src/entryd_limit.h
+++ b/src/entryd_limit.h
@@ -55,15 +55,14 @@
   auto Ask(std::string address, wire::grant_requestT request)
       -> boost::asio::awaitable<void>;
   auto Take(const wire::grant_replyT& reply, time_point sent) -> void;
-  auto OwnerSince(const workspace_id& limit, time_point now, bool may_begin)
+  auto OwnerSince(const workspace_id& limit, time_point now)
       -> std::optional<time_point>;
-  auto DropLostOwnerships() -> void;
+  auto NoteOwnerships(time_point now) -> void;
 
   entry_state& state_;
-  strand_type strand_;                 // Of the loop and its timer.
-  boost::asio::steady_timer timer_;    // Cancelled to send asks at once.
-  const std::uint64_t lot_salt_;       // Added to the ids of own lots.
-  std::mutex mutex_;                   // Of the members below.
+  strand_type strand_;               // Of the loop and its timer.
+  boost::asio::steady_timer timer_;  // Cancelled to send asks at once.
+  std::mutex mutex_;                 // Of the members below.
   std::map<workspace_id, std::vector<shared_timer>> waiters_;
   std::map<workspace_id, time_point> owner_since_;
 };
--- a/src/entryd_main.cc
+++ b/src/entryd_main.cc
@@ -110,9 +110,8 @@
   http_server server(io, state.options.limits, [&state](http_exchange& e) {
     return HandleCaller(state, e);
   });
-  for (const auto& listening :
-       {links.Listen(state.options.link_endpoint),
-        server.Listen(state.options.entry_endpoint)}) {
+  for (const auto& listening : {links.Listen(state.options.link_endpoint),
+                                server.Listen(state.options.entry_endpoint)}) {
     if (!listening) {
       const auto& error = listening.error();
       Log(log_level::kError, log_category::kCore,
--- a/src/entryd_metric.cc
+++ b/src/entryd_metric.cc
@@ -12,9 +12,9 @@
 namespace {
 
 /** Upper bounds of the buckets in seconds, from a millisecond to minutes. */
-const std::vector<double> kBounds{0,   0.001, 0.002, 0.005, 0.01, 0.02,
-                                  0.05, 0.1,  0.2,   0.5,   1,    2,
-                                  5,   10,    30,    60,    300};
+const std::vector<double> kBounds{0,    0.001, 0.002, 0.005, 0.01, 0.02,
+                                  0.05, 0.1,   0.2,   0.5,   1,    2,
+                                  5,    10,    30,    60,    300};
 
 /** A histogram over kBounds; the axis adds an overflow bucket. */
 auto MakeHistogram() {
@@ -99,8 +99,7 @@
   const std::lock_guard lock(mutex_);
   auto found = map.find(name);
   if (found == map.end()) {
-    found =
-        map.emplace(std::string(name), std::make_unique<histogram>()).first;
+    found = map.emplace(std::string(name), std::make_unique<histogram>()).first;
   }
   found->second->buckets(seconds);
   found->second->sum_s += seconds;
@@ -117,8 +116,8 @@
   }
   out << "# TYPE dogwood_failures_total counter\n";
   for (const auto& [key, count] : failures_) {
-    out << "dogwood_failures_total{step=\"" << Label(key.first)
-        << "\",code=\"" << Label(key.second) << "\"} " << count << "\n";
+    out << "dogwood_failures_total{step=\"" << Label(key.first) << "\",code=\""
+        << Label(key.second) << "\"} " << count << "\n";
   }
   out << "# TYPE dogwood_retries_total counter\n";
   out << "dogwood_retries_total " << retries_ << "\n";
--- a/src/entryd_proxy.cc
+++ b/src/entryd_proxy.cc
@@ -71,10 +71,10 @@
       co_return idle;
     }
   }
-  const auto deadline = std::min<time_point>(
-      plan.deadline, now + state.options.connect);
-  auto opened = co_await backend_connection::Connect(state.io, choice.address,
-                                                     deadline);
+  const auto deadline =
+      std::min<time_point>(plan.deadline, now + state.options.connect);
+  auto opened =
+      co_await backend_connection::Connect(state.io, choice.address, deadline);
   if (!opened) {
     state.servers.NoteConnectFailure(choice.server, clock::now());
   }
@@ -118,10 +118,10 @@
 
 /** What the attempts of one request have come to. */
 struct attempt_log {
-  unsigned count = 0;                    ///< Attempts so far.
-  ran_state ran = ran_state::kNo;        ///< Over all attempts.
-  std::vector<server_id> tried;          ///< Servers of failed attempts.
-  relay_progress progress;               ///< What the caller has.
+  unsigned count = 0;              ///< Attempts so far.
+  ran_state ran = ran_state::kNo;  ///< Over all attempts.
+  std::vector<server_id> tried;    ///< Servers of failed attempts.
+  relay_progress progress;         ///< What the caller has.
 };
 
 /** One attempt on one server. */
@@ -132,8 +132,8 @@
              attempt_log& log) -> asio::awaitable<outcome<void>> {
   auto route = plan.route;
   route.tried = log.tried;
-  auto choice = ToOutcome(
-      [&] { return state.servers.Acquire(route, clock::now()); });
+  auto choice =
+      ToOutcome([&] { return state.servers.Acquire(route, clock::now()); });
   if (!choice) {
     co_return choice.error();
   }
@@ -153,8 +153,8 @@
     co_return *watch.reason();
   }
   const bool last = log.count >= state.options.max_attempts;
-  auto done = co_await Exchange(state, exchange, plan, *connection,
-                                log.progress, last);
+  auto done =
+      co_await Exchange(state, exchange, plan, *connection, log.progress, last);
   watch.SetConnection(nullptr);
   if (done) {
     state.pool.Put(std::move(connection), clock::now());
--- a/src/entryd_relay.cc
+++ b/src/entryd_relay.cc
@@ -125,9 +125,8 @@
     if (part->empty()) {
       break;
     }
-    auto passed =
-        co_await PassEvents(state, exchange, plan, head, parser,
-                            std::move(part.value()), progress);
+    auto passed = co_await PassEvents(state, exchange, plan, head, parser,
+                                      std::move(part.value()), progress);
     if (!passed) {
       co_return passed;
     }
--- a/src/entryd_relay.h
+++ b/src/entryd_relay.h
@@ -31,8 +31,7 @@
  * end. Does nothing if no such stream has begun. */
 auto EndBrokenStream(http_exchange& exchange,
                      const relay_progress& progress,
-                     const failure& error)
-    -> boost::asio::awaitable<void>;
+                     const failure& error) -> boost::asio::awaitable<void>;
 
 }  // namespace dogwood
 
--- a/src/entryd_setting.h
+++ b/src/entryd_setting.h
@@ -27,8 +27,8 @@
   std::string log_levels;                           ///< Levels by category.
   unsigned worker_threads = 2;                      ///< Threads.
   http_limits limits;                               ///< Of callers' requests.
-  std::size_t answer_buffer_bytes = 0;    ///< Whole answers up to this.
-  std::chrono::milliseconds connect{};    ///< To connect to a server.
+  std::size_t answer_buffer_bytes = 0;     ///< Whole answers up to this.
+  std::chrono::milliseconds connect{};     ///< To connect to a server.
   std::chrono::milliseconds first_byte{};  ///< To the first byte of an answer.
   std::chrono::milliseconds between_bytes{};    ///< Silence within an answer.
   std::chrono::milliseconds total{};            ///< A whole request.
--- a/src/entryd_watch.cc
+++ b/src/entryd_watch.cc
@@ -17,8 +17,8 @@
 auto request_watch::Start() -> void {
   // The closure keeps the watch alive while its coroutine runs.
   asio::co_spawn(
-      timer_.get_executor(), [self = shared_from_this()] { return self->Run(); },
-      asio::detached);
+      timer_.get_executor(),
+      [self = shared_from_this()] { return self->Run(); }, asio::detached);
 }
 
 auto request_watch::Stop() -> void {
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -1,17 +1,19 @@
 #include "src/http_client.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <optional>
 #include <utility>
 
 #include "src/core.h"
 #include "src/http_server.h"
-#include "src/http_socket.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
@@ -25,6 +27,13 @@
 /** Bytes read at a time by ReadSome(). */
 constexpr std::size_t kReadBytes = 16UL << 10;
 
+/** Whether a socket is open and holds no bytes to read. */
+auto IsQuiet(int socket) -> bool {
+  char byte = 0;
+  const auto n = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
 }  // namespace
 
 /** The Beast side of a connection. */
@@ -143,8 +152,7 @@
   // Bytes that nobody asked for would be taken for the next answer.
   return state_->whole && !state_->failed && state_->parser &&
          state_->parser->get().keep_alive() && state_->buffer.size() == 0 &&
-         StateOf(state_->stream.socket().native_handle()) ==
-             socket_state::kQuiet;
+         IsQuiet(state_->stream.socket().native_handle());
 }
 
 auto http_connection::Abort() -> void {
--- a/src/proxy_func.cc
+++ b/src/proxy_func.cc
@@ -26,8 +26,8 @@
 
 /** Fields that may carry a caller's credentials. */
 constexpr std::array<std::string_view, 6> kCredentials{
-    "Authorization", "Proxy-Authorization", "Cookie",
-    "X-Api-Key",     "Api-Key",             "X-Auth-Token"};
+    "Authorization", "Proxy-Authorization", "Cookie", "X-Api-Key",
+    "Api-Key",       "X-Auth-Token"};
 
 /** Fields that only entry hosts set: with another request's id a caller could
  * cancel or resume that request. */
--- a/src/proxy_func.h
+++ b/src/proxy_func.h
@@ -20,8 +20,8 @@
 
 /** Content of a model request that routing needs. */
 struct model_call {
-  model_id model;      ///< "model" of the body.
-  std::string prompt;  ///< Prompt, or the messages' roles and texts joined.
+  model_id model;       ///< "model" of the body.
+  std::string prompt;   ///< Prompt, or the messages' roles and texts joined.
   bool stream = false;  ///< Whether events are asked for.
 };
 
