--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -2,12 +2,15 @@
 dogwood_library(route SOURCES route_cmd.cc route_query.cc LIBS dogwood_core)
 dogwood_library(proxy SOURCES proxy_func.cc sse_base.cc
                 LIBS dogwood_core dogwood_http Boost::url)
-dogwood_binary(dogwood_entryd
-  SOURCES src/entryd_main.cc src/entryd_setting.cc src/entryd_metric.cc
-          src/entryd_base.cc src/entryd_backend.cc src/entryd_limit.cc
-          src/entryd_fleet.cc src/entryd_identity.cc src/entryd_watch.cc
-          src/entryd_relay.cc src/entryd_proxy.cc src/entryd_batch.cc
-          src/entryd_address.cc src/entryd_http.cc
+dogwood_library(entryd SOURCES entryd_setting.cc entryd_metric.cc entryd_base.cc
+  entryd_backend.cc entryd_limit.cc entryd_fleet.cc entryd_identity.cc
+  entryd_watch.cc entryd_relay.cc entryd_proxy.cc entryd_batch.cc
+  entryd_address.cc entryd_http.cc
   LIBS dogwood_setting dogwood_http dogwood_wire dogwood_limit dogwood_route
-       dogwood_proxy)
+       dogwood_proxy dogwood_platform dogwood_config)
+if(TARGET dogwood_replica)
+  dogwood_binary(dogwood_entryd SOURCES src/entryd_main.cc
+                 LIBS dogwood_entryd dogwood_replica)
+endif()
 dogwood_test(route dogwood_route)
+dogwood_test(proxy dogwood_proxy)
