--- a/src/entryd_address.cc
+++ b/src/entryd_address.cc
@@ -33,11 +33,11 @@
     const bool is_stopping_self = state.draining && m.host == options.host;
     return m.state != member_state::kLive || is_stopping_self;
   });
-  const auto far_begin = std::ranges::stable_partition(
-      members,
+  const auto far_begin = std::stable_partition(
+      members.begin(), members.end(),
       [&](const member& m) { return m.region == options.place.region; });
-  const std::vector<member> near(members.begin(), far_begin.begin());
-  const std::vector<member> far(far_begin.begin(), members.end());
+  const std::vector<member> near(members.begin(), far_begin);
+  const std::vector<member> far(far_begin, members.end());
   const auto kept_for_far =
       options.address_count > 1 && !far.empty() ? std::size_t{1} : 0;
   const auto near_count = options.address_count - kept_for_far;
--- a/src/entryd_fleet.cc
+++ b/src/entryd_fleet.cc
@@ -117,8 +117,9 @@
   if (servers.size() <= count) {
     return servers;
   }
-  std::ranges::rotate(servers, servers.begin() + static_cast<std::ptrdiff_t>(
-                                                     turn % servers.size()));
+  const auto first =
+      servers.begin() + static_cast<std::ptrdiff_t>(turn % servers.size());
+  std::rotate(servers.begin(), first, servers.end());
   turn += count;
   servers.resize(count);
   return servers;
