Let queued streams take up to first_byte_ms, tell true ran states

An engine sends the head of a stream before the request leaves its queue, so the silence limit alone would cut queued requests. Error answers of a server now carry Dogwood-Ran: maybe. A draining member fails /readyz. The process ends without destroying coroutines that refer to destroyed state.

Built only; the daemon has not run yet.

--- a/src/entryd_http.cc
+++ b/src/entryd_http.cc
@@ -36,6 +36,13 @@
   if (state.draining) {
     return Refusal(error_code::kUnavailable, "the daemon is stopping", "ready");
   }
+  const bool is_draining = state.replica.Read([&](const config_tree& tree) {
+    const auto* self = tree.FindMember(state.options.host);
+    return self != nullptr && self->state == member_state::kDraining;
+  });
+  if (is_draining) {
+    return Refusal(error_code::kUnavailable, "the host is draining", "ready");
+  }
   if (!state.has_servers) {
     return Refusal(error_code::kUnavailable, "no host list has come yet",
                    "ready");
--- a/src/entryd_main.cc
+++ b/src/entryd_main.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <thread>
 #include <vector>
@@ -129,7 +130,11 @@
     threads.emplace_back([&io] { io.run(); });
   }
   io.run();
-  return 0;
+  threads.clear();
+  // Coroutines that still wait refer to `state`. Ending here spares them from
+  // being destroyed after it.
+  std::cout.flush();
+  std::quick_exit(0);
 }
 
 }  // namespace
--- a/src/entryd_proxy.cc
+++ b/src/entryd_proxy.cc
@@ -90,6 +90,7 @@
               bool last_attempt) -> asio::awaitable<outcome<void>> {
   const auto first_byte = std::min<time_point>(
       plan.deadline, clock::now() + state.options.first_byte);
+  progress.first_part_deadline = first_byte;
   auto sent = co_await connection.Send(plan.request, first_byte);
   if (!sent) {
     co_return sent.error();
@@ -157,7 +158,10 @@
       co_await Exchange(state, exchange, plan, *connection, log.progress, last);
   watch.SetConnection(nullptr);
   if (done) {
-    state.pool.Put(std::move(connection), clock::now());
+    // With a reason the watch has aborted the connection.
+    if (!watch.reason()) {
+      state.pool.Put(std::move(connection), clock::now());
+    }
     co_return done;
   }
   connection->Abort();
--- a/src/entryd_relay.cc
+++ b/src/entryd_relay.cc
@@ -11,11 +11,28 @@
 
 namespace {
 
-/** Deadline of the next read of an answer that goes on. */
-auto ReadDeadline(const entry_state& state, const proxy_plan& plan)
-    -> time_point {
-  return std::min<time_point>(plan.deadline,
-                              clock::now() + state.options.between_bytes);
+/** Deadline of the next read of an answer's body. An engine sends the head
+ * before the request leaves its queue, so the first part may take longer. */
+auto ReadDeadline(const entry_state& state,
+                  const proxy_plan& plan,
+                  const relay_progress& progress,
+                  bool is_first) -> time_point {
+  const auto silence = clock::now() + state.options.between_bytes;
+  const auto limit =
+      is_first ? std::max<time_point>(silence, progress.first_part_deadline)
+               : silence;
+  return std::min<time_point>(plan.deadline, limit);
+}
+
+/** Fields of the answer for the caller. The caller is told that errors which
+ * the server itself answers with came after the request had been sent. */
+auto AnswerHeaders(const proxy_plan& plan, const http_head& head)
+    -> http_headers {
+  auto headers = CallerHeaders(head.headers, plan.request_id);
+  if (head.status >= 400) {
+    headers.Set("Dogwood-Ran", NameOf(ran_state::kMaybe));
+  }
+  return headers;
 }
 
 /** Notes the first part of an answer. */
@@ -34,7 +51,7 @@
   NoteFirst(state, plan, head.status);
   http_head passed;
   passed.status = head.status;
-  passed.headers = CallerHeaders(head.headers, plan.request_id);
+  passed.headers = AnswerHeaders(plan, head);
   co_return co_await exchange.BeginStream(std::move(passed));
 }
 
@@ -117,8 +134,11 @@
                  const http_head& head,
                  relay_progress& progress) -> asio::awaitable<outcome<void>> {
   sse_parser parser;
+  bool is_first = true;
   while (true) {
-    auto part = co_await connection.ReadSome(ReadDeadline(state, plan));
+    const auto deadline = ReadDeadline(state, plan, progress, is_first);
+    is_first = false;
+    auto part = co_await connection.ReadSome(deadline);
     if (!part) {
       co_return part.error();
     }
@@ -140,10 +160,15 @@
                 http_exchange& exchange,
                 const proxy_plan& plan,
                 backend_connection& connection,
-                const http_head& head) -> asio::awaitable<outcome<void>> {
+                const http_head& head,
+                const relay_progress& progress)
+    -> asio::awaitable<outcome<void>> {
   std::string held;
+  bool is_first = true;
   while (true) {
-    auto part = co_await connection.ReadSome(ReadDeadline(state, plan));
+    const auto deadline = ReadDeadline(state, plan, progress, is_first);
+    is_first = false;
+    auto part = co_await connection.ReadSome(deadline);
     if (!part) {
       co_return part.error();
     }
@@ -173,7 +198,7 @@
   NoteFirst(state, plan, head.status);
   http_response response;
   response.status = head.status;
-  response.headers = CallerHeaders(head.headers, plan.request_id);
+  response.headers = AnswerHeaders(plan, head);
   response.body = std::move(held);
   co_return co_await exchange.Respond(std::move(response));
 }
@@ -190,7 +215,8 @@
     co_return co_await RelayEvents(state, exchange, plan, connection, head,
                                    progress);
   }
-  co_return co_await RelayPlain(state, exchange, plan, connection, head);
+  co_return co_await RelayPlain(state, exchange, plan, connection, head,
+                                progress);
 }
 
 auto EndBrokenStream(http_exchange& exchange,
--- a/src/entryd_relay.h
+++ b/src/entryd_relay.h
@@ -14,7 +14,8 @@
 
 /** What the caller has of an answer. */
 struct relay_progress {
-  bool events_begun = false;  ///< A stream of events has begun.
+  bool events_begun = false;       ///< A stream of events has begun.
+  time_point first_part_deadline;  ///< Of the first bytes of the body.
 };
 
 /** Passes an answer on whose head has been read. Events go out one by one;
