Add the admission library; write a second result in the job test

Each backend server has one admitter, which must know what online requests leave free.

The job test did not notice a fold in which a later done overwrites the first, since correct owners never write two. It now writes second results as a faulty host would (and then found that a fold that began after the first result kept the second; keep records now correct doubtful items).

--- /dev/null
+++ b/src/admission.h
@@ -0,0 +1,8 @@
+/** Public header of library admission. */
+#ifndef SRC_ADMISSION_H_
+#define SRC_ADMISSION_H_
+
+#include "src/admission_base.h"
+#include "src/admission_type.h"
+
+#endif  // SRC_ADMISSION_H_
--- a/src/job_cmd.cc
+++ b/src/job_cmd.cc
@@ -330,18 +330,24 @@
     return p_.jobs_.emplace(id, std::move(job)).first->second;
   }
 
-  /** Applies one item of a keep unless something named it since. */
-  static auto KeepItem(job_state& job,
-                       const json::object& fields,
-                       log_offset as_of) -> void {
+  /** Applies one item of a keep unless something named it since. A result
+   * stays, except in a fold that is not exact: it may have taken a second
+   * result, as it does not know which epoch held for the first. */
+  auto KeepItem(job_state& job, const json::object& fields, log_offset as_of)
+      -> void {
     auto* item = FindItem(
         &job, static_cast<std::uint32_t>(NumberField(fields, "index")));
     if (item == nullptr || item->touched >= as_of) {
       return;
     }
+    const bool is_doubtful = item->anchor < p_.doubtful_before_;
     item->anchor = std::max(item->anchor, as_of);
     if (item->state == item_state::kCompleted) {
-      return;
+      if (!is_doubtful) {
+        return;
+      }
+      job.completed -= 1;
+      job.failed -= item->failed ? 1 : 0;
     }
     const auto state = TextField(fields, "state");
     const auto text = TextField(fields, "text");
--- a/src/job_dispatch.cc
+++ b/src/job_dispatch.cc
@@ -171,6 +171,9 @@
   }
   const bool started = found->second == run_kind::kStarted;
   running_.erase(found);
+  if (fold_.Find(item.job) == nullptr) {
+    return;
+  }
   const auto request = RunOf(item).request;
   if (end == run_end::kResult) {
     Unsettle(item, failed, std::move(text));
--- a/tests/job_test.cc
+++ b/tests/job_test.cc
@@ -114,6 +114,8 @@
       case 11:
       case 12:
         return DeliverLate();
+      case 13:
+        return WriteSecondResult();
       default:
         break;
     }
@@ -306,6 +308,24 @@
     }
   }
 
+  /** A second result under the current epoch, as a host with a fault would
+   * write it, for an item that is completed or cancelled. */
+  auto WriteSecondResult() -> void {
+    if (results_.empty() || !reference_.current_epoch()) {
+      return;
+    }
+    const auto at = std::next(
+        results_.begin(), static_cast<std::ptrdiff_t>(Below(results_.size())));
+    record_writer writer;
+    writer.host = host_id("faulty");
+    writer.seq = ++faulty_seq_;
+    const std::vector<item_result> second{
+        item_result{at->first, true, R"({"custom_id":"second"})"}};
+    AddToLog({FormatRecord(
+        job_record_kind::kDone, writer,
+        DoneFields(*reference_.current_epoch(), Unix(), unix_ms(0), second))});
+  }
+
   auto Read(std::size_t h, std::size_t count) -> void {
     auto& owner = *hosts_[h].owner;
     while (count-- > 0 && owner.stage() != owner_stage::kIdle &&
@@ -502,6 +522,7 @@
   std::map<log_offset, std::string> ended_;
   std::map<item_ref, std::string> results_;
   std::size_t last_owner_ = 0;
+  std::uint64_t faulty_seq_ = 0;
   std::uint64_t answers_ = 0;
   std::size_t accepted_ = 0;
   std::size_t dropped_ = 0;
