--- a/scripts/dogwood_cluster.py
+++ b/scripts/dogwood_cluster.py
@@ -480,17 +480,15 @@
             self.operator(index), "GET", f"/v1/tree?path={path}", headers=self.operator_headers()
         )
         if status != 200 or body is None:
-            return 0
-        nodes = body.get("nodes", [body])
-        if isinstance(nodes, dict):
-            nodes = [{"path": p, **n} for p, n in nodes.items()]
-        return next((n.get("version", 0) for n in nodes if n.get("path", path) == path), 0)
+            raise ClusterError(f"version of {path}: {status} {body}")
+        return body["version"]
 
     def change(self, path, values, index=0, timeout=60.0, **more):
         """Sets values at a node through the operator interface; waits until the
         change is accepted. Sends it again after answers that do not decide."""
 
         def attempt():
+            """One try; None if the answer does not decide."""
             body = {
                 "path": path,
                 "expected_version": self.node_version(path, index),
@@ -515,7 +513,7 @@
                 digest = hashlib.sha256(self.key(name, key).encode()).hexdigest()
                 group.append((f"/workspaces/{name}/keys/{key}", {"hash": digest}))
             changes.append(group)
-        changes.append([(f"/models/{scenario['model']}", {})])
+        changes.append([(f"/models/{scenario['model']}", {"served": True})])
         for name, values in scenario.get("routes", {}).items():
             changes.append([(f"/routes/{name}", values)])
 
