Add process-level failure tests

Thirteen tests kill, pause and disturb the processes of a local cluster and count outcomes: results by item, calls by path, answers by prompt. Waits are bounded; no verdict depends on how long something took.

--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -12,3 +12,15 @@
                 load_stream.cc LIBS dogwood_http dogwood_core)
 dogwood_binary(dogwood_load SOURCES src/load_main.cc LIBS dogwood_load_lib)
 dogwood_test(load dogwood_load_lib)
+
+# Process-level failure tests. Each starts a cluster of its own; one at a time,
+# since their verdicts need the daemons to get on.
+foreach(failure kill_batchd kill_entryd kill_controld paused_owner store
+        resent_job withdrawn_key operators silent_engine crossed_answers
+        leaving_server key_leak two_faults)
+  add_test(NAME failure_${failure}
+           COMMAND ${CMAKE_SOURCE_DIR}/tests/failure_${failure}.py)
+  set_tests_properties(failure_${failure} PROPERTIES LABELS failure TIMEOUT 400
+                       RUN_SERIAL TRUE ENVIRONMENT
+                       "DOGWOOD_BUILD=${CMAKE_BINARY_DIR}")
+endforeach()
--- a/scripts/dogwood_cluster.py
+++ b/scripts/dogwood_cluster.py
@@ -480,7 +480,7 @@
             self.operator(index), "GET", f"/v1/tree?path={path}", headers=self.operator_headers()
         )
         if status != 200 or body is None:
-            raise ClusterError(f"version of {path}: {status} {body}")
+            raise ConnectionError(f"version of {path}: {status} {body}")
         return body["version"]
 
     def change(self, path, values, index=0, timeout=60.0, **more):
