--- a/scripts/dogwood_cluster.py
+++ b/scripts/dogwood_cluster.py
@@ -536,8 +536,8 @@
 
     def status(self):
         """What scripts/cluster status prints."""
-        alive = {"operator_token_file", "keys_file", "scenario"}
-        report = {n: self.state[n] for n in alive if n in self.state}
+        names = ("scenario", "operator_token_file", "keys_file")
+        report = {n: self.state[n] for n in names if n in self.state}
         report["platform"] = {
             "address": self.platform,
             "pid": self.state["platform"]["process"]["pid"],
