Add dogwoodctl, the operators' command line tool

Operators create workspaces, keys, routes and models, read the tree, its history and the status, and drain hosts and servers.

When an answer is lost the same change is sent again with the same version, so that it takes effect once at most; a conflict then counts as done if the node is as the change makes it.

--- /dev/null
+++ b/src/ctl_main.cc
@@ -0,0 +1,82 @@
+/** dogwoodctl: the operators' command line tool. */
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "src/ctl_run.h"
+#include "src/http.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+namespace {
+
+/** Pause between two tries of a change whose outcome is unknown. */
+constexpr std::chrono::milliseconds kRetryPause{500};
+
+/** Fetches into `answer`. */
+auto FetchInto(asio::ip::tcp::endpoint endpoint,
+               http_request request,
+               time_point deadline,
+               std::optional<outcome<http_response>>& answer)
+    -> asio::awaitable<void> {
+  answer.emplace(co_await Fetch(endpoint, std::move(request), deadline));
+}
+
+/** Sends one request and waits for the answer. A failure of the connection is
+ * kUnavailable or kDeadlineExceeded. */
+auto Send(const std::string& address,
+          const http_request& request,
+          std::chrono::seconds timeout) -> outcome<http_response> {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    return UsageFailure("address \"" + address + "\" is not IP:PORT");
+  }
+  std::optional<outcome<http_response>> answer;
+  asio::io_context io;
+  asio::co_spawn(
+      asio::make_strand(io),
+      FetchInto(endpoint.value(), request, clock::now() + timeout, answer),
+      asio::detached);
+  io.run();
+  if (!answer) {
+    return failure{.code = error_code::kInternal,
+                   .message = "the request ended without an answer",
+                   .ran = ran_state::kMaybe,
+                   .step = "send request",
+                   .peer = address};
+  }
+  return std::move(*answer);
+}
+
+/** Value of an environment variable, empty if unset. */
+auto Environment(const char* name) -> std::string {
+  const auto* value = std::getenv(name);
+  return value == nullptr ? "" : value;
+}
+
+}  // namespace
+}  // namespace dogwood
+
+auto main(int argc, char** argv) -> int {
+  std::chrono::seconds timeout{};
+  dogwood::ctl_environment environment;
+  environment.address = dogwood::Environment("DOGWOOD_ADDRESS");
+  environment.token_file = dogwood::Environment("DOGWOOD_TOKEN_FILE");
+  environment.out = &std::cout;
+  environment.err = &std::cerr;
+  environment.set_timeout = [&](std::chrono::seconds s) { timeout = s; };
+  environment.transport = [&](const std::string& address,
+                              const dogwood::http_request& request) {
+    return dogwood::Send(address, request, timeout);
+  };
+  environment.pause = [] { std::this_thread::sleep_for(dogwood::kRetryPause); };
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  return static_cast<int>(dogwood::RunCtl(arguments, environment));
+}
