--- a/src/config_cmd.cc
+++ b/src/config_cmd.cc
@@ -29,6 +29,13 @@
   return value != nullptr && value->is_array() ? value->get_array() : kEmpty;
 }
 
+/** `value` as a list of `size` elements, nullptr if it is none. */
+auto RowOf(const json::value& value, std::size_t size) -> const json::array* {
+  return value.is_array() && value.get_array().size() == size
+             ? &value.get_array()
+             : nullptr;
+}
+
 }  // namespace
 
 /** Applies one record or snapshot to a tree. */
@@ -310,17 +317,14 @@
 
   auto LoadNodes(const json::object& nodes) -> bool {
     for (const auto& item : nodes) {
-      if (!item.value().is_object()) {
-        return false;
-      }
-      const auto& object = item.value().get_object();
-      const auto version = ReadNumber(object, "version");
-      if (!version) {
+      const auto* row = RowOf(item.value(), 2);
+      const auto version = row ? ToNumber((*row)[0]) : std::nullopt;
+      if (!version || !(*row)[1].is_object()) {
         return false;
       }
       auto& node = tree_.nodes_[std::string(item.key())];
       node.version = *version;
-      for (const auto& value : InnerObject(object, "values")) {
+      for (const auto& value : (*row)[1].get_object()) {
         node.values[std::string(value.key())] = value.value();
       }
     }
@@ -342,13 +346,10 @@
 
   auto LoadWriters(const json::object& writers) -> bool {
     for (const auto& item : writers) {
-      if (!item.value().is_object()) {
-        return false;
-      }
-      const auto& object = item.value().get_object();
-      const auto start = ReadNumber(object, "start");
-      const auto seq = ReadNumber(object, "seq");
-      const auto last = ReadNumber(object, "last");
+      const auto* row = RowOf(item.value(), 3);
+      const auto start = row ? ToNumber((*row)[0]) : std::nullopt;
+      const auto seq = row ? ToNumber((*row)[1]) : std::nullopt;
+      const auto last = row ? ToNumber((*row)[2]) : std::nullopt;
       if (!start || !seq || !last) {
         return false;
       }
--- a/src/config_codec.cc
+++ b/src/config_codec.cc
@@ -70,21 +70,22 @@
              : std::string();
 }
 
-auto ReadNumber(const json::object& object, std::string_view name)
-    -> std::optional<std::uint64_t> {
-  const auto* value = object.if_contains(name);
-  if (value == nullptr) {
-    return std::nullopt;
-  }
-  if (value->is_uint64()) {
-    return value->get_uint64();
+auto ToNumber(const json::value& value) -> std::optional<std::uint64_t> {
+  if (value.is_uint64()) {
+    return value.get_uint64();
   }
-  if (value->is_int64() && value->get_int64() >= 0) {
-    return static_cast<std::uint64_t>(value->get_int64());
+  if (value.is_int64() && value.get_int64() >= 0) {
+    return static_cast<std::uint64_t>(value.get_int64());
   }
   return std::nullopt;
 }
 
+auto ReadNumber(const json::object& object, std::string_view name)
+    -> std::optional<std::uint64_t> {
+  const auto* value = object.if_contains(name);
+  return value == nullptr ? std::nullopt : ToNumber(*value);
+}
+
 auto ReadWriter(const json::object& record) -> std::optional<record_writer> {
   const auto* inner = record.if_contains("writer");
   if (inner == nullptr || !inner->is_object()) {
--- a/src/config_codec.h
+++ b/src/config_codec.h
@@ -18,6 +18,9 @@
 auto ReadText(const boost::json::object& object, std::string_view name)
     -> std::string;
 
+/** `value` as a whole number, nothing if it is none or negative. */
+auto ToNumber(const boost::json::value& value) -> std::optional<std::uint64_t>;
+
 /** Whole number `name` of `object`, nothing if absent or out of range. */
 auto ReadNumber(const boost::json::object& object, std::string_view name)
     -> std::optional<std::uint64_t>;
--- a/src/config_query.cc
+++ b/src/config_query.cc
@@ -105,13 +105,14 @@
   auto record = NewRecord("snapshot", writer);
   record["as_of"] = next_offset_.value;
   record["members_version"] = members_version_;
+  // Lists instead of named fields, as the record must fit into one append.
   json::object nodes;
   for (const auto& [path, node] : nodes_) {
     json::object values;
     for (const auto& [name, value] : node.values) {
       values[name] = value;
     }
-    nodes[path] = {{"version", node.version}, {"values", std::move(values)}};
+    nodes[path] = json::array{node.version, std::move(values)};
   }
   record["nodes"] = std::move(nodes);
   json::array members;
@@ -121,9 +122,8 @@
   record["members"] = std::move(members);
   json::object writers;
   for (const auto& [host, mark] : last_seq_) {
-    writers[host.value] = {{"start", mark.start.value},
-                           {"seq", mark.seq},
-                           {"last", mark.last.value}};
+    writers[host.value] =
+        json::array{mark.start.value, mark.seq, mark.last.value};
   }
   record["writers"] = std::move(writers);
   json::array audit;
@@ -142,10 +142,15 @@
   const auto* node = Node(change.path);
   const auto version = node == nullptr ? 0 : node->version;
   if (change.expected_version != version) {
+    const auto present =
+        node == nullptr ? " does not exist"
+                        : " exists with version " + std::to_string(version);
+    const auto expected =
+        change.expected_version == 0
+            ? std::string("that it does not")
+            : "version " + std::to_string(change.expected_version);
     return Refused(error_code::kConflict,
-                   change.path + " has version " + std::to_string(version) +
-                       ", the change expects " +
-                       std::to_string(change.expected_version));
+                   change.path + present + ", the change expects " + expected);
   }
   if (change.remove && node == nullptr) {
     return Refused(error_code::kConflict, change.path + " does not exist");
