--- a/src/entryd_base.h
+++ b/src/entryd_base.h
@@ -16,7 +16,7 @@
 #include "src/limit.h"
 #include "src/link.h"
 #include "src/platform.h"
-#include "src/replica_base.h"
+#include "src/replica.h"
 #include "src/route.h"
 
 namespace dogwood {
--- a/src/entryd_limit.h
+++ b/src/entryd_limit.h
@@ -15,7 +15,7 @@
 #include "src/core.h"
 #include "src/limit.h"
 #include "src/link.h"
-#include "src/replica_base.h"
+#include "src/replica.h"
 
 namespace dogwood {
 
--- a/src/entryd_setting.cc
+++ b/src/entryd_setting.cc
@@ -1,6 +1,8 @@
 #include "src/entryd_setting.h"
 
 #include <array>
+#include <fstream>
+#include <utility>
 
 #include "src/core.h"
 
@@ -26,8 +28,10 @@
                 "Link address of this host's dogwood_batchd, ip:port."},
     setting_row{"platform_address", kText, "", 0, 0, "",
                 "Address of the platform's HTTP, ip:port."},
-    setting_row{"secret", kText, "", 0, 0, "",
+    setting_row{"secret", kText, "", 0, 0, "\"\"",
                 "Shared secret of the deployment's links."},
+    setting_row{"secret_file", kText, "", 0, 0, "\"\"",
+                "File with the shared secret; used if `secret` is empty."},
     setting_row{"log_levels", kText, "", 0, 0, "\"info\"",
                 "Level, and levels of categories, such as info,route=debug."},
     setting_row{"worker_threads", kInteger, "threads", 1, 64, "2",
@@ -161,6 +165,25 @@
   o.batch_call = values.Milliseconds("batch_call_ms");
 }
 
+/** The secret, from the settings or the file that they name. */
+auto ReadSecret(const setting_values& values) -> outcome<std::string> {
+  if (!values.Text("secret").empty()) {
+    return values.Text("secret");
+  }
+  std::ifstream file(values.Text("secret_file"));
+  std::string secret;
+  if (std::getline(file, secret) && !secret.empty()) {
+    return secret;
+  }
+  return failure{.code = error_code::kBadRequest,
+                 .message =
+                     "setting \"secret\" is empty and \"secret_file\" "
+                     "names no file with a secret",
+                 .ran = ran_state::kNo,
+                 .step = "read settings",
+                 .peer = values.Text("secret_file")};
+}
+
 }  // namespace
 
 auto EntrySettings() -> setting_table {
@@ -174,7 +197,11 @@
   o.place.region = region_id(values.Text("region"));
   o.entry_address = values.Text("entry_address");
   o.batchd_link = values.Text("batchd_link");
-  o.secret = values.Text("secret");
+  auto secret = ReadSecret(values);
+  if (!secret) {
+    return secret.error();
+  }
+  o.secret = std::move(secret.value());
   o.log_levels = values.Text("log_levels");
   o.worker_threads = static_cast<unsigned>(values.Integer("worker_threads"));
   ReadConnectionOptions(values, o);
