--- a/src/entryd_setting.cc
+++ b/src/entryd_setting.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <fstream>
+#include <iterator>
 #include <utility>
 
 #include "src/core.h"
@@ -170,9 +171,12 @@
   if (!values.Text("secret").empty()) {
     return values.Text("secret");
   }
-  std::ifstream file(values.Text("secret_file"));
-  std::string secret;
-  if (std::getline(file, secret) && !secret.empty()) {
+  std::ifstream file(values.Text("secret_file"), std::ios::binary);
+  std::string secret(std::istreambuf_iterator<char>(file), {});
+  while (!secret.empty() && (secret.back() == '\n' || secret.back() == '\r')) {
+    secret.pop_back();
+  }
+  if (!secret.empty()) {
     return secret;
   }
   return failure{.code = error_code::kBadRequest,
