--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -5,9 +5,12 @@
   dogwood_binary(${fake} SOURCES tests/fakes/${fake}.cc
                  LIBS dogwood_fake_common)
 endforeach()
+add_library(dogwood_fake_engine STATIC tests/fakes/engine_api.cc
+            tests/fakes/engine_model.cc tests/fakes/engine_state.cc)
+target_link_libraries(dogwood_fake_engine PUBLIC dogwood_fake_common)
 dogwood_binary(fake_engine SOURCES tests/fakes/fake_engine.cc
-               tests/fakes/engine_api.cc tests/fakes/engine_model.cc
-               tests/fakes/engine_state.cc LIBS dogwood_fake_common)
+               LIBS dogwood_fake_engine)
+dogwood_test(fake_engine dogwood_fake_engine)
 dogwood_library(load_lib SOURCES load_func.cc load_report.cc load_run.cc
                 load_stream.cc LIBS dogwood_http dogwood_core)
 dogwood_binary(dogwood_load SOURCES src/load_main.cc LIBS dogwood_load_lib)
