--- /dev/null
+++ b/src/batchd_execute.cc
@@ -0,0 +1,198 @@
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <utility>
+
+#include "src/batchd_base.h"
+#include "src/batchd_run.h"
+#include "src/core.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+namespace {
+
+using entry_ptr = std::shared_ptr<run_entry>;
+
+/** An ask waits this long for its answer before "running" is answered; a link
+ * that has gone silent is noticed soon after. */
+constexpr std::chrono::seconds kAnswerWait{2};
+/** A run ends if its owner has not asked for this long. */
+constexpr std::chrono::seconds kLease{10};
+/** An ask waits this long for a slot. */
+constexpr std::chrono::milliseconds kRoomWait{250};
+constexpr std::chrono::milliseconds kRoomPoll{10};
+constexpr std::chrono::seconds kConnectLimit{1};
+constexpr std::chrono::seconds kCancelLimit{1};
+constexpr std::chrono::seconds kSweepPeriod{1};
+/** Longest answer of a server that is read. */
+constexpr std::size_t kMaxAnswerBytes = 4UL << 20;
+
+/** An answer without status. */
+auto Ended(run_outcome outcome, std::string why) -> run_answer {
+  run_answer answer;
+  answer.outcome = outcome;
+  answer.body = std::move(why);
+  return answer;
+}
+
+/** Whether this host admits batch on the server now. */
+auto IsAdmitter(const batchd& d, const backend_server& server) -> bool {
+  return d.replica.IsOwner(owned_kind::kServer, server.id.value, clock::now(),
+                           server.region);
+}
+
+/** Waits for a slot for a short time. */
+auto WaitForRoom(batchd& d, entry_ptr entry) -> asio::awaitable<bool> {
+  const auto until = clock::now() + kRoomWait;
+  while (!d.runs.Admit(entry, clock::now())) {
+    if (clock::now() >= until || d.stopping || d.runs.IsAborted(entry)) {
+      co_return false;
+    }
+    co_await Sleep(kRoomPoll);
+  }
+  co_return true;
+}
+
+/** Tells the server to end a request whose stream was closed. */
+auto CancelOnServer(backend_server server, std::string request_id)
+    -> asio::awaitable<void> {
+  http_request request;
+  request.method = "POST";
+  request.target = "/cancel/" + request_id;
+  co_await Fetch(server.endpoint, std::move(request),
+                 clock::now() + kCancelLimit);
+}
+
+/** The request of an ask. */
+auto RequestOf(const run_ask& ask) -> http_request {
+  http_request request;
+  request.method = ask.method;
+  request.target = ask.path;
+  request.headers.Set("X-Request-Id", ask.request_id);
+  if (!ask.body.empty()) {
+    request.headers.Set("Content-Type", "application/json");
+  }
+  request.body = ask.body;
+  return request;
+}
+
+/** What a failure of a request that was sent means. */
+auto FailedAnswer(const failure& error) -> run_answer {
+  return Ended(run_outcome::kFailed, error.step + ": " + error.message);
+}
+
+/** Reads the whole answer. */
+auto ReadAnswer(const batchd& d, http_connection& connection)
+    -> asio::awaitable<run_answer> {
+  const auto until = clock::now() + d.settings.item_deadline;
+  const auto silence = d.settings.silence_limit;
+  auto head = co_await connection.ReadHead(until);
+  if (!head) {
+    co_return FailedAnswer(head.error());
+  }
+  run_answer answer;
+  answer.outcome = run_outcome::kAnswer;
+  answer.status = head->status;
+  while (true) {
+    const auto deadline = std::min<time_point>(until, clock::now() + silence);
+    auto part = co_await connection.ReadSome(deadline);
+    if (!part) {
+      co_return FailedAnswer(part.error());
+    }
+    if (part->empty()) {
+      co_return answer;
+    }
+    answer.body += part.value();
+    if (answer.body.size() > kMaxAnswerBytes) {
+      co_return Ended(run_outcome::kFailed, "the answer is too long");
+    }
+  }
+}
+
+/** Sends the request and reads the answer. */
+auto Exchange(batchd& d, entry_ptr entry, backend_server server)
+    -> asio::awaitable<run_answer> {
+  const auto connect_until = clock::now() + kConnectLimit;
+  auto connected =
+      co_await http_connection::Connect(server.endpoint, connect_until);
+  if (!connected) {
+    co_return Ended(run_outcome::kUnreachable, connected.error().message);
+  }
+  std::shared_ptr<http_connection> connection(std::move(connected.value()));
+  if (!d.runs.SetConnection(entry, connection)) {
+    co_return Ended(run_outcome::kPreempted, "ended before it was sent");
+  }
+  const auto request = RequestOf(entry->ask);
+  const auto send_until = clock::now() + d.settings.silence_limit;
+  auto sent = co_await connection->Send(request, send_until);
+  auto answer = sent ? co_await ReadAnswer(d, *connection)
+                     : FailedAnswer(sent.error());
+  if (d.runs.IsAborted(entry) && answer.outcome != run_outcome::kAnswer) {
+    co_await CancelOnServer(server, entry->ask.request_id);
+    co_return Ended(run_outcome::kPreempted, "ended for online requests");
+  }
+  const bool refused = entry->ask.repeatable &&
+                       (answer.status == 429 || answer.status == 503);
+  if (answer.outcome == run_outcome::kAnswer && refused) {
+    answer.outcome = run_outcome::kUnreachable;
+  }
+  co_return answer;
+}
+
+/** One run from its slot to its answer. */
+auto Execute(batchd& d, entry_ptr entry) -> asio::awaitable<void> {
+  const auto server = d.servers.Find(server_id(entry->ask.server));
+  if (!server || server->leaving || d.stopping || !IsAdmitter(d, *server)) {
+    d.runs.Finish(entry, Ended(run_outcome::kNotAdmitter, "not the admitter"));
+    co_return;
+  }
+  const bool admitted = co_await WaitForRoom(d, entry);
+  if (!admitted) {
+    d.runs.Finish(entry, Ended(run_outcome::kNoRoom, "no slot is free"));
+    co_return;
+  }
+  auto answer = co_await Exchange(d, entry, *server);
+  d.runs.Finish(entry, std::move(answer));
+}
+
+}  // namespace
+
+auto RunItem(batchd& d, run_ask ask) -> asio::awaitable<run_answer> {
+  bool is_new = false;
+  auto entry = d.runs.Find(ask, clock::now() + kLease, is_new);
+  if (!entry) {
+    co_return Ended(run_outcome::kLost, "the run is not known here");
+  }
+  if (is_new) {
+    asio::co_spawn(asio::make_strand(d.io), Execute(d, entry), asio::detached);
+  }
+  const wake_signal signal(co_await asio::this_coro::executor);
+  signal.timer().expires_after(kAnswerWait);
+  auto answer = d.runs.AnswerOrWait(entry, signal);
+  if (!answer) {
+    co_await signal.timer().async_wait(
+        asio::as_tuple(asio::use_awaitable));
+    answer = d.runs.AnswerOrWait(entry, signal);
+  }
+  co_return answer.value_or(run_answer());
+}
+
+auto SweepRuns(batchd& d) -> asio::awaitable<void> {
+  while (true) {
+    co_await Sleep(kSweepPeriod);
+    d.runs.Sweep(clock::now());
+  }
+}
+
+auto PreemptOn(batchd& d, const std::vector<server_id>& servers) -> void {
+  const auto now = clock::now();
+  for (const auto& server : servers) {
+    d.metrics.preempted += d.runs.Preempt(server, now);
+  }
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/batchd_main.cc
@@ -0,0 +1,173 @@
+/** dogwood_batchd: owns partitions of the batch jobs, sends their items to
+ * backend servers, and admits batch on some of these servers. */
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "src/batchd_base.h"
+#include "src/batchd_dispatch.h"
+#include "src/batchd_http.h"
+#include "src/batchd_partition.h"
+#include "src/batchd_serve.h"
+#include "src/batchd_watch.h"
+#include "src/core.h"
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::milliseconds kStopPoll{50};
+
+/** Ends the process if a coroutine that runs for ever fails: a daemon without
+ * one of them would go on with part of its work undone. */
+auto EndOnFailure(std::exception_ptr error) -> void {
+  if (error) {
+    try {
+      std::rethrow_exception(error);
+    } catch (const std::exception& e) {
+      Log(log_level::kError, log_category::kCore, {e.what(), "run", ""});
+    }
+    std::abort();
+  }
+}
+
+/** Starts a coroutine on a strand of its own. */
+auto Start(batchd& d, asio::awaitable<void> work) -> void {
+  asio::co_spawn(asio::make_strand(d.io), std::move(work), EndOnFailure);
+}
+
+/** Starts everything that runs for ever. */
+auto StartAll(batchd& d) -> void {
+  Start(d, RunReplica(d.replica, d.controld, "batchd", d.settings.pull_period,
+                      [&d] { d.RefreshRules(); }));
+  Start(d, PollHosts(d));
+  Start(d, PollLoads(d));
+  Start(d, SweepRuns(d));
+  Start(d, DispatchItems(d));
+  for (const auto& slot : d.partitions) {
+    Start(d, KeepOwnership(d, *slot));
+    Start(d, FollowStream(d, *slot));
+    Start(d, AppendRecords(d, *slot));
+  }
+}
+
+/** Lets items end, ends the rest, and appends what is queued. */
+auto Drain(batchd& d) -> asio::awaitable<void> {
+  const auto begin = clock::now();
+  const auto half = begin + d.settings.stop_limit / 2;
+  const auto end = begin + d.settings.stop_limit;
+  while (clock::now() < half && (d.runs.Running() > 0 || ItemsInFlight(d) > 0)) {
+    co_await Sleep(kStopPoll);
+  }
+  d.runs.AbortAll();
+  while (clock::now() < end && (d.runs.Running() > 0 || !IsFlushed(d))) {
+    co_await Sleep(kStopPoll);
+  }
+  Log(log_level::kInfo, log_category::kCore,
+      {IsFlushed(d) ? "all records are appended"
+                    : "records are left; the next owner runs their items again",
+       "stop", ""});
+}
+
+/** On the first signal drains and ends; a second one ends at once. */
+auto WaitForStop(batchd& d) -> asio::awaitable<void> {
+  auto executor = co_await asio::this_coro::executor;
+  asio::signal_set signals(executor, SIGTERM, SIGINT);
+  auto [ec, number] =
+      co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+  Log(log_level::kInfo, log_category::kCore, {"stopping", "stop", ""});
+  signals.async_wait([&d](const boost::system::error_code& e, int) {
+    if (!e) {
+      d.io.stop();
+    }
+  });
+  d.stopping = true;
+  co_await Drain(d);
+  d.io.stop();
+}
+
+/** Binds one server; false with a log line if that fails. */
+auto Listen(auto& server, const asio::ip::tcp::endpoint& endpoint) -> bool {
+  auto bound = server.Listen(endpoint);
+  if (!bound) {
+    Log(log_level::kError, log_category::kCore,
+        {bound.error().message, bound.error().step, bound.error().peer});
+  }
+  return bound.has_value();
+}
+
+/** Runs the daemon until it is stopped. */
+auto RunDaemon(const batchd_settings& settings) -> int {
+  asio::io_context io(static_cast<int>(settings.worker_threads));
+  batchd d(io, settings);
+  link_server links(
+      io, d.self,
+      [&d](link_peer peer, wire_message message) {
+        return ServeLink(d, std::move(peer), std::move(message));
+      },
+      [&d](const link_peer& peer) {
+        if (peer.daemon == "entryd") {
+          DropOnlineLoad(d, peer.host);
+        }
+      });
+  std::unique_ptr<http_server> health;
+  if (settings.http) {
+    health = std::make_unique<http_server>(
+        io, http_limits{},
+        [&d](http_exchange& exchange) { return ServeHealth(d, exchange); });
+  }
+  if (!Listen(links, settings.batch_link) ||
+      (health && !Listen(*health, *settings.http))) {
+    return 1;
+  }
+  StartAll(d);
+  Start(d, WaitForStop(d));
+  std::vector<std::thread> workers;
+  for (unsigned i = 1; i < settings.worker_threads; ++i) {
+    workers.emplace_back([&io] { io.run(); });
+  }
+  io.run();
+  for (auto& worker : workers) {
+    worker.join();
+  }
+  return 0;
+}
+
+/** The process. */
+auto Main(int argc, const char* const* argv) -> int {
+  int exit_code = 0;
+  const auto* values = SettingsFromCommandLine(
+      BatchdSettingTable(), "dogwood_batchd", argc, argv, exit_code);
+  if (values == nullptr) {
+    return exit_code;
+  }
+  auto settings = ToBatchdSettings(*values);
+  if (!settings) {
+    std::cerr << settings.error().message << "\n";
+    return 2;
+  }
+  if (!StartLog(settings->host.value, "batchd", settings->log_levels)) {
+    std::cerr << "log_levels: \"" << settings->log_levels
+              << "\" is not a list of levels\n";
+    return 2;
+  }
+  return RunDaemon(settings.value());
+}
+
+}  // namespace
+}  // namespace dogwood
+
+auto main(int argc, char** argv) -> int {
+  return dogwood::Main(argc, argv);
+}
--- a/src/job_owner.h
+++ b/src/job_owner.h
@@ -114,11 +114,14 @@
 
   auto stage() const -> owner_stage { return stage_; }
   auto fold() const -> const job_partition& { return fold_; }
+  auto host() const -> const host_id& { return host_; }
   auto start() const -> incarnation { return start_; }
   /** Whether all records have been appended and all results read back. */
   auto IsFlushed() const -> bool;
   /** Number of items in flight. */
   auto in_flight() const -> std::size_t { return running_.size(); }
+  /** Bytes of records that wait for the log. */
+  auto queued_bytes() const -> std::size_t { return queue_.bytes(); }
   /** Bytes of results that have not been read back. */
   auto result_bytes() const -> std::size_t { return result_bytes_; }
 
--- a/src/job_record.cc
+++ b/src/job_record.cc
@@ -22,6 +22,10 @@
     "claim", "submit", "commit", "cancel", "started",
     "done",  "keep",   "base",   "drop",   "unknown"};
 
+/** Most bytes of one item in the body of an append, which the platform limits
+ * to 1 MiB. */
+constexpr std::size_t kMostAppendBytes = 700UL << 10;
+
 /** Reads a whole decimal number. */
 auto ParseNumber(std::string_view text) -> std::optional<std::uint64_t> {
   std::uint64_t number = 0;
@@ -85,7 +89,11 @@
   if (!value.is_object()) {
     return "not a JSON object";
   }
-  return ReadLine(value.get_object(), item);
+  auto why = ReadLine(value.get_object(), item);
+  if (why.empty() && !FitsRecord(json::serialize(ItemFields(item)))) {
+    why = "too long once it is quoted for the log";
+  }
+  return why;
 }
 
 /** A refusal of a submission. */
@@ -267,6 +275,20 @@
   return json::serialize(line);
 }
 
+auto FitsRecord(std::string_view text) -> bool {
+  // It is quoted in the record, and the record in the append: a quote or
+  // backslash becomes four bytes, a control character up to seven.
+  std::size_t size = text.size();
+  for (const unsigned char c : text) {
+    if (c == '"' || c == '\\') {
+      size += 3;
+    } else if (c < ' ') {
+      size += 6;
+    }
+  }
+  return size <= kMostAppendBytes;
+}
+
 auto NumberField(const json::object& object, std::string_view name)
     -> std::uint64_t {
   const auto* value = object.if_contains(name);
--- a/src/job_record.h
+++ b/src/job_record.h
@@ -69,6 +69,9 @@
                std::string_view code,
                std::string_view message) -> std::string;
 
+/** Whether `text`, as a string within a record, fits into one append. */
+auto FitsRecord(std::string_view text) -> bool;
+
 /** Value of a number field, 0 if it is absent or no whole number. */
 auto NumberField(const boost::json::object& object, std::string_view name)
     -> std::uint64_t;
