--- a/src/batchd_base.h
+++ b/src/batchd_base.h
@@ -43,42 +43,42 @@
 
 /** Counters of one process. */
 struct batchd_metrics {
-  std::atomic<std::uint64_t> appends{0};        ///< Answered appends.
-  std::atomic<std::uint64_t> append_errors{0};  ///< Failed tries.
-  std::atomic<std::uint64_t> append_records{0}; ///< Records appended.
-  std::atomic<std::uint64_t> dispatched{0};     ///< Runs begun for partitions.
-  std::atomic<std::uint64_t> answered{0};       ///< Runs with a result.
-  std::atomic<std::uint64_t> failed{0};         ///< Runs that failed.
-  std::atomic<std::uint64_t> returned{0};       ///< No room or preempted.
-  std::atomic<std::uint64_t> unknown{0};        ///< Outcome unknown.
-  std::atomic<std::uint64_t> preempted{0};      ///< Runs ended for online.
-  std::atomic<std::uint64_t> resumed{0};        ///< Streams resumed.
-  std::atomic<std::uint64_t> takeovers{0};      ///< Partitions claimed.
-  std::atomic<std::uint64_t> submits{0};        ///< Accepted submissions.
-  std::atomic<std::uint64_t> refusals{0};       ///< Requests refused.
+  std::atomic<std::uint64_t> appends{0};         ///< Answered appends.
+  std::atomic<std::uint64_t> append_errors{0};   ///< Failed tries.
+  std::atomic<std::uint64_t> append_records{0};  ///< Records appended.
+  std::atomic<std::uint64_t> dispatched{0};      ///< Runs begun for partitions.
+  std::atomic<std::uint64_t> answered{0};        ///< Runs with a result.
+  std::atomic<std::uint64_t> failed{0};          ///< Runs that failed.
+  std::atomic<std::uint64_t> returned{0};        ///< No room or preempted.
+  std::atomic<std::uint64_t> unknown{0};         ///< Outcome unknown.
+  std::atomic<std::uint64_t> preempted{0};       ///< Runs ended for online.
+  std::atomic<std::uint64_t> resumed{0};         ///< Streams resumed.
+  std::atomic<std::uint64_t> takeovers{0};       ///< Partitions claimed.
+  std::atomic<std::uint64_t> submits{0};         ///< Accepted submissions.
+  std::atomic<std::uint64_t> refusals{0};        ///< Requests refused.
 };
 
 /** Everything. */
 struct batchd {
   batchd(boost::asio::io_context& context, batchd_settings given);
 
-  boost::asio::io_context& io;      ///< Runs everything.
-  batchd_settings settings;         ///< Checked.
-  incarnation start;                ///< This start of the daemon.
-  link_identity self;               ///< For links.
-  config_replica replica;           ///< Configuration with its proof.
-  link_client controld;             ///< The host's controld.
-  platform_client platform;         ///< Log and host list.
-  peer_table peers;                 ///< Other hosts' batchd.
-  server_table servers;             ///< Host list.
-  window_table windows;             ///< Items at each server.
-  flight_table flights;             ///< Where items were sent.
+  boost::asio::io_context& io;  ///< Runs everything.
+  batchd_settings settings;     ///< Checked.
+  incarnation start;            ///< This start of the daemon.
+  link_identity self;           ///< For links.
+  config_replica replica;       ///< Configuration with its proof.
+  link_client controld;         ///< The host's controld.
+  platform_client platform;     ///< Log and host list.
+  peer_table peers;             ///< Other hosts' batchd.
+  server_table servers;         ///< Host list.
+  window_table windows;         ///< Items at each server.
+  flight_table flights;         ///< Where items were sent.
   std::vector<std::unique_ptr<partition_slot>> partitions;  ///< By number.
-  run_table runs;                   ///< Items run on servers from here.
-  batchd_metrics metrics;           ///< Counters.
-  std::atomic<bool> stopping{false};            ///< Planned stop.
-  std::atomic<bool> dispatch_due{false};        ///< See KickDispatch().
-  std::atomic<std::uint64_t> last_attempt{0};   ///< For request ids.
+  run_table runs;                         ///< Items run on servers from here.
+  batchd_metrics metrics;                 ///< Counters.
+  std::atomic<bool> stopping{false};      ///< Planned stop.
+  std::atomic<bool> dispatch_due{false};  ///< See KickDispatch().
+  std::atomic<std::uint64_t> last_attempt{0};  ///< For request ids.
 
   /** Current rules. */
   auto Rules() const -> std::shared_ptr<const dispatch_rules>;
--- a/src/batchd_dispatch.cc
+++ b/src/batchd_dispatch.cc
@@ -143,8 +143,7 @@
 }
 
 /** Hands the outcome of a run to the partition's owner. */
-auto EndRun(batchd& d, const dispatch& work, const run_answer& answer)
-    -> void {
+auto EndRun(batchd& d, const dispatch& work, const run_answer& answer) -> void {
   const auto& run = work.run;
   const auto end = [&](run_end how, const std::string& text, bool failed) {
     work.slot->With([&](partition_owner& owner) {
@@ -155,8 +154,8 @@
     case run_outcome::kAnswer:
       if (answer.status >= 500 && run.repeatable) {
         ++d.metrics.failed;
-        return end(run_end::kFailed,
-                   "status " + std::to_string(answer.status), true);
+        return end(run_end::kFailed, "status " + std::to_string(answer.status),
+                   true);
       }
       ++d.metrics.answered;
       return end(run_end::kResult, LineOf(run.request, answer),
@@ -223,14 +222,15 @@
 }
 
 /** What the admitter is asked. */
-auto AskOf(batchd& d, const partition_slot& slot, const item_run& run,
+auto AskOf(batchd& d,
+           const partition_slot& slot,
+           const item_run& run,
            const backend_server& server) -> run_ask {
   run_ask ask;
   ask.request_id = FormatJobId(slot.partition(), run.item.job).value + "-" +
                    std::to_string(run.item.index) + "-" +
-                   d.settings.host.value + "-" +
-                   std::to_string(d.start.value) + "-" +
-                   std::to_string(++d.last_attempt);
+                   d.settings.host.value + "-" + std::to_string(d.start.value) +
+                   "-" + std::to_string(++d.last_attempt);
   ask.server = server.id.value;
   ask.method = run.request.method;
   ask.path = ServerPath(run.request);
@@ -298,9 +298,8 @@
   for (std::size_t i = 0; i < d.partitions.size(); ++i) {
     auto& slot = *d.partitions[(first + i) % d.partitions.size()];
     const auto targets = slot.With([](partition_owner& owner) {
-      return owner.stage() == owner_stage::kOwning
-                 ? owner.Targets(clock::now())
-                 : std::vector<std::string>();
+      return owner.stage() == owner_stage::kOwning ? owner.Targets(clock::now())
+                                                   : std::vector<std::string>();
     });
     if (targets.empty() || !d.Owns(slot.partition(), clock::now())) {
       continue;
--- a/src/batchd_execute.cc
+++ b/src/batchd_execute.cc
@@ -129,14 +129,14 @@
   const auto request = RequestOf(entry->ask);
   const auto send_until = clock::now() + d.settings.silence_limit;
   auto sent = co_await connection->Send(request, send_until);
-  auto answer = sent ? co_await ReadAnswer(d, *connection)
-                     : FailedAnswer(sent.error());
+  auto answer =
+      sent ? co_await ReadAnswer(d, *connection) : FailedAnswer(sent.error());
   if (d.runs.IsAborted(entry) && answer.outcome != run_outcome::kAnswer) {
     co_await CancelOnServer(server, entry->ask.request_id);
     co_return Ended(run_outcome::kPreempted, "ended for online requests");
   }
-  const bool refused = entry->ask.repeatable &&
-                       (answer.status == 429 || answer.status == 503);
+  const bool refused =
+      entry->ask.repeatable && (answer.status == 429 || answer.status == 503);
   if (answer.outcome == run_outcome::kAnswer && refused) {
     answer.outcome = run_outcome::kUnreachable;
   }
@@ -174,8 +174,7 @@
   signal.timer().expires_after(kAnswerWait);
   auto answer = d.runs.AnswerOrWait(entry, signal);
   if (!answer) {
-    co_await signal.timer().async_wait(
-        asio::as_tuple(asio::use_awaitable));
+    co_await signal.timer().async_wait(asio::as_tuple(asio::use_awaitable));
     answer = d.runs.AnswerOrWait(entry, signal);
   }
   co_return answer.value_or(run_answer());
--- a/src/batchd_job.cc
+++ b/src/batchd_job.cc
@@ -76,8 +76,7 @@
 
 /** Waits until a queued record was read back. A record that has certainly not
  * reached the log by the deadline is withdrawn. */
-auto AwaitRecord(batchd& d,
-                 partition_slot& slot,
+auto AwaitRecord(partition_slot& slot,
                  std::uint64_t seq,
                  std::shared_ptr<record_waiter> waiter)
     -> asio::awaitable<awaited> {
@@ -151,9 +150,9 @@
           return 0;
         }
         if (owner.queued_bytes() > kMostQueuedBytes) {
-          early = NotRun(error_code::kUnavailable,
-                         "too many submissions wait for the log",
-                         "submit batch");
+          early =
+              NotRun(error_code::kUnavailable,
+                     "too many submissions wait for the log", "submit batch");
           return 0;
         }
         return owner.Submit(submission, UnixNow());
@@ -162,17 +161,16 @@
   if (early) {
     co_return *early;
   }
-  auto result = co_await AwaitRecord(d, slot, seq, waiter);
+  auto result = co_await AwaitRecord(slot, seq, waiter);
   if (!result.report || !result.report->job) {
     co_return NotDurable(result, "submission");
   }
   ++d.metrics.submits;
   const job_address address{partition, *result.report->job};
   const auto& digest = submission.digest;
-  co_return WithJob(d, address, submission.workspace,
-                    [&](const job_state& job) {
-                      return EarlierJob(partition, job, digest);
-                    });
+  co_return WithJob(
+      d, address, submission.workspace,
+      [&](const job_state& job) { return EarlierJob(partition, job, digest); });
 }
 
 auto CancelJob(batchd& d, job_address job, workspace_id workspace)
@@ -193,7 +191,7 @@
   const auto seq = slot.Queue(
       [&](partition_owner& owner) { return owner.Cancel(job.job, UnixNow()); },
       waiter);
-  auto result = co_await AwaitRecord(d, slot, seq, waiter);
+  auto result = co_await AwaitRecord(slot, seq, waiter);
   if (!result.report) {
     co_return NotDurable(result, "cancel");
   }
@@ -211,14 +209,14 @@
 auto ReadResults(batchd& d,
                  const job_address& job,
                  const workspace_id& workspace) -> outcome<std::string> {
-  return WithJob(
-      d, job, workspace, [](const job_state& state) -> outcome<std::string> {
-        if (!state.HasEnded()) {
-          return NotRun(error_code::kConflict, "the batch has not ended",
-                        "read results");
-        }
-        return job_partition::Results(state);
-      });
+  return WithJob(d, job, workspace,
+                 [](const job_state& state) -> outcome<std::string> {
+                   if (!state.HasEnded()) {
+                     return NotRun(error_code::kConflict,
+                                   "the batch has not ended", "read results");
+                   }
+                   return job_partition::Results(state);
+                 });
 }
 
 auto ListJobs(batchd& d, partition_id partition, const workspace_id& workspace)
--- a/src/batchd_main.cc
+++ b/src/batchd_main.cc
@@ -67,7 +67,8 @@
   const auto begin = clock::now();
   const auto half = begin + d.settings.stop_limit / 2;
   const auto end = begin + d.settings.stop_limit;
-  while (clock::now() < half && (d.runs.Running() > 0 || ItemsInFlight(d) > 0)) {
+  while (clock::now() < half &&
+         (d.runs.Running() > 0 || ItemsInFlight(d) > 0)) {
     co_await Sleep(kStopPoll);
   }
   d.runs.AbortAll();
--- a/src/batchd_partition.cc
+++ b/src/batchd_partition.cc
@@ -51,9 +51,8 @@
   if (!d.Owns(slot.partition(), clock::now())) {
     co_return;
   }
-  slot.With([&](partition_owner& owner) {
-    owner.Claim(bounds->first, UnixNow());
-  });
+  slot.With(
+      [&](partition_owner& owner) { owner.Claim(bounds->first, UnixNow()); });
   ++d.metrics.takeovers;
   LogOwner(slot, "claims, reading from " + std::to_string(bounds->first.value));
 }
@@ -115,8 +114,7 @@
       co_await Sleep(kIdlePeriod);
       continue;
     }
-    const auto deadline =
-        clock::now() + kReadWait + d.settings.store_timeout;
+    const auto deadline = clock::now() + kReadWait + d.settings.store_timeout;
     auto page = co_await d.platform.Read(slot.stream(), from, kReadRecords,
                                          kReadWait, deadline);
     if (!page) {
@@ -138,18 +136,16 @@
 auto AppendRecords(batchd& d, partition_slot& slot) -> asio::awaitable<void> {
   while (true) {
     co_await Sleep(d.settings.append_period);
-    auto records = slot.With([](partition_owner& owner) {
-      return owner.TakeAppend(UnixNow());
-    });
+    auto records = slot.With(
+        [](partition_owner& owner) { return owner.TakeAppend(UnixNow()); });
     if (records.empty()) {
       continue;
     }
     const auto count = records.size();
     const auto deadline = clock::now() + d.settings.store_timeout;
-    auto appended = co_await d.platform.Append(slot.stream(),
-                                               std::move(records), deadline);
-    const auto end =
-        appended ? append_end::kAppended : EndOf(appended.error());
+    auto appended =
+        co_await d.platform.Append(slot.stream(), std::move(records), deadline);
+    const auto end = appended ? append_end::kAppended : EndOf(appended.error());
     slot.With([end](partition_owner& owner) { owner.EndAppend(end); });
     if (appended) {
       ++d.metrics.appends;
--- a/src/batchd_run.cc
+++ b/src/batchd_run.cc
@@ -73,8 +73,7 @@
     return std::nullopt;
   }
   run_answer answer;
-  answer.outcome =
-      static_cast<run_outcome>(NumberField(*object, "outcome"));
+  answer.outcome = static_cast<run_outcome>(NumberField(*object, "outcome"));
   answer.status = static_cast<unsigned>(NumberField(*object, "status"));
   answer.body = TextField(*object, "body");
   return answer;
--- a/src/batchd_serve.cc
+++ b/src/batchd_serve.cc
@@ -57,8 +57,8 @@
 auto ForwardFailure(failure error, const wire::http_callT& call) -> failure {
   const bool not_sent = error.step == "connect" || error.step == "handshake";
   error.code = error_code::kUnavailable;
-  error.ran = not_sent || call.method == "GET" ? ran_state::kNo
-                                               : ran_state::kMaybe;
+  error.ran =
+      not_sent || call.method == "GET" ? ran_state::kNo : ran_state::kMaybe;
   error.message = "the owner of the batch cannot be reached: " + error.message;
   return error;
 }
@@ -69,15 +69,14 @@
   const auto owner = d.replica.OwnerHost(owned_kind::kPartition,
                                          std::to_string(partition.value));
   const bool is_self = owner && owner->host == d.settings.host;
-  auto link =
-      owner && !is_self ? d.peers.Get(owner->batch_link) : nullptr;
+  auto link = owner && !is_self ? d.peers.Get(owner->batch_link) : nullptr;
   if (call.forwarded || !link) {
-    const auto error = NotRun(
-        error_code::kUnavailable,
-        is_self ? "this host is about to own partition " +
-                      std::to_string(partition.value) + "; try again"
-                : "no owner of the batch's partition can be reached",
-        "find owner");
+    const auto error =
+        NotRun(error_code::kUnavailable,
+               is_self ? "this host is about to own partition " +
+                             std::to_string(partition.value) + "; try again"
+                       : "no owner of the batch's partition can be reached",
+               "find owner");
     co_return Refusal(d, error);
   }
   call.forwarded = true;
@@ -94,11 +93,11 @@
 /** POST /v1/batches. */
 auto Submit(batchd& d, wire::http_callT call) -> asio::awaitable<wire_message> {
   if (call.body.size() > d.settings.body_bytes) {
-    const auto error = NotRun(
-        error_code::kTooLarge,
-        "the batch is longer than " + std::to_string(d.settings.body_bytes) +
-            " bytes",
-        "read batch");
+    const auto error =
+        NotRun(error_code::kTooLarge,
+               "the batch is longer than " +
+                   std::to_string(d.settings.body_bytes) + " bytes",
+               "read batch");
     co_return Refusal(d, error);
   }
   if (call.idempotency_key.empty()) {
@@ -110,7 +109,8 @@
   if (!d.Owns(partition, clock::now())) {
     co_return co_await Forward(d, partition, std::move(call));
   }
-  auto items = ToOutcome([&] { return ParseItems(call.body, d.settings.limits); });
+  auto items =
+      ToOutcome([&] { return ParseItems(call.body, d.settings.limits); });
   if (!items) {
     co_return Refusal(d, items.error());
   }
@@ -179,8 +179,8 @@
   call.path = kOwnedOnly;
   std::set<std::string> asked;
   for (std::uint32_t p = 0; p < d.settings.partitions; ++p) {
-    const auto owner = d.replica.OwnerHost(owned_kind::kPartition,
-                                           std::to_string(p));
+    const auto owner =
+        d.replica.OwnerHost(owned_kind::kPartition, std::to_string(p));
     if (covered.contains(p) || !owner ||
         !asked.insert(owner->batch_link).second) {
       continue;
@@ -276,8 +276,9 @@
     auto reply = co_await ServeHttp(d, peer, std::move(*call));
     co_return reply;
   }
-  failure error = NotRun(error_code::kBadRequest,
-                         "this daemon does not answer such calls", "serve link");
+  failure error =
+      NotRun(error_code::kBadRequest, "this daemon does not answer such calls",
+             "serve link");
   error.peer = peer.Name();
   co_return error;
 }
--- a/src/batchd_setting.h
+++ b/src/batchd_setting.h
@@ -21,32 +21,32 @@
 
 /** Checked settings, converted to the types that the daemon uses. */
 struct batchd_settings {
-  host_id host;                                   ///< This host.
-  data_centre_id data_centre;                     ///< Where it is.
-  region_id region;                               ///< Where it is.
-  boost::asio::ip::tcp::endpoint batch_link;      ///< Link of this daemon.
-  boost::asio::ip::tcp::endpoint controld_link;   ///< The host's controld.
-  boost::asio::ip::tcp::endpoint platform;        ///< The platform.
+  host_id host;                                        ///< This host.
+  data_centre_id data_centre;                          ///< Where it is.
+  region_id region;                                    ///< Where it is.
+  boost::asio::ip::tcp::endpoint batch_link;           ///< Link of this daemon.
+  boost::asio::ip::tcp::endpoint controld_link;        ///< The host's controld.
+  boost::asio::ip::tcp::endpoint platform;             ///< The platform.
   std::optional<boost::asio::ip::tcp::endpoint> http;  ///< Health and metrics.
-  std::string secret;                             ///< Shared secret.
-  unsigned worker_threads = 1;                    ///< Of the worker pool.
-  std::uint32_t partitions = 1;                   ///< Streams jobs-P.
-  any_policy admission;                           ///< batch_policy.
-  owner_policy owner;                             ///< Of each partition.
-  job_limits limits;                              ///< Of submissions.
-  std::size_t body_bytes = 0;                     ///< Longest submission.
-  std::chrono::milliseconds append_period;        ///< Between appends.
-  std::chrono::milliseconds store_timeout;        ///< Of one store call.
-  std::chrono::milliseconds submit_timeout;       ///< For durability.
-  std::chrono::milliseconds item_deadline;        ///< Of one attempt.
-  std::chrono::milliseconds silence_limit;        ///< Of a server.
-  std::chrono::milliseconds freshness_limit;      ///< Oldest usable proof.
-  std::chrono::milliseconds pull_period;          ///< From controld.
-  std::chrono::milliseconds host_poll;            ///< Of the host list.
-  std::chrono::milliseconds load_poll;            ///< Of servers' load.
-  std::chrono::milliseconds online_life;          ///< Of entry hosts' counts.
-  std::chrono::milliseconds stop_limit;           ///< For a planned stop.
-  std::string log_levels;                         ///< As for StartLog().
+  std::string secret;                                  ///< Shared secret.
+  unsigned worker_threads = 1;                         ///< Of the worker pool.
+  std::uint32_t partitions = 1;                        ///< Streams jobs-P.
+  any_policy admission;                                ///< batch_policy.
+  owner_policy owner;                                  ///< Of each partition.
+  job_limits limits;                                   ///< Of submissions.
+  std::size_t body_bytes = 0;                          ///< Longest submission.
+  std::chrono::milliseconds append_period;             ///< Between appends.
+  std::chrono::milliseconds store_timeout;             ///< Of one store call.
+  std::chrono::milliseconds submit_timeout;            ///< For durability.
+  std::chrono::milliseconds item_deadline;             ///< Of one attempt.
+  std::chrono::milliseconds silence_limit;             ///< Of a server.
+  std::chrono::milliseconds freshness_limit;           ///< Oldest usable proof.
+  std::chrono::milliseconds pull_period;               ///< From controld.
+  std::chrono::milliseconds host_poll;                 ///< Of the host list.
+  std::chrono::milliseconds load_poll;                 ///< Of servers' load.
+  std::chrono::milliseconds online_life;  ///< Of entry hosts' counts.
+  std::chrono::milliseconds stop_limit;   ///< For a planned stop.
+  std::string log_levels;                 ///< As for StartLog().
 };
 
 /** Converts checked values. Fails with kBadRequest naming the setting. */
--- a/src/batchd_table.cc
+++ b/src/batchd_table.cc
@@ -28,8 +28,7 @@
     -> std::optional<backend_server> {
   const std::lock_guard lock(mutex_);
   const auto found = servers_.find(server);
-  return found == servers_.end() ? std::nullopt
-                                 : std::optional(found->second);
+  return found == servers_.end() ? std::nullopt : std::optional(found->second);
 }
 
 auto server_table::Serving(const std::string& target) const
@@ -147,8 +146,7 @@
     offset.value += 1;
     const bool mine = report.writer.start == owner_.start() &&
                       report.writer.host == owner_.host();
-    const auto found =
-        mine ? waiters_.find(report.writer.seq) : waiters_.end();
+    const auto found = mine ? waiters_.find(report.writer.seq) : waiters_.end();
     if (found != waiters_.end()) {
       found->second->report = std::move(report);
       found->second->signal.Notify();
--- a/src/batchd_table.h
+++ b/src/batchd_table.h
@@ -65,10 +65,10 @@
  private:
   /** Window of one server. */
   struct window {
-    unsigned in_flight = 0;   ///< Items at the server or its admitter.
-    unsigned limit = 1;       ///< Most of them.
-    unsigned failures = 0;    ///< In a row.
-    time_point avoid_until;   ///< Nothing is sent before.
+    unsigned in_flight = 0;  ///< Items at the server or its admitter.
+    unsigned limit = 1;      ///< Most of them.
+    unsigned failures = 0;   ///< In a row.
+    time_point avoid_until;  ///< Nothing is sent before.
   };
 
   std::mutex mutex_;
