Prove library freshness with simulated hosts

tests/freshness_test.cc runs random worlds of 2 to 9 hosts in 1 to 3 regions: messages are lost, delayed by up to 8 s and reordered; hosts pause, restart their controld and join; clocks run at rates within 5% that change; the store fails, takes appends without answering, and regions are cut off. After every event it is checked that no daemon and no controld is fresh on a configuration older than one that was answered accepted. Two smaller checks: all stay fresh through a full outage of the store, and a region that is cut off does not.

Found by the test: a root that sent its merged vouch to another host got it back in that host's vouch and let its own next one look as old as the first, so that proofs ran out every few seconds in an outage. Vouches now go to ancestors only.

--- a/cmake/control.cmake
+++ b/cmake/control.cmake
@@ -11,3 +11,5 @@
                      dogwood_platform)
 dogwood_binary(dogwood_controld SOURCES src/controld_main.cc
                LIBS dogwood_control)
+dogwood_test(freshness dogwood_freshness)
+target_sources(freshness_test PRIVATE tests/freshness_world.cc)
--- a/src/controld_member.cc
+++ b/src/controld_member.cc
@@ -87,7 +87,7 @@
     }
     for (const auto& peer : older) {
       const auto deadline = clock::now() + c.settings.pull_timeout;
-      auto reply = co_await AskPeer(c, peer, deadline);
+      auto reply = co_await AskPeer(c, peer, std::nullopt, deadline);
       if (c.tracker.IsConfirmed()) {
         co_return;
       }
--- a/src/controld_pull.cc
+++ b/src/controld_pull.cc
@@ -51,15 +51,18 @@
   return table;
 }
 
-/** The request for `peer`, with this subtree's vouch. */
-auto MakeRequest(controld& c, const member& peer, time_point now)
+/** The request for `peer`, with the vouch `up` if there is one. */
+auto MakeRequest(const controld& c,
+                 const member& peer,
+                 const std::optional<vouch>& up,
+                 time_point now)
     -> wire::tail_requestT {
   wire::tail_requestT request;
   request.host = c.settings.self.host.value;
   request.daemon = "controld";
   request.from_offset = NextOffset(c).value;
   request.limit = kPageRecords;
-  if (const auto up = c.tracker.Gather(now)) {
+  if (up) {
     request.up = std::make_unique<wire::vouchT>();
     request.up->known_offset = up->known_offset.value;
     request.up->covered = up->covered.words();
@@ -151,7 +154,9 @@
         continue;
       }
       const auto sent = clock::now();
-      auto reply = co_await AskPeer(c_, *peer, sent + c_.settings.pull_timeout);
+      auto up = c_.tracker.Gather(sent);
+      auto reply = co_await AskPeer(c_, *peer, std::move(up),
+                                    sent + c_.settings.pull_timeout);
       if (reply) {
         retry_at_.erase(host);
         TakeReply(c_, std::move(reply.value()), sent);
@@ -275,7 +280,10 @@
 
 }  // namespace
 
-auto AskPeer(controld& c, const member& peer, time_point deadline)
+auto AskPeer(controld& c,
+             const member& peer,
+             std::optional<vouch> up,
+             time_point deadline)
     -> asio::awaitable<outcome<wire::tail_replyT>> {
   auto client = c.peers.Client(peer.control_link);
   if (!client) {
@@ -285,7 +293,7 @@
                 .peer = peer.host.value};
     co_return bad;
   }
-  auto request = MakeMessage(MakeRequest(c, peer, clock::now()));
+  auto request = MakeMessage(MakeRequest(c, peer, up, clock::now()));
   auto answer = co_await client->Call(std::move(request), deadline);
   if (!answer) {
     ++c.metrics.pull_errors;
--- a/src/controld_pull.h
+++ b/src/controld_pull.h
@@ -3,6 +3,7 @@
 #define SRC_CONTROLD_PULL_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <optional>
 
 #include "src/controld_base.h"
 
@@ -17,8 +18,12 @@
 
 /** Asks `peer` once for the records from the next offset on. Confirms the own
  * membership if the answer shows that the peer knows of it. Does not apply
- * records. */
-auto AskPeer(controld& c, const member& peer, time_point deadline)
+ * records. `up` is the vouch to send along, only to ancestors: a vouch that
+ * comes back to its sender would make that one's next vouch look old. */
+auto AskPeer(controld& c,
+             const member& peer,
+             std::optional<vouch> up,
+             time_point deadline)
     -> boost::asio::awaitable<outcome<wire::tail_replyT>>;
 
 }  // namespace dogwood
