Test links: secret, damaged frames, silence, restart

No test covered library link. The cases are those in which a peer could be taken for what it is not or a call could wait for ever: wrong secret, damaged and oversized frames, a call before the handshake, a silent peer, a restarted server.

--- a/cmake/control.cmake
+++ b/cmake/control.cmake
@@ -13,3 +13,4 @@
                LIBS dogwood_control)
 dogwood_test(freshness dogwood_freshness)
 target_sources(freshness_test PRIVATE tests/freshness_world.cc)
+dogwood_test(link dogwood_wire)
