--- a/src/controld_member.cc
+++ b/src/controld_member.cc
@@ -58,7 +58,8 @@
       LogFailure(log_level::kError, log_category::kMember, appended.error());
       continue;
     }
-    while (!c.seen.Find(appended->record)) {
+    // The record itself is not seen if a snapshot that includes it is loaded.
+    while (!c.seen.Find(appended->record) && !OwnEntry(c)) {
       co_await Sleep(kLookPeriod);
     }
     c.seen.Forget(appended->record);
--- a/src/controld_pull.cc
+++ b/src/controld_pull.cc
@@ -55,8 +55,7 @@
 auto MakeRequest(const controld& c,
                  const member& peer,
                  const std::optional<vouch>& up,
-                 time_point now)
-    -> wire::tail_requestT {
+                 time_point now) -> wire::tail_requestT {
   wire::tail_requestT request;
   request.host = c.settings.self.host.value;
   request.daemon = "controld";
