Write idle job partitions again before retention

A benchmark of rewriting never ended: an owner took the age of records from time marks, one at the first record of a burst, so that the records after the last mark of an idle partition never counted as old. Retention would have taken results that callers may still read. A missing timer was ruled out: the owner looks every 250 ms. Now the end of the stream counts as old once the newest time in it does, and the first record after a pause marks those before it.

--- a/src/job_base.h
+++ b/src/job_base.h
@@ -119,6 +119,7 @@
   std::map<log_offset, stray> strays_;
   std::map<host_id, std::pair<incarnation, std::uint64_t>> last_seq_;
   std::deque<std::pair<log_offset, unix_ms>> markers_;
+  unix_ms last_written_;  // Newest time that a record carries.
 };
 
 }  // namespace dogwood
--- a/src/job_cmd.cc
+++ b/src/job_cmd.cc
@@ -471,10 +471,16 @@
   auto Mark(const json::object& fields) -> void {
     const unix_ms at(NumberField(fields, "at"));
     auto& markers = p_.markers_;
+    const auto previous = p_.last_written_;
+    p_.last_written_ = std::max(previous, at);
     if (!markers.empty() &&
         at.value < markers.back().second.value + kMarkerDistanceMs) {
       return;
     }
+    if (!markers.empty()) {
+      // After a pause all records before this one are as old as the last.
+      markers.emplace_back(offset_, previous);
+    }
     markers.emplace_back(offset_, at);
     if (markers.size() > kMostMarkers) {
       std::size_t position = 0;
--- a/src/job_query.cc
+++ b/src/job_query.cc
@@ -176,6 +176,11 @@
 }
 
 auto job_partition::OffsetBefore(unix_ms at) const -> log_offset {
+  // Without this the records after the last marker of an idle partition would
+  // never count as old, and retention would take them.
+  if (!markers_.empty() && last_written_ < at) {
+    return next_offset_;
+  }
   log_offset before;
   for (const auto& [offset, written] : markers_) {
     if (written >= at) {
--- a/tests/job_test.cc
+++ b/tests/job_test.cc
@@ -609,3 +609,39 @@
   cr_assert(!ParseJobId("batch-1").has_value());
   cr_assert(!ParseJobId("batch-1-x").has_value());
 }
+
+// Guards against an idle partition whose last records are never written again,
+// so that retention takes results that callers may still read: the records of
+// a short burst carried one time mark, at the first of them.
+Test(job, an_idle_partition_is_written_again_before_retention) {
+  auto policy = Policy();
+  policy.rewrite_after = milliseconds(60000);
+  policy.result_keep = std::chrono::hours(24);
+  partition_owner owner(partition_id(0), host_id("h"), incarnation(1), policy);
+  std::uint64_t next = 0;
+  unix_ms now(1000000);
+  const auto settle = [&] {
+    for (auto records = owner.TakeAppend(now); !records.empty();
+         records = owner.TakeAppend(now)) {
+      owner.EndAppend(append_end::kAppended);
+      for (const auto& record : records) {
+        owner.Apply(log_offset(next++), record);
+      }
+    }
+  };
+  owner.Claim(log_offset(0), now);
+  settle();
+  owner.Submit({workspace_id("w"),
+                "key",
+                std::string(64, 'a'),
+                {{"i", "POST", "/v1/completions", "model/a", "{}"}}},
+               now);
+  settle();
+  const auto burst_end = next;
+  now.value += 60001;
+  for (int round = 0; round < 10; ++round) {
+    now.value += 1000;
+    settle();
+  }
+  cr_assert_geq(owner.fold().base_from().value, burst_end);
+}
