Probe watched hosts only when they have gone quiet

The host that watches the root probed it every 500 ms, because the root pulls from nobody, and each probe left a warning at the root. An answered pull now counts as a sign of life too.

--- a/src/controld_pull.cc
+++ b/src/controld_pull.cc
@@ -314,6 +314,11 @@
   co_return std::move(*reply);
 }
 
+auto LastAnswerOf(const std::string& address) -> time_point {
+  const auto last = Replies().Find(address);
+  return last ? last->arrived : time_point::min();
+}
+
 auto LoadConfig(controld& c) -> asio::awaitable<void> {
   while (true) {
     auto run = co_await ReadRetained(c);
--- a/src/controld_watch.cc
+++ b/src/controld_watch.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "src/controld_member.h"
+#include "src/controld_pull.h"
 #include "src/core.h"
 #include "src/http.h"
 
@@ -118,7 +119,9 @@
     const auto key = std::pair(m.host, m.start);
     const auto now = clock::now();
     const auto quiet_since = now - 2 * c_.settings.pull_period - kWatchPeriod;
-    if (c_.pulls.LastPull(m.host) > quiet_since || !co_await IsGone(m)) {
+    const auto heard =
+        std::max(c_.pulls.LastPull(m.host), LastAnswerOf(m.control_link));
+    if (heard > quiet_since || !co_await IsGone(m)) {
       gone_since_.erase(key);
       co_return;
     }
