Add library order: fencing of orders to backend servers

The newest order record of a server decides; its log offset is the fencing number. For servers that ignore numbers a holder sends only within `hold` after its append left, and the next one waits for hold and flight time, lengthened by drift, from when it saw the former record.

The property test (4 hosts, drifting clocks, a server that ignores numbers) found that a holder's own earlier order could take effect after its next one; the flight time of own orders is waited for too.

In the freshness test replies now hold a part of the records at times. Without that a proof that was taken without its records went unnoticed.

--- a/cmake/control.cmake
+++ b/cmake/control.cmake
@@ -14,3 +14,5 @@
 dogwood_test(freshness dogwood_freshness)
 target_sources(freshness_test PRIVATE tests/freshness_world.cc)
 dogwood_test(link dogwood_wire)
+dogwood_library(order SOURCES order_base.cc LIBS Threads::Threads)
+dogwood_test(order dogwood_order)
--- a/tests/freshness_world.cc
+++ b/tests/freshness_world.cc
@@ -285,7 +285,10 @@
                                 time_point sent) -> void {
   h.echoes[peer] = {reply.stamp, Local(h)};
   h.tracker->Confirm(log_offset(reply.next));
-  Apply(h, h.applied, reply.next);
+  // A reply holds a limited number of records.
+  h.tracker->NoteSeen(log_offset(reply.next));
+  const bool is_cut = reply.next > h.applied && Chance(0.2);
+  Apply(h, h.applied, is_cut ? (h.applied + reply.next) / 2 : reply.next);
   if (reply.age) {
     h.tracker->TakeProof({log_offset(reply.next), sent - *reply.age});
   }
