Bound the harm of silent connections, retry at a sole server

An idle connection that had gone silent held a stream for first_byte_ms and a plain completion was cut by the same limit although its first byte comes only when it is whole. Streams and services wait at most reused_first_byte_ms on a connection that was idle, plain completions always use a new one and wait whole_answer_ms.

An idempotent request whose only server failed once found no server to retry at: servers that failed the request now come last, and only those that could not be connected are left out. Attempts of a model request have ids of their own, so that a cancel of one does not end the next.

grant_life_ms is 500 by default: a new owner of a limit starts one life later.

--- a/src/entryd_http.cc
+++ b/src/entryd_http.cc
@@ -153,6 +153,11 @@
   plan.route.prefix_hash = PrefixHash(call->prompt, state.options.prefix_bytes);
   // A completion changes nothing outside the engine.
   plan.idempotent = true;
+  // On an idle connection that has gone silent only the lack of a first byte
+  // tells; without streaming that byte comes too late.
+  plan.may_reuse = call->stream;
+  plan.first_byte =
+      call->stream ? state.options.first_byte : state.options.whole_answer;
   const auto admitted =
       co_await AdmitOrRefuse(state, exchange, plan.who.workspace);
   if (admitted) {
@@ -223,6 +228,8 @@
   plan.route.prefix_hash = PrefixHash(plan.request_id, plan.request_id.size());
   plan.idempotent =
       route.idempotent.value_or(IsIdempotentMethod(request.method));
+  plan.may_reuse = true;
+  plan.first_byte = state.options.first_byte;
   plan.open_route = has_key ? "" : name;
   const auto limit =
       has_key ? plan.who.workspace : workspace_id("/routes/" + name);
--- a/src/entryd_proxy.cc
+++ b/src/entryd_proxy.cc
@@ -60,37 +60,94 @@
   }
 }
 
-/** A connection for one attempt: idle ones only for idempotent requests. */
+/** A connection for one attempt. */
+struct attempt_connection {
+  std::shared_ptr<backend_connection> connection;  ///< Connection.
+  bool reused = false;                             ///< Was idle before.
+};
+
+/** An idle connection where that is allowed, else a new one. */
 auto OpenConnection(entry_state& state,
                     const proxy_plan& plan,
                     const route_choice& choice)
-    -> asio::awaitable<outcome<std::shared_ptr<backend_connection>>> {
+    -> asio::awaitable<outcome<attempt_connection>> {
   const auto now = clock::now();
-  if (plan.idempotent) {
-    if (auto idle = state.pool.Take(choice.address, now)) {
-      co_return idle;
-    }
+  attempt_connection opened;
+  if (plan.idempotent && plan.may_reuse) {
+    opened.connection = state.pool.Take(choice.address, now);
+    opened.reused = opened.connection != nullptr;
+  }
+  if (opened.reused) {
+    co_return opened;
   }
   const auto deadline =
       std::min<time_point>(plan.deadline, now + state.options.connect);
-  auto opened =
+  auto connected =
       co_await backend_connection::Connect(state.io, choice.address, deadline);
-  if (!opened) {
+  if (!connected) {
     state.servers.NoteConnectFailure(choice.server, clock::now());
+    co_return connected.error();
   }
+  opened.connection = std::move(connected.value());
   co_return opened;
 }
 
-/** Sends the request over `connection` and passes the answer on. */
+/** Names the next attempt of a model request anew, so that a cancel of the one
+ * before does not end it. Services may tell repeated calls by the id. */
+auto RenameAttempt(proxy_plan& plan, const std::string& id, unsigned count)
+    -> void {
+  if (plan.route.kind == offer_kind::kModel) {
+    plan.request_id = id + "-" + std::to_string(count);
+    plan.request.headers.Set("X-Request-Id", plan.request_id);
+  }
+}
+
+/** Ends an attempt that failed after the request may have been sent. */
+auto AbandonAttempt(entry_state& state,
+                    const proxy_plan& plan,
+                    const attempt_connection& opened) -> void {
+  opened.connection->Abort();
+  if (plan.route.kind == offer_kind::kModel) {
+    asio::co_spawn(asio::make_strand(state.io),
+                   SendCancel(opened.connection->address(), plan.request_id),
+                   asio::detached);
+  }
+}
+
+/** What the attempts of one request have come to. */
+struct attempt_log {
+  unsigned count = 0;                  ///< Attempts so far.
+  ran_state ran = ran_state::kNo;      ///< Over all attempts.
+  std::vector<server_id> tried;        ///< Failed after a request was sent.
+  std::vector<server_id> unreachable;  ///< Could not be connected.
+  relay_progress progress;             ///< What the caller has.
+};
+
+/** A failure of a server's answer. */
+auto BadAnswer(std::string message,
+               std::string step,
+               const backend_connection& connection) -> failure {
+  return {.code = error_code::kBadGateway,
+          .message = std::move(message),
+          .ran = ran_state::kMaybe,
+          .step = std::move(step),
+          .peer = connection.address()};
+}
+
+/** Sends the request and passes the answer on. */
 auto Exchange(entry_state& state,
               http_exchange& exchange,
               const proxy_plan& plan,
-              backend_connection& connection,
-              relay_progress& progress,
-              bool last_attempt) -> asio::awaitable<outcome<void>> {
-  const auto first_byte = std::min<time_point>(
-      plan.deadline, clock::now() + state.options.first_byte);
-  progress.first_part_deadline = first_byte;
+              const attempt_connection& opened,
+              attempt_log& log) -> asio::awaitable<outcome<void>> {
+  auto& connection = *opened.connection;
+  const auto limit =
+      opened.reused
+          ? std::min<duration>(plan.first_byte, state.options.reused_first_byte)
+          : plan.first_byte;
+  const auto first_byte =
+      std::min<time_point>(plan.deadline, clock::now() + limit);
+  log.progress.first_part_deadline = first_byte;
   auto sent = co_await connection.Send(plan.request, first_byte);
   if (!sent) {
     co_return sent.error();
@@ -100,31 +157,20 @@
     co_return head.error();
   }
   if (!IsAnswerTo(head.value(), plan.request_id)) {
-    co_return failure{.code = error_code::kBadGateway,
-                      .message = "the answer names another request",
-                      .ran = ran_state::kMaybe,
-                      .step = "match answer",
-                      .peer = connection.address()};
+    co_return BadAnswer("the answer names another request", "match answer",
+                        connection);
   }
-  if (head->status == 503 && plan.idempotent && !last_attempt) {
-    co_return failure{.code = error_code::kUnavailable,
-                      .message = "the server answered with status 503",
-                      .ran = ran_state::kMaybe,
-                      .step = "read head",
-                      .peer = connection.address()};
+  const bool last = log.count >= state.options.max_attempts;
+  if (head->status == 503 && plan.idempotent && !last) {
+    auto error = BadAnswer("the server answered with status 503", "read head",
+                           connection);
+    error.code = error_code::kUnavailable;
+    co_return error;
   }
   co_return co_await Relay(state, exchange, plan, connection,
-                           std::move(head.value()), progress);
+                           std::move(head.value()), log.progress);
 }
 
-/** What the attempts of one request have come to. */
-struct attempt_log {
-  unsigned count = 0;              ///< Attempts so far.
-  ran_state ran = ran_state::kNo;  ///< Over all attempts.
-  std::vector<server_id> tried;    ///< Servers of failed attempts.
-  relay_progress progress;         ///< What the caller has.
-};
-
 /** One attempt on one server. */
 auto Attempt(entry_state& state,
              http_exchange& exchange,
@@ -133,6 +179,7 @@
              attempt_log& log) -> asio::awaitable<outcome<void>> {
   auto route = plan.route;
   route.tried = log.tried;
+  route.excluded = log.unreachable;
   auto choice =
       ToOutcome([&] { return state.servers.Acquire(route, clock::now()); });
   if (!choice) {
@@ -140,36 +187,30 @@
   }
   const server_lease lease(state, choice->server);
   ++log.count;
-  log.tried.push_back(choice->server);
   if (choice->remote) {
     state.metrics.CountRemote();
   }
   auto opened = co_await OpenConnection(state, plan, choice.value());
   if (!opened) {
+    log.unreachable.push_back(choice->server);
     co_return opened.error();
   }
-  auto connection = std::move(opened.value());
-  watch.SetConnection(connection);
+  // An idle connection that fails says nothing of new ones to the server.
+  if (!opened->reused) {
+    log.tried.push_back(choice->server);
+  }
+  watch.SetConnection(opened->connection);
   if (watch.reason()) {
     co_return *watch.reason();
   }
-  const bool last = log.count >= state.options.max_attempts;
-  auto done =
-      co_await Exchange(state, exchange, plan, *connection, log.progress, last);
+  auto done = co_await Exchange(state, exchange, plan, opened.value(), log);
   watch.SetConnection(nullptr);
-  if (done) {
+  if (!done) {
+    log.ran = ran_state::kMaybe;
+    AbandonAttempt(state, plan, opened.value());
+  } else if (!watch.reason()) {
     // With a reason the watch has aborted the connection.
-    if (!watch.reason()) {
-      state.pool.Put(std::move(connection), clock::now());
-    }
-    co_return done;
-  }
-  connection->Abort();
-  log.ran = ran_state::kMaybe;
-  if (plan.route.kind == offer_kind::kModel) {
-    asio::co_spawn(asio::make_strand(state.io),
-                   SendCancel(choice->address, plan.request_id),
-                   asio::detached);
+    state.pool.Put(opened->connection, clock::now());
   }
   co_return done;
 }
@@ -177,10 +218,11 @@
 /** Attempts until one succeeds or no further one is allowed. */
 auto AttemptAll(entry_state& state,
                 http_exchange& exchange,
-                const proxy_plan& plan,
+                proxy_plan& plan,
                 request_watch& watch,
                 attempt_log& log) -> asio::awaitable<outcome<void>> {
   state.retries.NoteRequest();
+  const auto id = plan.request_id;
   std::optional<failure> last;
   while (true) {
     auto done = co_await Attempt(state, exchange, plan, watch, log);
@@ -212,6 +254,7 @@
       co_return error;
     }
     state.metrics.CountRetry();
+    RenameAttempt(plan, id, log.count + 1);
     Log(log_level::kInfo, log_category::kRoute,
         {"retrying: " + error.message, error.step, error.peer});
   }
--- a/src/entryd_proxy.h
+++ b/src/entryd_proxy.h
@@ -21,6 +21,8 @@
   route_request route;      ///< What it needs.
   std::string open_route;   ///< Route that is open to the caller, if any.
   bool idempotent = false;  ///< May run more than once.
+  bool may_reuse = false;   ///< May use a connection that was idle.
+  duration first_byte{};    ///< Longest wait for the first byte.
   time_point begin;         ///< When the request came.
   time_point deadline;      ///< Of the whole request.
 };
--- a/src/entryd_setting.cc
+++ b/src/entryd_setting.cc
@@ -49,9 +49,16 @@
                 "are whole, so that they can still be retried."},
     setting_row{"connect_ms", kInteger, "ms", 1, kMaxMs, "1000",
                 "Longest time to connect to a backend server."},
-    setting_row{"first_byte_ms", kInteger, "ms", 1, kMaxMs, "30000",
-                "Longest wait for the first byte of an answer."},
-    setting_row{"between_bytes_ms", kInteger, "ms", 1, kMaxMs, "15000",
+    setting_row{"first_byte_ms", kInteger, "ms", 1, kMaxMs, "15000",
+                "Longest wait for the first byte of a stream or a service's "
+                "answer."},
+    setting_row{"whole_answer_ms", kInteger, "ms", 1, kMaxMs, "120000",
+                "Longest wait for the first byte of a completion that is not "
+                "streamed, which comes when the completion is whole."},
+    setting_row{"reused_first_byte_ms", kInteger, "ms", 1, kMaxMs, "3000",
+                "Longest wait for the first byte on a connection that was "
+                "idle before; it may have gone silent."},
+    setting_row{"between_bytes_ms", kInteger, "ms", 1, kMaxMs, "10000",
                 "Longest silence within an answer."},
     setting_row{"total_ms", kInteger, "ms", 1, kMaxMs, "600000",
                 "Longest time of a whole request."},
@@ -73,8 +80,9 @@
                 "Longest wait of a request for a grant."},
     setting_row{"ask_period_ms", kInteger, "ms", 5, 10000, "100",
                 "Period of asks for grants."},
-    setting_row{"grant_life_ms", kInteger, "ms", 10, 60000, "1000",
-                "Granted tokens expire this long after they were asked for."},
+    setting_row{"grant_life_ms", kInteger, "ms", 10, 60000, "500",
+                "Granted tokens expire this long after they were asked for; "
+                "the same on all hosts."},
     setting_row{"routing_policy", kText, "", 0, 0, "\"affinity\"",
                 "Choice among backend servers.",
                 "affinity|round_robin|least_connections"},
@@ -133,6 +141,8 @@
   o.answer_buffer_bytes = Size(values, "answer_buffer_bytes");
   o.connect = values.Milliseconds("connect_ms");
   o.first_byte = values.Milliseconds("first_byte_ms");
+  o.whole_answer = values.Milliseconds("whole_answer_ms");
+  o.reused_first_byte = values.Milliseconds("reused_first_byte_ms");
   o.between_bytes = values.Milliseconds("between_bytes_ms");
   o.total = values.Milliseconds("total_ms");
   o.recheck = values.Milliseconds("recheck_ms");
--- a/src/entryd_setting.h
+++ b/src/entryd_setting.h
@@ -30,31 +30,33 @@
   std::size_t answer_buffer_bytes = 0;     ///< Whole answers up to this.
   std::chrono::milliseconds connect{};     ///< To connect to a server.
   std::chrono::milliseconds first_byte{};  ///< To the first byte of an answer.
-  std::chrono::milliseconds between_bytes{};    ///< Silence within an answer.
-  std::chrono::milliseconds total{};            ///< A whole request.
-  std::chrono::milliseconds recheck{};          ///< Of key and freshness.
-  std::chrono::milliseconds pool_idle{};        ///< Age of idle connections.
-  std::size_t pool_per_server = 0;              ///< Idle connections.
-  std::chrono::milliseconds freshness_limit{};  ///< Age of the proof.
-  std::chrono::milliseconds pull_period{};      ///< From controld.
-  limit_mode mode = limit_mode::kDemandShares;  ///< How limits are shared.
-  std::chrono::milliseconds limit_wait{};       ///< For a grant.
-  std::chrono::milliseconds ask_period{};       ///< Between asks.
-  std::chrono::milliseconds grant_life{};       ///< Of tokens.
-  std::string policy;                           ///< Choice of servers.
-  std::uint32_t affinity_slack = 0;             ///< Requests.
-  std::size_t prefix_bytes = 0;                 ///< Hashed for affinity.
-  route_limits route;                           ///< Back-off, report life.
-  unsigned max_attempts = 1;                    ///< Of one request.
-  double retry_share = 0;                       ///< Retries per request.
-  double retry_burst = 0;                       ///< Retries at once.
-  std::chrono::milliseconds host_poll{};        ///< Of the host list.
-  std::chrono::milliseconds load_poll{};        ///< Of the servers' load.
-  std::size_t load_poll_servers = 0;            ///< Polled in one period.
-  std::chrono::milliseconds batch_call{};       ///< To batchd.
-  std::chrono::milliseconds address_keep{};     ///< Callers keep addresses.
-  std::size_t address_count = 0;                ///< Addresses in an answer.
-  std::chrono::milliseconds drain_limit{};      ///< For active requests.
+  std::chrono::milliseconds whole_answer{};       ///< The same, not streamed.
+  std::chrono::milliseconds reused_first_byte{};  ///< On idle connections.
+  std::chrono::milliseconds between_bytes{};      ///< Silence within an answer.
+  std::chrono::milliseconds total{};              ///< A whole request.
+  std::chrono::milliseconds recheck{};            ///< Of key and freshness.
+  std::chrono::milliseconds pool_idle{};          ///< Age of idle connections.
+  std::size_t pool_per_server = 0;                ///< Idle connections.
+  std::chrono::milliseconds freshness_limit{};    ///< Age of the proof.
+  std::chrono::milliseconds pull_period{};        ///< From controld.
+  limit_mode mode = limit_mode::kDemandShares;    ///< How limits are shared.
+  std::chrono::milliseconds limit_wait{};         ///< For a grant.
+  std::chrono::milliseconds ask_period{};         ///< Between asks.
+  std::chrono::milliseconds grant_life{};         ///< Of tokens.
+  std::string policy;                             ///< Choice of servers.
+  std::uint32_t affinity_slack = 0;               ///< Requests.
+  std::size_t prefix_bytes = 0;                   ///< Hashed for affinity.
+  route_limits route;                             ///< Back-off, report life.
+  unsigned max_attempts = 1;                      ///< Of one request.
+  double retry_share = 0;                         ///< Retries per request.
+  double retry_burst = 0;                         ///< Retries at once.
+  std::chrono::milliseconds host_poll{};          ///< Of the host list.
+  std::chrono::milliseconds load_poll{};          ///< Of the servers' load.
+  std::size_t load_poll_servers = 0;              ///< Polled in one period.
+  std::chrono::milliseconds batch_call{};         ///< To batchd.
+  std::chrono::milliseconds address_keep{};       ///< Callers keep addresses.
+  std::size_t address_count = 0;                  ///< Addresses in an answer.
+  std::chrono::milliseconds drain_limit{};        ///< For active requests.
 };
 
 /** The table of settings. */
--- a/src/route_query.cc
+++ b/src/route_query.cc
@@ -28,6 +28,11 @@
   return std::ranges::find(names, request.name) != names.end();
 }
 
+/** Whether `ids` holds `id`. */
+auto Contains(const std::vector<server_id>& ids, const server_id& id) -> bool {
+  return std::ranges::find(ids, id) != ids.end();
+}
+
 /** Least load among at least one candidate. */
 auto LeastLoad(std::span<const route_candidate> candidates) -> std::uint32_t {
   return std::ranges::min(candidates, {}, &route_candidate::load).load;
@@ -104,28 +109,28 @@
     -> result<const row*> {
   std::array<tier, kTierCount> with_room;
   std::array<tier, kTierCount> full;
-  tier backing_off;
+  tier last_resort;
   bool offered = false;
   for (const auto& [id, r] : rows_) {
     if (!r.listed || !Offers(r.info, request)) {
       continue;
     }
     offered = true;
-    const bool tried =
-        std::ranges::find(request.tried, id) != request.tried.end();
     const bool draining = r.info.draining || draining_.contains(id);
-    if (r.info.leaving || draining || tried) {
+    if (r.info.leaving || draining || Contains(request.excluded, id)) {
       continue;
     }
     const auto load = LoadOf(r, now);
     auto& tiers = load < r.info.slots ? with_room : full;
-    auto& into = now < r.backs_off_until ? backing_off : tiers[TierOf(r)];
+    const bool avoided = now < r.backs_off_until || Contains(request.tried, id);
+    auto& into = avoided ? last_resort : tiers[TierOf(r)];
     into.rows.push_back(&r);
     into.candidates.push_back(
         {MixHash(request.prefix_hash, r.id_hash), r.in_flight, load});
   }
   // Nearest server with room; if none has room the nearest one queues. Servers
-  // that back off come last: one of them may have recovered.
+  // that back off or have failed this request come last: one of them may have
+  // recovered.
   for (const auto* tiers : {&with_room, &full}) {
     for (const auto& t : *tiers) {
       if (!t.rows.empty()) {
@@ -133,8 +138,8 @@
       }
     }
   }
-  if (!backing_off.rows.empty()) {
-    return PickFrom(backing_off);
+  if (!last_resort.rows.empty()) {
+    return PickFrom(last_resort);
   }
   const std::string kind =
       request.kind == offer_kind::kModel ? "model" : "service";
--- a/src/route_type.h
+++ b/src/route_type.h
@@ -42,7 +42,8 @@
   offer_kind kind = offer_kind::kModel;  ///< What `name` names.
   std::string name;                      ///< Model or service.
   std::uint64_t prefix_hash = 0;         ///< PrefixHash() of the prompt.
-  std::vector<server_id> tried;          ///< Servers not to choose again.
+  std::vector<server_id> tried;          ///< Chosen again only if need be.
+  std::vector<server_id> excluded;       ///< Not to be chosen.
 };
 
 /** A chosen server. */
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -228,6 +228,25 @@
   cr_assert(ChooseFor(*table, "x", later) == first);
 }
 
+// Guards against a retry that finds no server when the only one has failed the
+// request once, and against a retry at a server that cannot be connected.
+Test(route, tried_servers_come_last_and_excluded_ones_never) {
+  auto table = LocalTable("affinity", 2, 8);
+  route_request request;
+  request.name = kModel;
+  const auto acquire = [&] {
+    return ToOutcome([&] { return table->Acquire(request, kStart); });
+  };
+  const auto first = acquire()->server;
+  request.tried = {first};
+  const auto second = acquire()->server;
+  cr_assert(second != first);
+  request.excluded = {second};
+  cr_assert(acquire()->server == first);
+  request.excluded = {first, second};
+  cr_assert(!acquire().has_value());
+}
+
 // Guards against counting own requests twice, once as own and once in the
 // server's report, and against using a report past its life.
 Test(route, reports_add_only_the_load_of_others) {
