Run items without copying awaited answers; keep lines valid for the log

A conditional expression with co_await made g++ 12 copy the bytes of the answer, so result lines held garbage and the log refused every append of that stream (400). The expression is replaced by a statement. Independently, an answer that is not valid UTF-8 must not reach the log: it is kept as hex digits, and an Idempotency-Key that is not printable is refused.

--- a/src/batchd_dispatch.cc
+++ b/src/batchd_dispatch.cc
@@ -194,6 +194,11 @@
                 flight{id, work.server.id, work.server.region});
   const auto answer = co_await AskUntilEnded(d, work.ask, work.server.region);
   d.flights.Remove(partition, work.run.item, id);
+  if (answer.outcome != run_outcome::kAnswer) {
+    Log(log_level::kDebug, log_category::kJob,
+        {id + ": " + std::string(NameOf(answer.outcome)) + ": " + answer.body,
+         "run item", work.server.id.value});
+  }
   EndWindow(d, work, answer.outcome);
   EndRun(d, work, answer);
   KickDispatch(d);
--- a/src/batchd_execute.cc
+++ b/src/batchd_execute.cc
@@ -129,8 +129,13 @@
   const auto request = RequestOf(entry->ask);
   const auto send_until = clock::now() + d.settings.silence_limit;
   auto sent = co_await connection->Send(request, send_until);
-  auto answer =
-      sent ? co_await ReadAnswer(d, *connection) : FailedAnswer(sent.error());
+  // g++ 12 copies the bytes of an awaited value in a conditional expression.
+  run_answer answer;
+  if (sent) {
+    answer = co_await ReadAnswer(d, *connection);
+  } else {
+    answer = FailedAnswer(sent.error());
+  }
   if (d.runs.IsAborted(entry) && answer.outcome != run_outcome::kAnswer) {
     co_await CancelOnServer(server, entry->ask.request_id);
     co_return Ended(run_outcome::kPreempted, "ended for online requests");
--- a/src/batchd_run.cc
+++ b/src/batchd_run.cc
@@ -1,6 +1,7 @@
 #include "src/batchd_run.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/json.hpp>
 #include <chrono>
 #include <utility>
@@ -32,6 +33,13 @@
 
 }  // namespace
 
+auto NameOf(run_outcome outcome) -> std::string_view {
+  constexpr std::array<std::string_view, 8> kNames{
+      "answer",      "failed",       "no room", "preempted",
+      "unreachable", "not admitter", "lost",    "running"};
+  return kNames[static_cast<std::size_t>(outcome)];
+}
+
 auto ToJson(const run_ask& ask) -> std::string {
   return json::serialize(json::object{{"request_id", ask.request_id},
                                       {"server", ask.server},
--- a/src/batchd_run.h
+++ b/src/batchd_run.h
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "src/admission.h"
@@ -46,6 +47,9 @@
   kRunning,      ///< Not ended yet; ask again.
 };
 
+/** Name of an outcome, for logs. */
+auto NameOf(run_outcome outcome) -> std::string_view;
+
 /** Answer to a run_ask. */
 struct run_answer {
   run_outcome outcome = run_outcome::kRunning;  ///< How it ended.
--- a/src/batchd_serve.cc
+++ b/src/batchd_serve.cc
@@ -1,6 +1,6 @@
 #include "src/batchd_serve.h"
 
-#include <boost/asio/as_tuple.hpp>
+#include <algorithm>
 #include <boost/json.hpp>
 #include <set>
 #include <utility>
@@ -21,6 +21,7 @@
 constexpr std::string_view kOwnedOnly = "/v1/batches?owned";
 /** Bytes of a key that the daemon makes for a submission without one. */
 constexpr std::size_t kKeyBytes = 16;
+constexpr std::size_t kMostKeyBytes = 256;
 /** A forwarded call may take the owner's own limit and this. */
 constexpr std::chrono::milliseconds kForwardMargin{500};
 
@@ -90,6 +91,13 @@
   co_return std::move(reply.value());
 }
 
+/** Whether a key consists of printable ASCII and is not too long. */
+auto IsPrintable(const std::string& key) -> bool {
+  return key.size() <= kMostKeyBytes &&
+         std::all_of(key.begin(), key.end(),
+                     [](char c) { return c >= ' ' && c <= '~'; });
+}
+
 /** POST /v1/batches. */
 auto Submit(batchd& d, wire::http_callT call) -> asio::awaitable<wire_message> {
   if (call.body.size() > d.settings.body_bytes) {
@@ -103,6 +111,14 @@
   if (call.idempotency_key.empty()) {
     call.idempotency_key = ToHex(RandomBytes(kKeyBytes));
   }
+  if (!IsPrintable(call.idempotency_key)) {
+    const auto error = NotRun(error_code::kBadRequest,
+                              "Idempotency-Key must be at most " +
+                                  std::to_string(kMostKeyBytes) +
+                                  " printable ASCII characters",
+                              "read batch");
+    co_return Refusal(d, error);
+  }
   const workspace_id workspace(call.workspace);
   const auto partition =
       PartitionOf(workspace, call.idempotency_key, d.settings.partitions);
--- a/src/job_record.cc
+++ b/src/job_record.cc
@@ -26,6 +26,20 @@
  * to 1 MiB. */
 constexpr std::size_t kMostAppendBytes = 700UL << 10;
 
+/** Whether `text` is valid UTF-8, which JSON requires: the log refuses an
+ * append that is not. */
+auto IsText(std::string_view text) -> bool {
+  std::string quoted = "\"";
+  for (const char c : text) {
+    // Characters that a JSON string must escape are valid UTF-8.
+    quoted +=
+        static_cast<unsigned char>(c) < ' ' || c == '"' || c == '\\' ? '.' : c;
+  }
+  json::error_code ec;
+  json::parse(quoted + "\"", ec);
+  return !ec;
+}
+
 /** Reads a whole decimal number. */
 auto ParseNumber(std::string_view text) -> std::optional<std::uint64_t> {
   std::uint64_t number = 0;
@@ -252,15 +266,19 @@
 auto AnswerLine(std::string_view custom_id,
                 unsigned status,
                 std::string_view body) -> std::string {
+  json::object response{{"status_code", status}};
   json::error_code ec;
   auto value = json::parse(body, ec);
-  if (ec) {
-    value = json::string(body);
+  if (!ec) {
+    response["body"] = std::move(value);
+  } else if (IsText(body)) {
+    response["body"] = body;
+  } else {
+    response["body_hex"] = ToHex(body);
   }
   json::object line;
   line["custom_id"] = custom_id;
-  line["response"] =
-      json::object{{"status_code", status}, {"body", std::move(value)}};
+  line["response"] = std::move(response);
   line["error"] = nullptr;
   return json::serialize(line);
 }
--- a/src/job_record.h
+++ b/src/job_record.h
@@ -60,7 +60,8 @@
 auto StartedFields(epoch current, std::span<const item_ref> items)
     -> boost::json::object;
 
-/** Result line of an answer. `body` is embedded if it is JSON, else quoted. */
+/** Result line of an answer. `body` is embedded if it is JSON, quoted if it is
+ * other text, and else given as hex digits. */
 auto AnswerLine(std::string_view custom_id,
                 unsigned status,
                 std::string_view body) -> std::string;
--- a/tests/job_test.cc
+++ b/tests/job_test.cc
@@ -599,6 +599,22 @@
   cr_assert(!RefusalOf("\n").empty());
 }
 
+// Guards against an answer that makes the log refuse every later append: it is
+// not JSON, or not even text.
+Test(job, any_answer_gives_a_valid_line) {
+  for (const std::string body :
+       {"{\"a\":1}", "plain \"text\"\n", "", "\xc7\x01 not UTF-8", "\\\xff"}) {
+    const auto line = AnswerLine("c", 200, body);
+    boost::json::error_code ec;
+    const auto value = boost::json::parse(line, ec);
+    cr_assert(!ec, "%s", line.c_str());
+    cr_assert(line.find('\n') == std::string::npos);
+    cr_assert(value.at("custom_id").as_string() == "c");
+  }
+  cr_assert(AnswerLine("c", 200, "\xc7").find("\"body_hex\":\"c7\"") !=
+            std::string::npos);
+}
+
 // Guards against ids that point to another partition.
 Test(job, ids_round_trip) {
   const auto id = FormatJobId(partition_id(12), log_offset(345));
