Wait for admission at the start of a cluster

The owner of a new limit starts with an empty bucket, so that requests in the first seconds after a workspace was created are refused with 429.

--- a/scripts/dogwood_cluster.py
+++ b/scripts/dogwood_cluster.py
@@ -316,6 +316,7 @@
         self.save()
         self.wait_ready()
         self._configure(scenario)
+        self.wait_admitting(scenario)
         self.save()
 
     def _write_secrets(self, scenario):
@@ -524,6 +525,23 @@
         with concurrent.futures.ThreadPoolExecutor(8) as pool:
             list(pool.map(apply, changes))
 
+    def wait_admitting(self, scenario, timeout=60.0):
+        """Waits until every host admits requests of every workspace and the
+        buckets are full. The owner of a new limit starts with an empty one."""
+
+        def is_admitted(address, workspace):
+            body = {"model": scenario["model"], "prompt": "ready", "max_tokens": 1}
+            headers = {"Content-Type": "application/json", **self.caller_headers(workspace)}
+            return request(address, "POST", "/v1/completions", body, headers)[0] == 200
+
+        for name in scenario["workspaces"]:
+            for host in self.hosts:
+                address = host["entry_address"]
+                what = f"{host['id']} admits requests of {name}"
+                wait_until(lambda a=address, n=name: is_admitted(a, n), what, timeout)
+        rates = scenario["workspaces"].values()
+        time.sleep(max(w["burst"] / w["rate_per_s"] for w in rates))
+
     # Stopping.
 
     def stop(self):
--- a/src/load_run.cc
+++ b/src/load_run.cc
@@ -85,6 +85,14 @@
   return request;
 }
 
+/** A key to ask for addresses with. */
+auto AnyKey(const load_plan& plan) -> std::string {
+  if (!plan.workspaces.empty()) {
+    return plan.workspaces.front().key;
+  }
+  return plan.batches.empty() ? std::string() : plan.batches.front().key;
+}
+
 /** Takes an answer of GET /v1/addresses. Returns whether it was one. */
 auto TakeAddresses(run_state& s, const http_response& response) -> bool {
   json::error_code ec;
@@ -117,9 +125,7 @@
   auto known = s.addresses;
   known.insert(known.end(), s.plan.addresses.begin(), s.plan.addresses.end());
   for (const auto& address : known) {
-    http_request request;
-    request.method = "GET";
-    request.target = "/v1/addresses";
+    auto request = KeyedRequest("GET", "/v1/addresses", AnyKey(s.plan), "");
     const auto deadline = clock::now() + std::chrono::seconds(2);
     const auto response = co_await Call(address, std::move(request), deadline);
     if (response && TakeAddresses(s, *response)) {
@@ -339,7 +345,6 @@
   s.end = At(s, s.plan.length + s.plan.settle);
   StartJobs(s);
   asio::co_spawn(asio::make_strand(s.io), SendArrivals(s), asio::detached);
-  auto refresh = std::make_shared<asio::steady_timer>(s.io);
   asio::co_spawn(asio::make_strand(s.io), RefreshAddresses(s), asio::detached);
 }
 
