Find owner hosts without copying the members

OwnerHost() copied and sorted all members for each call. The replica already keeps the newest set of members for acting ownership, so that set is used.

--- a/src/replica_base.cc
+++ b/src/replica_base.cc
@@ -43,6 +43,10 @@
   }
 }
 
+auto member_history::Latest() const -> std::span<const member> {
+  return sets_.empty() ? std::span<const member>() : sets_.back().members;
+}
+
 auto member_history::IsOwner(const host_id& self,
                              owned_kind kind,
                              std::string_view name,
@@ -103,7 +107,7 @@
                                const region_id& region) const
     -> std::optional<member> {
   const std::lock_guard lock(mutex_);
-  const auto owner = OwnerOf(tree_.Members(), kind, name, region);
+  const auto owner = OwnerOf(history_.Latest(), kind, name, region);
   const auto* found = owner ? tree_.FindMember(*owner) : nullptr;
   return found == nullptr ? std::nullopt : std::optional(*found);
 }
--- a/src/replica_base.h
+++ b/src/replica_base.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 
 #include "src/config.h"
@@ -30,6 +31,8 @@
 
   /** Notes that the members are `members` from `now` on. */
   auto Note(std::vector<member> members, time_point now) -> void;
+  /** The members now; name, region and state only. */
+  auto Latest() const -> std::span<const member>;
   /** Forgets everything, for members whose past is unknown. */
   auto Clear() -> void { sets_.clear(); }
   /** Whether `self` was the owner by every set since `now` - wait. */
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -287,6 +287,7 @@
     return tree.Snapshot({host_id("w"), incarnation(1), 0});
   });
   cr_assert_eq(replica.ApplyRecords(log_offset(2), {same}, now), 0);
+  cr_assert(replica.OwnerHost(owned_kind::kLimit, "thing").has_value());
   const auto members = replica.Read(
       [](const dogwood::config_tree& tree) { return tree.Members().size(); });
   cr_assert_eq(members, 2);
