--- a/scripts/dogwood_cluster.py
+++ b/scripts/dogwood_cluster.py
@@ -302,7 +302,7 @@
 
     def _start(self, scenario):
         services = scenario.get("services", {})
-        count = 1 + 5 * len(scenario["hosts"]) + len(scenario["engines"]) + len(services)
+        count = 1 + 6 * len(scenario["hosts"]) + len(scenario["engines"]) + len(services)
         ports = take_ports(count)
         self.scenario = scenario
         self.state = {"scenario": scenario["name"], "hosts": [], "backend_servers": []}
@@ -407,6 +407,7 @@
                 "control_link",
                 "entry_link",
                 "batch_link",
+                "batch_http_address",
             ):
                 host[name] = f"{LOOPBACK}:{next(ports)}"
             self.hosts.append(host)
@@ -430,7 +431,8 @@
         secret = pathlib.Path(self.state["secret_file"]).read_text()
         token = pathlib.Path(self.state["operator_token_file"]).read_text()
         addresses = ("entry_address", "operator_address", "control_link", "entry_link")
-        values = {n: host[n] for n in (*addresses, "batch_link", "data_centre", "region")}
+        more = ("batch_link", "batch_http_address", "data_centre", "region")
+        values = {n: host[n] for n in (*addresses, *more)}
         values.update(
             host=host["id"],
             controld_link=host["control_link"],
--- a/src/batchd_http.cc
+++ b/src/batchd_http.cc
@@ -87,7 +87,7 @@
   Sample(text, "items_in_flight", "gauge",
          static_cast<double>(ItemsInFlight(d)));
   Sample(text, "runs_here", "gauge", static_cast<double>(d.runs.Running()));
-  return text.str();
+  return text.str() + PrintLinkTotals();
 }
 
 auto ServeHealth(batchd& d, http_exchange& exchange) -> asio::awaitable<void> {
--- a/src/batchd_main.cc
+++ b/src/batchd_main.cc
@@ -85,8 +85,7 @@
 auto WaitForStop(batchd& d) -> asio::awaitable<void> {
   auto executor = co_await asio::this_coro::executor;
   asio::signal_set signals(executor, SIGTERM, SIGINT);
-  auto [ec, number] =
-      co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+  co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
   Log(log_level::kInfo, log_category::kCore, {"stopping", "stop", ""});
   signals.async_wait([&d](const boost::system::error_code& e, int) {
     if (!e) {
--- a/src/controld_http.cc
+++ b/src/controld_http.cc
@@ -295,7 +295,7 @@
     -> asio::awaitable<void> {
   http_response response;
   response.headers.Set("Content-Type", "text/plain; version=0.0.4");
-  response.body = DescribeMetrics(c);
+  response.body = DescribeMetrics(c) + PrintLinkTotals();
   co_await exchange.Respond(std::move(response));
 }
 
--- a/src/entryd_http.cc
+++ b/src/entryd_http.cc
@@ -83,7 +83,7 @@
   if (path == "/metrics") {
     http_response response;
     response.headers.Set("Content-Type", "text/plain; version=0.0.4");
-    response.body = state.metrics.Print(Gauges(state));
+    response.body = state.metrics.Print(Gauges(state)) + PrintLinkTotals();
     co_await exchange.Respond(std::move(response));
     co_return true;
   }
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -148,8 +148,8 @@
     char byte = 0;
     const auto n = ::recv(stream_.socket().native_handle(), &byte, 1,
                           MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-                      errno != EINTR);
+    return n == 0 ||
+           (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
   }
 
   /** Whether the next request may be read from the connection. */
--- a/src/link_codec.cc
+++ b/src/link_codec.cc
@@ -60,6 +60,26 @@
 
 }  // namespace
 
+auto LinkTotals() -> link_totals& {
+  static link_totals totals;
+  return totals;
+}
+
+auto PrintLinkTotals() -> std::string {
+  const auto& totals = LinkTotals();
+  std::string text;
+  const auto add = [&text](std::string_view name, std::uint64_t value) {
+    const auto full = "dogwood_link_" + std::string(name) + "_total";
+    text += "# TYPE " + full + " counter\n";
+    text += full + " " + std::to_string(value) + "\n";
+  };
+  add("sent_bytes", totals.sent_bytes);
+  add("received_bytes", totals.received_bytes);
+  add("sent_frames", totals.sent_frames);
+  add("received_frames", totals.received_frames);
+  return text;
+}
+
 auto EncodeFrame(std::uint64_t call_id, const wire_message& message)
     -> std::string {
   wire::envelopeT envelope;
@@ -112,6 +132,8 @@
   if (body_ec) {
     co_return LinkFailure(body_ec.message(), "read frame", peer);
   }
+  LinkTotals().received_bytes += kLengthBytes + length;
+  ++LinkTotals().received_frames;
   const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
   flatbuffers::Verifier verifier(data, bytes.size());
   if (!wire::VerifyenvelopeBuffer(verifier)) {
@@ -136,6 +158,8 @@
   if (closed_) {
     return;
   }
+  LinkTotals().sent_bytes += frame.size();
+  ++LinkTotals().sent_frames;
   outgoing_.push_back(std::move(frame));
   if (!writing_) {
     writing_ = true;
--- a/src/link_type.h
+++ b/src/link_type.h
@@ -2,6 +2,7 @@
 #ifndef SRC_LINK_TYPE_H_
 #define SRC_LINK_TYPE_H_
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -30,6 +31,20 @@
   auto Name() const -> std::string { return host + "/" + daemon; }
 };
 
+/** Traffic of all links of this process since its start, for metrics. */
+struct link_totals {
+  std::atomic<std::uint64_t> sent_bytes{0};       ///< Frames queued.
+  std::atomic<std::uint64_t> received_bytes{0};   ///< Frames read.
+  std::atomic<std::uint64_t> sent_frames{0};      ///< Frames queued.
+  std::atomic<std::uint64_t> received_frames{0};  ///< Frames read.
+};
+
+/** The process's totals. */
+auto LinkTotals() -> link_totals&;
+
+/** The totals in the text format of Prometheus. */
+auto PrintLinkTotals() -> std::string;
+
 /** One message of any kind; `Set()` and the As...() members are generated. */
 using wire_message = wire::payloadUnion;
 
