--- a/tests/freshness_test.cc
+++ b/tests/freshness_test.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::size_t kStepsPerWorld = 5000;
+constexpr std::uint64_t kWorldsPerCase = 4;
 
 /** What all worlds together did. */
 struct totals {
@@ -47,7 +48,11 @@
   const auto begin = std::chrono::steady_clock::now();
   const bool ok =
       rc::check("no host serves on a configuration older than an accepted one",
-                [&total](std::uint64_t seed) { RunWorld(seed, total); });
+                [&total](std::uint64_t seed) {
+                  for (std::uint64_t i = 0; i < kWorldsPerCase; ++i) {
+                    RunWorld(seed * kWorldsPerCase + i, total);
+                  }
+                });
   const std::chrono::duration<double> took =
       std::chrono::steady_clock::now() - begin;
   const auto* params = std::getenv("RC_PARAMS");
--- a/tests/freshness_world.cc
+++ b/tests/freshness_world.cc
@@ -159,7 +159,12 @@
            now_ + Between(kSecond, 20 * kSecond));
   }
   if (Chance(faults_.outage_rate) && now_ > outage_until_) {
-    SetOutage(now_ + Between(kSecond, 20 * kSecond));
+    const auto until = now_ + Between(kSecond, 20 * kSecond);
+    SetOutage(until, Chance(0.5) ? std::optional(h.index) : std::nullopt);
+    // A host that only now joins meets members that cannot read of it.
+    if (Chance(0.5)) {
+      StartControld(h);
+    }
   }
   if (Chance(faults_.pause_rate)) {
     h.local_then = Local(h);
@@ -303,7 +308,7 @@
   const auto sent = Local(h);
   const auto start = h.start;
   Deliver(h.region, nullptr, [this, &h, sent, start] {
-    if (now_ < outage_until_) {
+    if (InOutage(h)) {
       return;
     }
     const auto end = log_.size();
@@ -323,7 +328,7 @@
   Deliver(h.region, nullptr,
           [this, &h, start, record, acknowledged = std::move(acknowledged)] {
             // In an outage some appends take effect without an answer.
-            const bool outage = now_ < outage_until_;
+            const bool outage = InOutage(h);
             if (outage && Chance(0.7)) {
               return;
             }
--- a/tests/freshness_world.h
+++ b/tests/freshness_world.h
@@ -94,8 +94,12 @@
   auto early_accepts() const -> std::uint64_t { return early_; }
   auto hosts() const -> std::size_t { return hosts_.size(); }
   auto host(std::size_t i) const -> const sim_host& { return *hosts_[i]; }
-  /** Begins or ends an outage of the store. */
-  auto SetOutage(real_us until) -> void { outage_until_ = until; }
+  /** Begins or ends an outage of the store, for all hosts but `spared`. */
+  auto SetOutage(real_us until,
+                 std::optional<std::size_t> spared = std::nullopt) -> void {
+    outage_until_ = until;
+    outage_spared_ = spared;
+  }
   /** Cuts `region` off until `until`. */
   auto SetCut(std::size_t region, real_us until) -> void {
     cut_region_ = region;
@@ -130,6 +134,10 @@
   auto Deliver(std::size_t from_region, sim_host* to, action run) -> void;
   auto Local(const sim_host& h) const -> time_point;
   auto IsCut(std::size_t a, std::size_t b) const -> bool;
+  /** Whether the store fails for `h` now. */
+  auto InOutage(const sim_host& h) const -> bool {
+    return now_ < outage_until_ && outage_spared_ != h.index;
+  }
   auto MembersAt(std::uint64_t next) const -> std::vector<member>;
 
   auto AddHost(std::size_t region) -> void;
@@ -166,6 +174,7 @@
   std::uint64_t accepted_ = 0;
   std::uint64_t early_ = 0;
   real_us outage_until_ = 0;
+  std::optional<std::size_t> outage_spared_;  // Still reaches the store.
   real_us cut_until_ = 0;
   std::size_t cut_region_ = 0;
 };
