--- a/src/controld_serve.cc
+++ b/src/controld_serve.cc
@@ -39,6 +39,8 @@
                            log_offset(request.up->known_offset),
                            rank_set(std::move(request.up->covered)),
                            DurationOf(request.up->age_us), echo, now);
+  // At the root this may complete the fleet's vouch.
+  c.tracker.Gather(now);
 }
 
 /** Fills in records, or a snapshot if the records are no longer held. */
