--- a/src/job_record.h
+++ b/src/job_record.h
@@ -60,7 +60,8 @@
 auto StartedFields(epoch current, std::span<const item_ref> items)
     -> boost::json::object;
 
-/** Result line of an answer. `body` is embedded if it is JSON, else quoted. */
+/** Result line of an answer. `body` is embedded if it is JSON, quoted if it is
+ * other text, and else given as hex digits. */
 auto AnswerLine(std::string_view custom_id,
                 unsigned status,
                 std::string_view body) -> std::string;
@@ -69,6 +70,9 @@
                std::string_view code,
                std::string_view message) -> std::string;
 
+/** Whether `text`, as a string within a record, fits into one append. */
+auto FitsRecord(std::string_view text) -> bool;
+
 /** Value of a number field, 0 if it is absent or no whole number. */
 auto NumberField(const boost::json::object& object, std::string_view name)
     -> std::uint64_t;
--- a/tests/job_test.cc
+++ b/tests/job_test.cc
@@ -599,6 +599,22 @@
   cr_assert(!RefusalOf("\n").empty());
 }
 
+// Guards against an answer that makes the log refuse every later append: it is
+// not JSON, or not even text.
+Test(job, any_answer_gives_a_valid_line) {
+  for (const std::string body :
+       {"{\"a\":1}", "plain \"text\"\n", "", "\xc7\x01 not UTF-8", "\\\xff"}) {
+    const auto line = AnswerLine("c", 200, body);
+    boost::json::error_code ec;
+    const auto value = boost::json::parse(line, ec);
+    cr_assert(!ec, "%s", line.c_str());
+    cr_assert(line.find('\n') == std::string::npos);
+    cr_assert(value.at("custom_id").as_string() == "c");
+  }
+  cr_assert(AnswerLine("c", 200, "\xc7").find("\"body_hex\":\"c7\"") !=
+            std::string::npos);
+}
+
 // Guards against ids that point to another partition.
 Test(job, ids_round_trip) {
   const auto id = FormatJobId(partition_id(12), log_offset(345));
@@ -609,3 +625,39 @@
   cr_assert(!ParseJobId("batch-1").has_value());
   cr_assert(!ParseJobId("batch-1-x").has_value());
 }
+
+// Guards against an idle partition whose last records are never written again,
+// so that retention takes results that callers may still read: the records of
+// a short burst carried one time mark, at the first of them.
+Test(job, an_idle_partition_is_written_again_before_retention) {
+  auto policy = Policy();
+  policy.rewrite_after = milliseconds(60000);
+  policy.result_keep = std::chrono::hours(24);
+  partition_owner owner(partition_id(0), host_id("h"), incarnation(1), policy);
+  std::uint64_t next = 0;
+  unix_ms now(1000000);
+  const auto settle = [&] {
+    for (auto records = owner.TakeAppend(now); !records.empty();
+         records = owner.TakeAppend(now)) {
+      owner.EndAppend(append_end::kAppended);
+      for (const auto& record : records) {
+        owner.Apply(log_offset(next++), record);
+      }
+    }
+  };
+  owner.Claim(log_offset(0), now);
+  settle();
+  owner.Submit({workspace_id("w"),
+                "key",
+                std::string(64, 'a'),
+                {{"i", "POST", "/v1/completions", "model/a", "{}"}}},
+               now);
+  settle();
+  const auto burst_end = next;
+  now.value += 60001;
+  for (int round = 0; round < 10; ++round) {
+    now.value += 1000;
+    settle();
+  }
+  cr_assert_geq(owner.fold().base_from().value, burst_end);
+}
