--- a/src/controld_base.cc
+++ b/src/controld_base.cc
@@ -113,6 +113,24 @@
   return pulls_;
 }
 
+auto reply_table::Note(const std::string& address, const received_reply& reply)
+    -> void {
+  const std::lock_guard lock(mutex_);
+  replies_[address] = reply;
+}
+
+auto reply_table::Find(const std::string& address) const
+    -> std::optional<received_reply> {
+  const std::lock_guard lock(mutex_);
+  const auto found = replies_.find(address);
+  return found == replies_.end() ? std::nullopt : std::optional(found->second);
+}
+
+auto reply_table::LastAnswer(const std::string& address) const -> time_point {
+  const auto last = Find(address);
+  return last ? last->arrived : time_point::min();
+}
+
 auto peer_table::Client(const std::string& address)
     -> std::shared_ptr<link_client> {
   auto endpoint = ParseEndpoint(address);
--- a/src/controld_base.h
+++ b/src/controld_base.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,28 @@
   std::map<std::string, answered_pull> pulls_;
 };
 
+/** A reply that was received, to be echoed. */
+struct received_reply {
+  std::uint64_t start = 0;     ///< Start of the sender.
+  std::uint64_t stamp_us = 0;  ///< Clock of the sender.
+  time_point arrived;          ///< When it was received.
+};
+
+/** The last replies of other hosts, by control link. Thread-safe. */
+class reply_table {
+ public:
+  /** Notes the newest reply. */
+  auto Note(const std::string& address, const received_reply& reply) -> void;
+  /** The newest reply. */
+  auto Find(const std::string& address) const -> std::optional<received_reply>;
+  /** When it arrived, min() if there was none. */
+  auto LastAnswer(const std::string& address) const -> time_point;
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<std::string, received_reply> replies_;
+};
+
 /** Clients for the control links of other hosts. Thread-safe. */
 class peer_table {
  public:
@@ -82,6 +105,7 @@
   record_store store;                ///< Records for other daemons.
   pull_table pulls;                  ///< Who pulls here.
   peer_table peers;                  ///< Links to other hosts.
+  reply_table replies;               ///< Last replies of other hosts.
   seen_table seen;                   ///< Own records that are waited for.
   controld_metrics metrics;          ///< Metrics.
   record_appender appender;          ///< Appends own records.
--- a/src/controld_pull.cc
+++ b/src/controld_pull.cc
@@ -20,37 +20,6 @@
  * sign that the ancestor has lost touch, and the log is asked too. */
 constexpr int kOldProofDivisor = 2;
 
-/** A reply that was received, to be echoed. */
-struct received_reply {
-  std::uint64_t start = 0;     ///< Start of the sender.
-  std::uint64_t stamp_us = 0;  ///< Clock of the sender.
-  time_point arrived;          ///< When it was received.
-};
-
-/** The last replies by control link; one per process. */
-class reply_table {
- public:
-  auto Note(const std::string& address, const received_reply& reply) -> void {
-    const std::lock_guard lock(mutex_);
-    replies_[address] = reply;
-  }
-  auto Find(const std::string& address) -> std::optional<received_reply> {
-    const std::lock_guard lock(mutex_);
-    const auto found = replies_.find(address);
-    return found == replies_.end() ? std::nullopt
-                                   : std::optional(found->second);
-  }
-
- private:
-  std::mutex mutex_;
-  std::map<std::string, received_reply> replies_;
-};
-
-auto Replies() -> reply_table& {
-  static reply_table table;
-  return table;
-}
-
 /** The request for `peer`, with the vouch `up` if there is one. */
 auto MakeRequest(const controld& c,
                  const member& peer,
@@ -67,7 +36,7 @@
     request.up->covered = up->covered.words();
     request.up->age_us = MicrosecondsOf(now - up->as_of);
   }
-  if (const auto last = Replies().Find(peer.control_link)) {
+  if (const auto last = c.replies.Find(peer.control_link)) {
     request.echo_start = last->start;
     request.echo_stamp_us = last->stamp_us;
     request.echo_elapsed_us = MicrosecondsOf(now - last->arrived);
@@ -309,16 +278,11 @@
   }
   ++c.metrics.pulls;
   const received_reply received{reply->start, reply->stamp_us, clock::now()};
-  Replies().Note(peer.control_link, received);
+  c.replies.Note(peer.control_link, received);
   c.tracker.Confirm(log_offset(reply->next));
   co_return std::move(*reply);
 }
 
-auto LastAnswerOf(const std::string& address) -> time_point {
-  const auto last = Replies().Find(address);
-  return last ? last->arrived : time_point::min();
-}
-
 auto LoadConfig(controld& c) -> asio::awaitable<void> {
   while (true) {
     auto run = co_await ReadRetained(c);
--- a/src/controld_pull.h
+++ b/src/controld_pull.h
@@ -4,7 +4,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <optional>
-#include <string>
 
 #include "src/controld_base.h"
 
@@ -27,10 +26,6 @@
              time_point deadline)
     -> boost::asio::awaitable<outcome<wire::tail_replyT>>;
 
-/** When a request to the control link `address` was last answered, min() if
- * never. */
-auto LastAnswerOf(const std::string& address) -> time_point;
-
 }  // namespace dogwood
 
 #endif  // SRC_CONTROLD_PULL_H_
--- a/src/controld_watch.cc
+++ b/src/controld_watch.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "src/controld_member.h"
-#include "src/controld_pull.h"
 #include "src/core.h"
 #include "src/http.h"
 
@@ -119,8 +118,8 @@
     const auto key = std::pair(m.host, m.start);
     const auto now = clock::now();
     const auto quiet_since = now - 2 * c_.settings.pull_period - kWatchPeriod;
-    const auto heard =
-        std::max(c_.pulls.LastPull(m.host), LastAnswerOf(m.control_link));
+    const auto heard = std::max(c_.pulls.LastPull(m.host),
+                                c_.replies.LastAnswer(m.control_link));
     if (heard > quiet_since || !co_await IsGone(m)) {
       gone_since_.erase(key);
       co_return;
