Say truly why a request was not admitted

A request is also refused when the owner of the limit does not answer, so the message no longer claims that the workspace is over its rate.

--- a/src/entryd_limit.cc
+++ b/src/entryd_limit.cc
@@ -113,7 +113,7 @@
   }
   state_.shares.StopWaiting(limit);
   co_return failure{.code = error_code::kTooManyRequests,
-                    .message = "the workspace is over its rate and burst",
+                    .message = "no token of the workspace's limit came in time",
                     .ran = ran_state::kNo,
                     .step = "admit",
                     .peer = ""};
