Give long results in parts

The results of a large job exceeded the longest frame of a link, which closes the connection and every call on it. Results beyond 32 MiB are a 413 that names the parameter from, with which they are read in parts. Raising the frame limit was ruled out, since the answer is held in memory three times.

The new test reads ten lines in parts of 20 bytes and gets the whole.

--- a/src/batchd_job.cc
+++ b/src/batchd_job.cc
@@ -16,6 +16,8 @@
 /** Records that wait for the log in one partition, in bytes; more submissions
  * are refused. */
 constexpr std::size_t kMostQueuedBytes = 128UL << 20;
+/** Results in one answer; a frame of a link holds 64 MiB. */
+constexpr std::size_t kResultBytes = 32UL << 20;
 constexpr std::uint64_t kMsPerSecond = 1000;
 
 /** Status of a job. */
@@ -208,15 +210,25 @@
 
 auto ReadResults(batchd& d,
                  const job_address& job,
-                 const workspace_id& workspace) -> outcome<std::string> {
-  return WithJob(d, job, workspace,
-                 [](const job_state& state) -> outcome<std::string> {
-                   if (!state.HasEnded()) {
-                     return NotRun(error_code::kConflict,
-                                   "the batch has not ended", "read results");
-                   }
-                   return job_partition::Results(state);
-                 });
+                 const workspace_id& workspace,
+                 std::optional<std::uint64_t> first) -> outcome<std::string> {
+  return WithJob(
+      d, job, workspace, [&](const job_state& state) -> outcome<std::string> {
+        if (!state.HasEnded()) {
+          return NotRun(error_code::kConflict, "the batch has not ended",
+                        "read results");
+        }
+        auto lines =
+            job_partition::Results(state, first.value_or(0), kResultBytes);
+        if (!first && lines.size() >= kResultBytes) {
+          return NotRun(error_code::kTooLarge,
+                        "the results are too long for one answer; read them in "
+                        "parts with ?from=0, then ?from= the number of lines "
+                        "read so far",
+                        "read results");
+        }
+        return lines;
+      });
 }
 
 auto ListJobs(batchd& d, partition_id partition, const workspace_id& workspace)
--- a/src/batchd_job.h
+++ b/src/batchd_job.h
@@ -4,6 +4,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/array.hpp>
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "src/batchd_base.h"
@@ -23,11 +25,13 @@
 auto ReadJob(batchd& d, const job_address& job, const workspace_id& workspace)
     -> outcome<std::string>;
 
-/** Results of an ended job, one line per item. Fails with kConflict if the job
- * has not ended. */
+/** Results of an ended job, one line per item. With `first`, those from this
+ * item on, as many as an answer may hold. Fails with kConflict if the job has
+ * not ended, kTooLarge if all of them are too long for one answer. */
 auto ReadResults(batchd& d,
                  const job_address& job,
-                 const workspace_id& workspace) -> outcome<std::string>;
+                 const workspace_id& workspace,
+                 std::optional<std::uint64_t> first) -> outcome<std::string>;
 
 /** Statuses of a workspace's jobs in one partition. */
 auto ListJobs(batchd& d, partition_id partition, const workspace_id& workspace)
--- a/src/batchd_serve.cc
+++ b/src/batchd_serve.cc
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <charconv>
 #include <set>
 #include <utility>
 
 #include "src/batchd_job.h"
 #include "src/batchd_watch.h"
 #include "src/core.h"
+#include "src/http.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
@@ -218,6 +220,21 @@
   co_return Reply(200, kJsonType, json::serialize(list));
 }
 
+/** Value of ?from=; nothing if it is absent or no number. */
+auto FirstItemOf(const std::string& path) -> std::optional<std::uint64_t> {
+  http_request request;
+  request.target = path;
+  const auto text = request.Query("from");
+  std::uint64_t number = 0;
+  if (!text) {
+    return std::nullopt;
+  }
+  const auto* end = text->data() + text->size();
+  const auto parsed = std::from_chars(text->data(), end, number);
+  return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(number)
+                                                       : std::nullopt;
+}
+
 /** Requests on one job: status, cancel, results. */
 auto OnJob(batchd& d, wire::http_callT call) -> asio::awaitable<wire_message> {
   const workspace_id workspace(call.workspace);
@@ -243,7 +260,9 @@
     co_return ReplyOf(d, ReadJob(d, *job, workspace), kJsonType);
   }
   if (call.method == "GET" && action == "results") {
-    co_return ReplyOf(d, ReadResults(d, *job, workspace), kLinesType);
+    const auto first = FirstItemOf(call.path);
+    const auto body = ReadResults(d, *job, workspace, first);
+    co_return ReplyOf(d, body, kLinesType);
   }
   co_return Refusal(d, NoSuchPath(call.method + " " + std::string(path)));
 }
--- a/src/job_base.h
+++ b/src/job_base.h
@@ -10,6 +10,8 @@
 #define SRC_JOB_BASE_H_
 
 #include <boost/json/object.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -63,9 +65,12 @@
       -> const job_state*;
   /** Counts of a job's items. */
   static auto Counts(const job_state& job) -> job_counts;
-  /** One line per item, in order; items of a cancelled job that were not
-   * completed are error lines. Empty unless the job has ended. */
-  static auto Results(const job_state& job) -> std::string;
+  /** One line per item from the item `first` on, in order, of up to about
+   * `bytes`; items of a cancelled job that were not completed are error lines.
+   * Empty unless the job has ended. */
+  static auto Results(const job_state& job,
+                      std::size_t first = 0,
+                      std::size_t bytes = SIZE_MAX) -> std::string;
   /** Keep records of what depends on records before the current claim, of up
    * to `budget` bytes; `write` turns fields into a record. Requires that the
    * caller is the owner. */
--- a/src/job_query.cc
+++ b/src/job_query.cc
@@ -83,12 +83,15 @@
   return counts;
 }
 
-auto job_partition::Results(const job_state& job) -> std::string {
+auto job_partition::Results(const job_state& job,
+                            std::size_t first,
+                            std::size_t bytes) -> std::string {
   std::string lines;
   if (!job.HasEnded()) {
     return lines;
   }
-  for (const auto& item : job.items) {
+  for (auto i = first; i < job.items.size() && lines.size() < bytes; ++i) {
+    const auto& item = job.items[i];
     lines += item.state == item_state::kCompleted
                  ? item.text
                  : ErrorLine(CustomIdOf(item), "cancelled",
@@ -105,7 +108,8 @@
   std::vector<std::string> records;
   const log_offset from(epoch_->value);
   std::size_t used = 0;
-  for (const auto& [id, job] : jobs_) {
+  for (const auto& entry : jobs_) {
+    const auto& job = entry.second;
     json::array items;
     std::size_t bytes = 0;
     bool header_due = job.anchor < from;
--- a/tests/job_test.cc
+++ b/tests/job_test.cc
@@ -615,6 +615,28 @@
             std::string::npos);
 }
 
+// Guards against results that are lost or doubled where they are read in parts.
+Test(job, results_in_parts_are_the_whole) {
+  job_state job;
+  for (int i = 0; i < 10; ++i) {
+    job_item item;
+    item.text = "line " + std::to_string(i);
+    item.state = item_state::kCompleted;
+    job.items.push_back(std::move(item));
+  }
+  job.completed = job.items.size();
+  std::string parts;
+  for (std::size_t first = 0; first < job.items.size();) {
+    const auto part = job_partition::Results(job, first, 20);
+    first +=
+        static_cast<std::size_t>(std::count(part.begin(), part.end(), '\n'));
+    parts += part;
+  }
+  cr_assert(parts == job_partition::Results(job));
+  job.completed = 9;
+  cr_assert(job_partition::Results(job).empty());
+}
+
 // Guards against ids that point to another partition.
 Test(job, ids_round_trip) {
   const auto id = FormatJobId(partition_id(12), log_offset(345));
