Fill a server's slots without waiting for results

A partition's owner sent one item to a server until the first result came: with items of 2000 tokens one of seven free slots was used for their whole run. The window now grows when an item gets a slot, which the admitter answers after 300 ms, and one more item is tried every 500 ms, so that room that online requests leave is found while long items run.

A higher first window was ruled out, since each owner would then ask for slots that other owners use.

--- a/src/batchd_dispatch.cc
+++ b/src/batchd_dispatch.cc
@@ -101,15 +101,19 @@
 }
 
 /** Asks until the run has ended or the admitter is out of reach. */
-auto AskUntilEnded(batchd& d, run_ask ask, region_id region)
+auto AskUntilEnded(batchd& d, run_ask ask, backend_server server)
     -> asio::awaitable<run_answer> {
   auto give_up = clock::now() + kGiveUp;
   while (true) {
-    auto answer = co_await AskOnce(d, ask, region);
+    auto answer = co_await AskOnce(d, ask, server.region);
     if (answer && answer->outcome != run_outcome::kRunning) {
       co_return *answer;
     }
     if (answer) {
+      if (ask.is_first) {
+        d.windows.Grow(server.id, server.slots);
+        KickDispatch(d);
+      }
       ask.is_first = false;
       give_up = clock::now() + kGiveUp;
       continue;
@@ -178,7 +182,7 @@
 auto EndWindow(batchd& d, const dispatch& work, run_outcome outcome) -> void {
   const bool had_room =
       outcome == run_outcome::kAnswer || outcome == run_outcome::kFailed;
-  d.windows.End(work.server.id, had_room, work.server.slots);
+  d.windows.End(work.server.id, had_room, work.server.slots, clock::now());
   if (outcome == run_outcome::kUnreachable ||
       outcome == run_outcome::kNotAdmitter || outcome == run_outcome::kLost) {
     d.windows.Avoid(work.server.id, clock::now());
@@ -192,7 +196,7 @@
   const auto& id = work.ask.request_id;
   d.flights.Add(partition, work.run.item,
                 flight{id, work.server.id, work.server.region});
-  const auto answer = co_await AskUntilEnded(d, work.ask, work.server.region);
+  const auto answer = co_await AskUntilEnded(d, work.ask, work.server);
   d.flights.Remove(partition, work.run.item, id);
   if (answer.outcome != run_outcome::kAnswer) {
     Log(log_level::kDebug, log_category::kJob,
@@ -278,7 +282,7 @@
               servers.begin() + static_cast<std::ptrdiff_t>(turn),
               servers.end());
   for (const auto& server : servers) {
-    while (d.windows.Begin(server.id, clock::now())) {
+    while (d.windows.Begin(server.id, server.slots, clock::now())) {
       auto run = slot.With([&](partition_owner& owner) {
         return owner.Next(target, clock::now(), weight, repeat);
       });
--- a/src/batchd_execute.cc
+++ b/src/batchd_execute.cc
@@ -21,6 +21,9 @@
 /** An ask waits this long for its answer before "running" is answered; a link
  * that has gone silent is noticed soon after. */
 constexpr std::chrono::seconds kAnswerWait{2};
+/** The first ask waits a little longer than for a slot, so that "running" tells
+ * the owner that the item got one. */
+constexpr std::chrono::milliseconds kFirstAnswerWait{300};
 /** A run ends if its owner has not asked for this long. */
 constexpr std::chrono::seconds kLease{10};
 /** An ask waits this long for a slot. */
@@ -253,7 +256,8 @@
     asio::co_spawn(asio::make_strand(d.io), Execute(d, entry), asio::detached);
   }
   const wake_signal signal(co_await asio::this_coro::executor);
-  signal.timer().expires_after(kAnswerWait);
+  signal.timer().expires_after(ask.is_first ? duration(kFirstAnswerWait)
+                                            : duration(kAnswerWait));
   auto answer = d.runs.AnswerOrWait(entry, signal);
   if (!answer) {
     co_await signal.timer().async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/batchd_table.cc
+++ b/src/batchd_table.cc
@@ -11,6 +11,8 @@
 
 constexpr std::chrono::milliseconds kFirstAvoid{250};
 constexpr unsigned kMostAvoidDoublings = 5;
+/** A server without room is tried again this often; it costs one ask. */
+constexpr std::chrono::milliseconds kProbePeriod{500};
 
 }  // namespace
 
@@ -54,24 +56,41 @@
   return all;
 }
 
-auto window_table::Begin(const server_id& server, time_point now) -> bool {
+auto window_table::Begin(const server_id& server,
+                         unsigned slots,
+                         time_point now) -> bool {
   const std::lock_guard lock(mutex_);
   auto& w = windows_[server];
-  if (w.in_flight >= w.limit || now < w.avoid_until) {
+  if (now < w.avoid_until) {
     return false;
   }
+  if (w.in_flight >= w.limit) {
+    if (w.in_flight >= slots || now < w.probe_at) {
+      return false;
+    }
+    w.probe_at = now + kProbePeriod;
+  }
   ++w.in_flight;
   return true;
 }
 
+auto window_table::Grow(const server_id& server, unsigned slots) -> void {
+  const std::lock_guard lock(mutex_);
+  auto& w = windows_[server];
+  w.limit = std::min(w.limit + 1, std::max(slots, 1U));
+  w.failures = 0;
+}
+
 auto window_table::Cancel(const server_id& server) -> void {
   const std::lock_guard lock(mutex_);
   auto& w = windows_[server];
   w.in_flight -= w.in_flight > 0 ? 1 : 0;
 }
 
-auto window_table::End(const server_id& server, bool had_room, unsigned slots)
-    -> void {
+auto window_table::End(const server_id& server,
+                       bool had_room,
+                       unsigned slots,
+                       time_point now) -> void {
   const std::lock_guard lock(mutex_);
   auto& w = windows_[server];
   w.in_flight -= w.in_flight > 0 ? 1 : 0;
@@ -80,6 +99,7 @@
     w.failures = 0;
   } else {
     w.limit = std::max(w.in_flight, 1U);
+    w.probe_at = now + kProbePeriod;
   }
 }
 
--- a/src/batchd_table.h
+++ b/src/batchd_table.h
@@ -49,16 +49,23 @@
   std::map<server_id, backend_server> servers_;
 };
 
-/** How many items this host's partitions may have at each server: grows with
- * each result, falls to what runs when the server has no room. Thread-safe. */
+/** How many items this host's partitions may have at each server. Grows with
+ * each item that got a slot and with each result, falls to what runs when the
+ * server has no room, and is tried one higher from time to time, so that room
+ * that online requests leave is found while long items run. Thread-safe. */
 class window_table {
  public:
-  /** Takes a place at a server; false if there is none now. */
-  auto Begin(const server_id& server, time_point now) -> bool;
+  /** Takes a place at a server of `slots`; false if there is none now. */
+  auto Begin(const server_id& server, unsigned slots, time_point now) -> bool;
+  /** Grows the window by one, up to `slots`. */
+  auto Grow(const server_id& server, unsigned slots) -> void;
   /** Gives a place back unused. */
   auto Cancel(const server_id& server) -> void;
-  /** Ends an item: `had_room` grows the window by one, up to `slots`. */
-  auto End(const server_id& server, bool had_room, unsigned slots) -> void;
+  /** Ends an item. */
+  auto End(const server_id& server,
+           bool had_room,
+           unsigned slots,
+           time_point now) -> void;
   /** Sends nothing to a server for some time, which doubles each time. */
   auto Avoid(const server_id& server, time_point now) -> void;
 
@@ -69,6 +76,7 @@
     unsigned limit = 1;      ///< Most of them.
     unsigned failures = 0;   ///< In a row.
     time_point avoid_until;  ///< Nothing is sent before.
+    time_point probe_at;     ///< One more than the limit is tried then.
   };
 
   std::mutex mutex_;
--- a/tests/batchd_test.cc
+++ b/tests/batchd_test.cc
@@ -123,16 +123,20 @@
   cr_assert(!ParseRunAnswer("{\"outcome\":99}").has_value());
 }
 
-// Guards against a server without room being asked by many items at once.
-Test(batchd, windows_shrink_without_room_and_grow_with_results) {
+// Guards against a server without room being asked by many items at once, and
+// against room that is never found while long items run.
+Test(batchd, windows_shrink_without_room_grow_and_probe) {
   window_table windows;
   const auto now = clock::now();
-  cr_assert(windows.Begin(kServer, now));
-  cr_assert(!windows.Begin(kServer, now));
-  windows.End(kServer, true, 2);
-  cr_assert(windows.Begin(kServer, now));
-  cr_assert(windows.Begin(kServer, now));
-  cr_assert(!windows.Begin(kServer, now));
-  windows.End(kServer, false, 2);
-  cr_assert(!windows.Begin(kServer, now));
+  const auto later = now + std::chrono::seconds(1);
+  cr_assert(windows.Begin(kServer, 3, now));
+  windows.Grow(kServer, 3);
+  cr_assert(windows.Begin(kServer, 3, now));
+  windows.End(kServer, false, 3, now);
+  cr_assert(!windows.Begin(kServer, 3, now));
+  cr_assert(windows.Begin(kServer, 3, later));
+  cr_assert(!windows.Begin(kServer, 3, later));
+  windows.End(kServer, true, 3, later);
+  cr_assert(windows.Begin(kServer, 3, later));
+  cr_assert(!windows.Begin(kServer, 2, later + std::chrono::seconds(1)));
 }
