--- a/scripts/dogwood_cluster.py
+++ b/scripts/dogwood_cluster.py
@@ -302,7 +302,7 @@
 
     def _start(self, scenario):
         services = scenario.get("services", {})
-        count = 1 + 5 * len(scenario["hosts"]) + len(scenario["engines"]) + len(services)
+        count = 1 + 6 * len(scenario["hosts"]) + len(scenario["engines"]) + len(services)
         ports = take_ports(count)
         self.scenario = scenario
         self.state = {"scenario": scenario["name"], "hosts": [], "backend_servers": []}
@@ -316,6 +316,7 @@
         self.save()
         self.wait_ready()
         self._configure(scenario)
+        self.wait_admitting(scenario)
         self.save()
 
     def _write_secrets(self, scenario):
@@ -406,6 +407,7 @@
                 "control_link",
                 "entry_link",
                 "batch_link",
+                "batch_http_address",
             ):
                 host[name] = f"{LOOPBACK}:{next(ports)}"
             self.hosts.append(host)
@@ -429,7 +431,8 @@
         secret = pathlib.Path(self.state["secret_file"]).read_text()
         token = pathlib.Path(self.state["operator_token_file"]).read_text()
         addresses = ("entry_address", "operator_address", "control_link", "entry_link")
-        values = {n: host[n] for n in (*addresses, "batch_link", "data_centre", "region")}
+        more = ("batch_link", "batch_http_address", "data_centre", "region")
+        values = {n: host[n] for n in (*addresses, *more)}
         values.update(
             host=host["id"],
             controld_link=host["control_link"],
@@ -524,6 +527,23 @@
         with concurrent.futures.ThreadPoolExecutor(8) as pool:
             list(pool.map(apply, changes))
 
+    def wait_admitting(self, scenario, timeout=60.0):
+        """Waits until every host admits requests of every workspace and the
+        buckets are full. The owner of a new limit starts with an empty one."""
+
+        def is_admitted(address, workspace):
+            body = {"model": scenario["model"], "prompt": "ready", "max_tokens": 1}
+            headers = {"Content-Type": "application/json", **self.caller_headers(workspace)}
+            return request(address, "POST", "/v1/completions", body, headers)[0] == 200
+
+        for name in scenario["workspaces"]:
+            for host in self.hosts:
+                address = host["entry_address"]
+                what = f"{host['id']} admits requests of {name}"
+                wait_until(lambda a=address, n=name: is_admitted(a, n), what, timeout)
+        rates = scenario["workspaces"].values()
+        time.sleep(max(w["burst"] / w["rate_per_s"] for w in rates))
+
     # Stopping.
 
     def stop(self):
--- a/tests/freshness_world.cc
+++ b/tests/freshness_world.cc
@@ -159,7 +159,12 @@
            now_ + Between(kSecond, 20 * kSecond));
   }
   if (Chance(faults_.outage_rate) && now_ > outage_until_) {
-    SetOutage(now_ + Between(kSecond, 20 * kSecond));
+    const auto until = now_ + Between(kSecond, 20 * kSecond);
+    SetOutage(until, Chance(0.5) ? std::optional(h.index) : std::nullopt);
+    // A host that only now joins meets members that cannot read of it.
+    if (Chance(0.5)) {
+      StartControld(h);
+    }
   }
   if (Chance(faults_.pause_rate)) {
     h.local_then = Local(h);
@@ -285,7 +290,10 @@
                                 time_point sent) -> void {
   h.echoes[peer] = {reply.stamp, Local(h)};
   h.tracker->Confirm(log_offset(reply.next));
-  Apply(h, h.applied, reply.next);
+  // A reply holds a limited number of records.
+  h.tracker->NoteSeen(log_offset(reply.next));
+  const bool is_cut = reply.next > h.applied && Chance(0.2);
+  Apply(h, h.applied, is_cut ? (h.applied + reply.next) / 2 : reply.next);
   if (reply.age) {
     h.tracker->TakeProof({log_offset(reply.next), sent - *reply.age});
   }
@@ -300,7 +308,7 @@
   const auto sent = Local(h);
   const auto start = h.start;
   Deliver(h.region, nullptr, [this, &h, sent, start] {
-    if (now_ < outage_until_) {
+    if (InOutage(h)) {
       return;
     }
     const auto end = log_.size();
@@ -320,7 +328,7 @@
   Deliver(h.region, nullptr,
           [this, &h, start, record, acknowledged = std::move(acknowledged)] {
             // In an outage some appends take effect without an answer.
-            const bool outage = now_ < outage_until_;
+            const bool outage = InOutage(h);
             if (outage && Chance(0.7)) {
               return;
             }
