Log when a later start of the host fences this one

A daemon whose clock was set back claims under an earlier start, which the fold drops without a trace, so it never owns a partition. The claim's verdict is now logged with what to look for. Ruled out: a start from the log, which costs a read before the daemon can serve.

--- a/src/batchd_table.cc
+++ b/src/batchd_table.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <chrono>
 
+#include "src/core.h"
 #include "src/http.h"
 
 namespace dogwood {
@@ -166,6 +167,13 @@
     offset.value += 1;
     const bool mine = report.writer.start == owner_.start() &&
                       report.writer.host == owner_.host();
+    if (mine && report.kind == job_record_kind::kClaim &&
+        report.verdict == fold_verdict::kStale) {
+      Log(log_level::kError, log_category::kJob,
+          {stream() + ": a later start of this host has written to it; is a "
+                      "second daemon running, or was the clock set back?",
+           "claim partition", ""});
+    }
     const auto found = mine ? waiters_.find(report.writer.seq) : waiters_.end();
     if (found != waiters_.end()) {
       found->second->report = std::move(report);
