--- a/scripts/dogwood_cluster.py
+++ b/scripts/dogwood_cluster.py
@@ -544,13 +544,14 @@
 
     # Stopping.
 
-    def stop(self):
-        """Ends exactly the recorded processes: daemons first, all at once."""
+    def stop(self, timeout=15.0):
+        """Ends exactly the recorded processes: daemons first, all at once. They
+        have `timeout` for a planned stop; 0 kills them at once."""
         daemons = [Process(r) for h in self.state.get("hosts", []) for r in h["processes"].values()]
         others = [p for p in self.all_processes() if p.pid not in {d.pid for d in daemons}]
         for group in (daemons, others):
             with concurrent.futures.ThreadPoolExecutor(max(1, len(group))) as pool:
-                list(pool.map(lambda p: p.stop(), group))
+                list(pool.map(lambda p: p.stop(timeout), group))
 
     def status(self):
         """What scripts/cluster status prints."""
--- a/tests/failure_helper.py
+++ b/tests/failure_helper.py
@@ -52,7 +52,7 @@
         print_logs(running)
         raise
     finally:
-        running.stop()
+        running.stop(timeout=0)
 
 
 def print_logs(running):
