Give up ownership when a local daemon dies; match batch answers

Failure tests found two causes. With batchd or entryd of a host killed and its controld alive, partitions and limits stayed with a host that could not serve them: 60 s without an acknowledged job, 40 s of 429. controld now drains its host when a daemon has not pulled for 3 s and joins again once it is back; an operator's drain stays. A dead controld was ruled out, it was alive.

Batch items took another request's answer, 20 of 60, when a server crossed its answers: batchd did not compare X-Request-Id. It does now, as entryd does. A call on a link that breaks after it was sent says ran=maybe, no longer no.

Before: failure_kill_batchd, failure_kill_entryd and failure_crossed_answers fail.

--- a/cmake/batch.cmake
+++ b/cmake/batch.cmake
@@ -10,7 +10,7 @@
                         batchd_run.cc batchd_serve.cc batchd_setting.cc
                         batchd_stream.cc batchd_table.cc batchd_watch.cc
                 LIBS dogwood_admission dogwood_job dogwood_platform
-                     dogwood_replica dogwood_setting)
+                     dogwood_proxy dogwood_replica dogwood_setting)
 dogwood_binary(dogwood_batchd SOURCES src/batchd_main.cc
                LIBS dogwood_batchd_lib)
 dogwood_test(batchd dogwood_batchd_lib)
--- a/src/batchd_execute.cc
+++ b/src/batchd_execute.cc
@@ -11,6 +11,7 @@
 #include "src/batchd_run.h"
 #include "src/batchd_stream.h"
 #include "src/core.h"
+#include "src/proxy.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
@@ -117,14 +118,19 @@
 }
 
 /** Reads the answer to its end; events of a stream go into `p`. */
-auto ReadAnswer(const batchd& d, http_connection& connection, progress& p)
-    -> asio::awaitable<run_answer> {
+auto ReadAnswer(const batchd& d,
+                http_connection& connection,
+                const std::string& request_id,
+                progress& p) -> asio::awaitable<run_answer> {
   const auto until = clock::now() + d.settings.item_deadline;
   const auto silence = d.settings.silence_limit;
   auto head = co_await connection.ReadHead(until);
   if (!head) {
     co_return FailedAnswer(head.error());
   }
+  if (!IsAnswerTo(head.value(), request_id)) {
+    co_return Ended(run_outcome::kFailed, "the answer names another request");
+  }
   const bool is_stream =
       p.streams && head->status == 200 &&
       head->headers.Get("Content-Type").starts_with("text/event-stream");
@@ -176,7 +182,7 @@
   // g++ 12 copies the bytes of an awaited value in a conditional expression.
   run_answer answer;
   if (sent) {
-    answer = co_await ReadAnswer(d, *connection, p);
+    answer = co_await ReadAnswer(d, *connection, entry->ask.request_id, p);
   } else {
     answer = FailedAnswer(sent.error());
   }
--- a/src/controld_base.h
+++ b/src/controld_base.h
@@ -68,6 +68,25 @@
   std::map<std::string, received_reply> replies_;
 };
 
+/** The newest proof that a peer was given. */
+struct given_proof {
+  time_point as_of = time_point::min();  ///< As of when it held.
+  time_point at = time_point::min();     ///< When it was given.
+};
+
+/** What was given to each peer, by "host/daemon". Thread-safe. */
+class given_table {
+ public:
+  /** Notes a reply. */
+  auto Note(const std::string& peer, const given_proof& given) -> void;
+  /** The last reply; its times are min() if there was none. */
+  auto Find(const std::string& peer) const -> given_proof;
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<std::string, given_proof> given_;
+};
+
 /** Clients for the control links of other hosts. Thread-safe. */
 class peer_table {
  public:
@@ -105,12 +124,15 @@
   record_store store;                ///< Records for other daemons.
   pull_table pulls;                  ///< Who pulls here.
   peer_table peers;                  ///< Links to other hosts.
+  given_table given;                 ///< Proofs given to peers.
   reply_table replies;               ///< Last replies of other hosts.
   seen_table seen;                   ///< Own records that are waited for.
   controld_metrics metrics;          ///< Metrics.
   record_appender appender;          ///< Appends own records.
   std::atomic<serve_state> state{serve_state::kServing};  ///< Planned stop.
   std::atomic<std::uint64_t> member_start{0};  ///< Start in the join record.
+  /** Start in which this host drained itself for want of a local daemon. */
+  std::atomic<std::uint64_t> self_drained{0};
   std::atomic<std::uint64_t> snapshot_at{0};  ///< as_of of the newest snapshot.
   std::atomic<std::uint64_t> log_first{0};    ///< Oldest retained offset.
 };
--- a/src/controld_main.cc
+++ b/src/controld_main.cc
@@ -55,6 +55,7 @@
   Start(c, KeepJoined(c));
   Start(c, WatchMembers(c));
   Start(c, KeepSnapshots(c));
+  Start(c, DrainWithoutDaemons(c));
 }
 
 /** On the first signal leaves the fleet and ends; a second one ends at once. */
--- a/src/controld_member.cc
+++ b/src/controld_member.cc
@@ -1,6 +1,7 @@
 #include "src/controld_member.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/use_awaitable.hpp>
 #include <optional>
 #include <utility>
@@ -20,6 +21,16 @@
 constexpr std::chrono::seconds kJoinAppendLimit{30};
 /** How often the need for a snapshot is looked at. */
 constexpr std::chrono::seconds kSnapshotPeriod{1};
+/** A local daemon that has not pulled for this long is taken for dead: many
+ * times the second between two pulls, and short beside the ownership wait. */
+constexpr std::chrono::seconds kDaemonSilence{3};
+/** How often the pulls of local daemons are looked at. */
+constexpr std::chrono::milliseconds kDaemonLookPeriod{250};
+/** Looks in a row that must find a daemon missing: after a pause of this
+ * process the first ones find old pulls only. */
+constexpr unsigned kMissingLooks = 4;
+/** Daemons without which a host cannot do what it owns. */
+constexpr std::array kOwningDaemons{"entryd", "batchd"};
 
 /** This host's entry in the tree, if it is of the present start. */
 auto OwnEntry(const controld& c) -> std::optional<member> {
@@ -129,8 +140,63 @@
   c.seen.Forget(appended->record);
 }
 
+/** How a local daemon stands. */
+enum class daemon_state {
+  kAbsent,  ///< Has not pulled since this process began.
+  kAlive,   ///< Has pulled lately.
+  kSilent,  ///< Has stopped pulling.
+};
+
+/** State of a local daemon by its pulls. */
+auto StateOf(const controld& c, const std::string& daemon, time_point now)
+    -> daemon_state {
+  const auto pulls = c.pulls.All();
+  const auto found = pulls.find(c.settings.self.host.value + "/" + daemon);
+  if (found == pulls.end()) {
+    return daemon_state::kAbsent;
+  }
+  return found->second.at + kDaemonSilence > now ? daemon_state::kAlive
+                                                 : daemon_state::kSilent;
+}
+
+/** Whether any of the daemons that ownership needs has gone silent. */
+auto IsMissingDaemon(const controld& c, time_point now) -> bool {
+  return std::ranges::any_of(kOwningDaemons, [&](const char* daemon) {
+    return StateOf(c, daemon, now) == daemon_state::kSilent;
+  });
+}
+
+/** Whether this host drained itself and its daemons are back. */
+auto IsRejoinDue(const controld& c) -> bool {
+  return c.self_drained == c.member_start && c.state == serve_state::kServing &&
+         !IsMissingDaemon(c, clock::now());
+}
+
 }  // namespace
 
+auto DrainWithoutDaemons(controld& c) -> asio::awaitable<void> {
+  while (c.state == serve_state::kServing) {
+    co_await Sleep(kDaemonLookPeriod);
+    const auto own = OwnEntry(c);
+    if (!own || own->state != member_state::kLive || !c.tracker.IsConfirmed() ||
+        !IsMissingDaemon(c, clock::now())) {
+      continue;
+    }
+    Log(log_level::kWarning, log_category::kMember,
+        {"a local daemon has stopped pulling; this host gives up ownership",
+         "watch daemons", ""});
+    const auto start = own->start;
+    const auto deadline = clock::now() + c.settings.append_timeout;
+    auto drained = co_await AppendMemberRecord(
+        c, "member_drain", c.settings.self.host, start, deadline);
+    if (drained) {
+      c.self_drained = start.value;
+    } else {
+      LogFailure(log_level::kError, log_category::kMember, drained.error());
+    }
+  }
+}
+
 auto KeepJoined(controld& c) -> asio::awaitable<void> {
   while (true) {
     const auto own = co_await AppendJoin(c);
@@ -140,14 +206,15 @@
     co_await ConfirmJoin(c, own);
     Log(log_level::kInfo, log_category::kMember,
         {"the join is confirmed", "join", ""});
-    while (OwnEntry(c)) {
+    while (OwnEntry(c) && !IsRejoinDue(c)) {
       co_await Sleep(kLookPeriod);
     }
     if (c.state != serve_state::kServing) {
       co_return;
     }
     Log(log_level::kWarning, log_category::kMember,
-        {"the log has no entry for this start; joining again", "join", ""});
+        {"this start has ended in the log or drained itself; joining again",
+         "join", ""});
   }
 }
 
--- a/src/controld_member.h
+++ b/src/controld_member.h
@@ -28,6 +28,11 @@
 /** Declares children lost that are found gone. Runs for ever. */
 auto WatchMembers(controld& c) -> boost::asio::awaitable<void>;
 
+/** Drains this host while one of its daemons is dead: it would otherwise stay
+ * owner of limits, partitions and servers that nobody looks after. KeepJoined()
+ * joins again once they are back. */
+auto DrainWithoutDaemons(controld& c) -> boost::asio::awaitable<void>;
+
 /** Appends snapshots while this host is the first member. Runs for ever. */
 auto KeepSnapshots(controld& c) -> boost::asio::awaitable<void>;
 
--- a/src/link_client.cc
+++ b/src/link_client.cc
@@ -49,9 +49,12 @@
     }
     channel->Close();
     ready.cancel();
+    // These calls have been sent, so the peer may have acted on them.
+    auto sent = why;
+    sent.ran = ran_state::kMaybe;
     for (auto& [id, call] : calls) {
       if (!call->answer) {
-        call->answer = outcome<wire_message>(why);
+        call->answer = outcome<wire_message>(sent);
         call->timer.cancel();
       }
     }
