Hold pulls until there is something to tell

An idle controld sent up to 4.3 KB/s with 11 children, over its 2 KB/s, because every edge of the tree and both local daemons asked two to four times a second, and each level added its period to the age of the proof. A longer period alone was ruled out: four levels at 1 s each are older than the freshness limit.

A request is now held, for at most 1 s, until there are new records, or a newer proof and 0.9 s since the last reply. The reply says how long it was held, so that the asker can date the proof; the length is shortened by the clock drift. A daemon's pull is noted again at the reply, since its proof counts from there. Fan-out 6 instead of 8.

--- a/src/controld_base.cc
+++ b/src/controld_base.cc
@@ -113,6 +113,18 @@
   return pulls_;
 }
 
+auto given_table::Note(const std::string& peer, const given_proof& given)
+    -> void {
+  const std::lock_guard lock(mutex_);
+  given_[peer] = given;
+}
+
+auto given_table::Find(const std::string& peer) const -> given_proof {
+  const std::lock_guard lock(mutex_);
+  const auto found = given_.find(peer);
+  return found == given_.end() ? given_proof() : found->second;
+}
+
 auto reply_table::Note(const std::string& address, const received_reply& reply)
     -> void {
   const std::lock_guard lock(mutex_);
--- a/src/controld_pull.cc
+++ b/src/controld_pull.cc
@@ -49,16 +49,18 @@
 auto TakeReply(controld& c, wire::tail_replyT reply, time_point sent) -> void {
   const record_run run{log_offset(reply.from), std::move(reply.records)};
   TakeRecords(c, run, log_offset(reply.next));
+  const auto held = DurationOf(reply.held_us);
   if (reply.proven) {
-    const freshness_proof proof{log_offset(reply.next),
-                                sent - DurationOf(reply.age_us)};
+    const freshness_proof proof{
+        log_offset(reply.next),
+        ReplyAsOf(sent, held, DurationOf(reply.age_us))};
     c.tracker.TakeProof(proof);
   }
   if (reply.down) {
     vouch fleet;
     fleet.known_offset = log_offset(reply.down->known_offset);
     fleet.covered = rank_set(reply.down->covered);
-    fleet.as_of = sent - DurationOf(reply.down->age_us);
+    fleet.as_of = ReplyAsOf(sent, held, DurationOf(reply.down->age_us));
     c.tracker.TakeFleetVouch(fleet);
   }
 }
--- a/src/controld_serve.cc
+++ b/src/controld_serve.cc
@@ -13,6 +13,13 @@
 constexpr std::uint32_t kMaxRecords = 1000;
 /** About the most bytes of records in one reply. */
 constexpr std::size_t kMaxBytes = 4UL << 20;
+/** Least time between two replies that bring a proof only. With 6 children, 2
+ * region heads and 2 daemons it keeps a host below 2 KB/s. */
+constexpr std::chrono::milliseconds kReplyPeriod{900};
+/** Longest time that a request is held; below the caller's timeout. */
+constexpr std::chrono::milliseconds kHoldLimit{1000};
+/** How often a held request is looked at. */
+constexpr std::chrono::milliseconds kHoldLook{25};
 
 /** A refusal of a call. */
 auto Refuse(error_code code, std::string why, const link_peer& peer)
@@ -68,9 +75,11 @@
   });
 }
 
-/** The reply to a request. */
-auto MakeReply(controld& c, const wire::tail_requestT& request)
-    -> wire::tail_replyT {
+/** The reply to a request that arrived at `arrived`. */
+auto MakeReply(controld& c,
+               const link_peer& peer,
+               const wire::tail_requestT& request,
+               time_point arrived) -> wire::tail_replyT {
   wire::tail_replyT reply;
   // The proof is read first: it holds for any later end, not for an earlier
   // one.
@@ -87,6 +96,8 @@
   }
   reply.start = c.process_start.value;
   reply.stamp_us = MicrosecondsOf(now.time_since_epoch());
+  reply.held_us = MicrosecondsOf(now - arrived);
+  c.given.Note(peer.Name(), {proof.as_of, now});
   return reply;
 }
 
@@ -109,26 +120,68 @@
   return {};
 }
 
+/** Whether the reply to `peer` would bring it something now: records, or a
+ * newer proof a while after the last one. */
+auto IsReplyDue(const controld& c,
+                const link_peer& peer,
+                log_offset from,
+                time_point now) -> bool {
+  if (c.state == serve_state::kStopped || NextOffset(c) > from) {
+    return true;
+  }
+  const auto last = c.given.Find(peer.Name());
+  return last.at == time_point::min() || (now - kReplyPeriod >= last.at &&
+                                          c.tracker.Proof().as_of > last.as_of);
+}
+
+/** Holds a request until its reply is due. A proof then passes down the tree as
+ * soon as it is there, with one message a second for each edge; with a fixed
+ * period each level would add that period to its age. */
+auto HoldReply(const controld& c,
+               const link_peer& peer,
+               log_offset from,
+               time_point arrived) -> asio::awaitable<void> {
+  const auto limit = arrived + kHoldLimit;
+  while (clock::now() < limit && !IsReplyDue(c, peer, from, clock::now())) {
+    co_await Sleep(kHoldLook);
+  }
+}
+
+/** Notes that a local daemon has applied the records before `from`, and may
+ * serve on them for the freshness limit from `now` on. */
+auto NoteLocalPull(controld& c,
+                   const link_peer& peer,
+                   log_offset from,
+                   time_point now) -> void {
+  if (peer.daemon != "controld") {
+    c.pulls.Note(peer, from, now);
+    c.tracker.TakeDaemonPull(peer.daemon, from, now);
+  }
+}
+
 /** Answers one tail request. */
-auto ServeTail(controld& c, const link_peer& peer, wire::tail_requestT& request)
-    -> outcome<wire_message> {
-  const auto now = clock::now();
+auto ServeTail(controld& c, link_peer peer, wire::tail_requestT request)
+    -> asio::awaitable<outcome<wire_message>> {
+  const auto arrived = clock::now();
   const log_offset from(request.from_offset);
   if (peer.daemon == "controld") {
-    c.pulls.Note(peer, from, now);
-    TakeVouch(c, peer, request, now);
+    c.pulls.Note(peer, from, arrived);
+    TakeVouch(c, peer, request, arrived);
   }
   auto allowed = MayAnswer(c, peer);
+  if (allowed) {
+    NoteLocalPull(c, peer, from, arrived);
+    co_await HoldReply(c, peer, from, arrived);
+    allowed = MayAnswer(c, peer);
+  }
   if (!allowed) {
     ++c.metrics.tails_refused;
-    return allowed.error();
-  }
-  if (peer.daemon != "controld") {
-    c.pulls.Note(peer, from, now);
-    c.tracker.TakeDaemonPull(peer.daemon, from, now);
+    co_return allowed.error();
   }
+  // Again, as the proof that the daemon gets counts from now.
+  NoteLocalPull(c, peer, from, clock::now());
   ++c.metrics.tails_served;
-  return MakeMessage(MakeReply(c, request));
+  co_return MakeMessage(MakeReply(c, peer, request, arrived));
 }
 
 }  // namespace
@@ -140,7 +193,7 @@
     co_return Refuse(error_code::kBadRequest, "controld takes tail requests",
                      peer);
   }
-  co_return ServeTail(c, peer, *request);
+  co_return co_await ServeTail(c, std::move(peer), std::move(*request));
 }
 
 }  // namespace dogwood
--- a/src/controld_setting.cc
+++ b/src/controld_setting.cc
@@ -52,7 +52,7 @@
                 "Oldest proof on which daemons serve; the same on all hosts."},
     setting_row{"pull_period_ms", kInteger, "ms", 20, 10000, "500",
                 "Time between pulls from the parent."},
-    setting_row{"pull_timeout_ms", kInteger, "ms", 20, 10000, "1000",
+    setting_row{"pull_timeout_ms", kInteger, "ms", 1200, 10000, "2000",
                 "Longest wait for the answer to a pull."},
     setting_row{"append_timeout_ms", kInteger, "ms", 50, 60000, "2000",
                 "Longest wait for the answer to one append."},
--- a/src/freshness_type.h
+++ b/src/freshness_type.h
@@ -12,7 +12,7 @@
 namespace dogwood {
 
 /** Children of one host within its region. */
-constexpr std::size_t kTreeFanOut = 8;
+constexpr std::size_t kTreeFanOut = 6;
 
 /** Lengthens a wait so that it outlasts, in real time, the same length measured
  * by any other host. Clock rates may be off by 5% either way, and 1.05 / 0.95
@@ -24,6 +24,15 @@
   return std::chrono::duration_cast<duration>(length * kDriftFactor);
 }
 
+/** When a proof or vouch of a reply was true, in the clock of the host that
+ * sent the request at `sent`: the replying host held it for `held` and its
+ * proof was `age` old when it replied. Both are lengths in the replying host's
+ * clock. */
+constexpr auto ReplyAsOf(time_point sent, duration held, duration age)
+    -> time_point {
+  return sent + std::chrono::duration_cast<duration>(held / kDriftFactor) - age;
+}
+
 /** No record at or beyond `next` was acknowledged before `as_of`. It holds for
  * every larger `next` too. */
 struct freshness_proof {
--- a/src/replica_client.cc
+++ b/src/replica_client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/core.h"
+#include "src/freshness.h"
 #include "src/link.h"
 #include "src/replica_base.h"
 
@@ -61,8 +62,9 @@
   pull_progress progress;
   progress.applied =
       replica.ApplyRecords(log_offset(reply.from), reply.records, now);
-  if (reply.proven && reply.age_us <= kMaxAgeUs) {
-    const auto as_of = sent - std::chrono::microseconds(reply.age_us);
+  if (reply.proven && reply.age_us <= kMaxAgeUs && reply.held_us <= kMaxAgeUs) {
+    const auto as_of = ReplyAsOf(sent, std::chrono::microseconds(reply.held_us),
+                                 std::chrono::microseconds(reply.age_us));
     replica.TakeProof(log_offset(reply.next), as_of);
   }
   progress.is_behind = NextOffsetOf(replica).value < reply.next;
--- a/tests/freshness_test.cc
+++ b/tests/freshness_test.cc
@@ -208,3 +208,14 @@
 Test(freshness, every_fleet_is_one_tree) {
   cr_assert(dogwood::test::EveryFleetIsATree());
 }
+
+// Guards against a proof that counts the time a reply was held in full: the
+// replying host's clock may be 5% fast and the asking host's 5% slow.
+Test(freshness, a_held_reply_is_not_dated_too_late) {
+  const auto sent = dogwood::time_point() + std::chrono::hours(1);
+  const auto real = std::chrono::milliseconds(1000);
+  const auto held = std::chrono::duration_cast<dogwood::duration>(real * 1.05);
+  const auto as_of = dogwood::ReplyAsOf(sent, held, {});
+  cr_assert(as_of <=
+            sent + std::chrono::duration_cast<dogwood::duration>(real * 0.95));
+}
--- a/tests/freshness_world.cc
+++ b/tests/freshness_world.cc
@@ -200,20 +200,38 @@
       return;
     }
     h.tracker->TakeDaemonPull("entryd", log_offset(from), Local(h));
-    const auto proof = h.tracker->Proof();
-    const auto next = h.applied;
-    const bool proven = h.tracker->IsFresh(Local(h));
-    const auto as_of = sent - (Local(h) - proof.as_of);
-    Deliver(h.region, &h, [&h, next, proven, as_of] {
-      h.daemon_applied = std::max(h.daemon_applied, next);
-      if (proven) {
-        h.daemon_as_of = std::max(h.daemon_as_of, as_of);
+    const auto start = h.start;
+    const auto arrived = Local(h);
+    At(now_ + Between(0, kHoldLimit), [this, &h, start, sent, from, arrived] {
+      if (h.start == start && h.paused_until <= now_) {
+        AnswerDaemon(h, sent, from, arrived);
       }
     });
   });
   At(now_ + kPullPeriod, [this, &h] { TickDaemon(h); });
 }
 
+auto freshness_world::AnswerDaemon(sim_host& h,
+                                   time_point sent,
+                                   std::uint64_t from,
+                                   time_point arrived) -> void {
+  if (!h.tracker->IsConfirmed()) {
+    return;
+  }
+  h.tracker->TakeDaemonPull("entryd", log_offset(from), Local(h));
+  const auto proof = h.tracker->Proof();
+  const auto next = h.applied;
+  const bool proven = h.tracker->IsFresh(Local(h));
+  const auto as_of =
+      ReplyAsOf(sent, Local(h) - arrived, Local(h) - proof.as_of);
+  Deliver(h.region, &h, [&h, next, proven, as_of] {
+    h.daemon_applied = std::max(h.daemon_applied, next);
+    if (proven) {
+      h.daemon_as_of = std::max(h.daemon_as_of, as_of);
+    }
+  });
+}
+
 auto freshness_world::Pull(sim_host& h) -> void {
   const auto members = MembersAt(h.applied);
   const auto position = TreePosition(members, NameOf(h.index), RegionOf(0));
@@ -252,16 +270,32 @@
       peer.tracker->TakeChildVouch(NameOf(h.index), up->known_offset,
                                    up->covered, age, echo, Local(peer));
     }
-    const auto reply = ServePull(peer);
-    if (!reply) {
-      return;
+    const auto peer_start = peer.start;
+    const auto arrived = Local(peer);
+    At(now_ + Between(0, kHoldLimit),
+       [this, &h, &peer, sent, start, peer_start, arrived] {
+         if (peer.start == peer_start && peer.paused_until <= now_) {
+           SendReply(h, peer, sent, start, arrived);
+         }
+       });
+  });
+}
+
+auto freshness_world::SendReply(sim_host& h,
+                                sim_host& peer,
+                                time_point sent,
+                                std::uint64_t start,
+                                time_point arrived) -> void {
+  auto reply = ServePull(peer);
+  if (!reply) {
+    return;
+  }
+  reply->held = Local(peer) - arrived;
+  const auto peer_index = peer.index;
+  Deliver(peer.region, &h, [this, &h, peer_index, sent, start, reply] {
+    if (h.start == start) {
+      TakeReply(h, peer_index, *reply, sent);
     }
-    const auto peer_index = peer.index;
-    Deliver(peer.region, &h, [this, &h, peer_index, sent, start, reply] {
-      if (h.start == start) {
-        TakeReply(h, peer_index, *reply, sent);
-      }
-    });
   });
 }
 
@@ -295,11 +329,12 @@
   const bool is_cut = reply.next > h.applied && Chance(0.2);
   Apply(h, h.applied, is_cut ? (h.applied + reply.next) / 2 : reply.next);
   if (reply.age) {
-    h.tracker->TakeProof({log_offset(reply.next), sent - *reply.age});
+    h.tracker->TakeProof(
+        {log_offset(reply.next), ReplyAsOf(sent, reply.held, *reply.age)});
   }
   if (reply.down) {
     auto fleet = *reply.down;
-    fleet.as_of = sent - reply.down_age;
+    fleet.as_of = ReplyAsOf(sent, reply.held, reply.down_age);
     h.tracker->TakeFleetVouch(fleet);
   }
 }
--- a/tests/freshness_world.h
+++ b/tests/freshness_world.h
@@ -23,6 +23,8 @@
 constexpr std::chrono::seconds kLimit{5};
 constexpr real_us kSecond = 1'000'000;
 constexpr real_us kPullPeriod = kSecond / 2;
+/** Longest time that a request is held before its reply. */
+constexpr real_us kHoldLimit = kSecond;
 
 /** How rough a world is. */
 struct world_faults {
@@ -122,6 +124,7 @@
     std::optional<duration> age;  ///< Of the proof, if proven.
     std::optional<vouch> down;    ///< as_of unused, see `down_age`.
     duration down_age{};          ///< Age of `down`.
+    duration held{};              ///< From arrival of the request to this.
     reply_echo stamp;             ///< To be echoed.
   };
 
@@ -147,6 +150,15 @@
   auto TickDaemon(sim_host& h) -> void;
   auto Pull(sim_host& h) -> void;
   auto SendPull(sim_host& h, sim_host& peer) -> void;
+  auto SendReply(sim_host& h,
+                 sim_host& peer,
+                 time_point sent,
+                 std::uint64_t start,
+                 time_point arrived) -> void;
+  auto AnswerDaemon(sim_host& h,
+                    time_point sent,
+                    std::uint64_t from,
+                    time_point arrived) -> void;
   auto ServePull(sim_host& h) -> std::optional<tail_reply>;
   auto TakeReply(sim_host& h,
                  std::size_t peer,
