--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -1,10 +1,11 @@
 dogwood_library(core SOURCES error_func.cc log_func.cc text_func.cc
                 LIBS Boost::json easylogging OpenSSL::Crypto Threads::Threads)
 dogwood_library(setting SOURCES setting_func.cc LIBS dogwood_core)
+dogwood_library(net SOURCES net_func.cc LIBS dogwood_core)
 dogwood_library(wire SOURCES link_codec.cc link_server.cc link_client.cc
-                LIBS dogwood_core PkgConfig::FLATBUFFERS)
+                LIBS dogwood_net PkgConfig::FLATBUFFERS)
 dogwood_library(http SOURCES http_type.cc http_server.cc http_client.cc
-                LIBS dogwood_core Boost::url)
+                LIBS dogwood_net Boost::url)
 dogwood_library(config SOURCES config_cmd.cc config_codec.cc config_func.cc
                                config_query.cc ownership_func.cc
                 LIBS dogwood_core)
--- a/src/batchd_base.cc
+++ b/src/batchd_base.cc
@@ -117,11 +117,6 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(since).count()));
 }
 
-auto Sleep(duration time) -> asio::awaitable<void> {
-  asio::steady_timer timer(co_await asio::this_coro::executor, time);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 auto NotRun(error_code code, std::string message, std::string step) -> failure {
   return {.code = code,
           .message = std::move(message),
--- a/src/batchd_base.h
+++ b/src/batchd_base.h
@@ -15,6 +15,7 @@
 #include "src/batchd_setting.h"
 #include "src/batchd_table.h"
 #include "src/link.h"
+#include "src/net.h"
 #include "src/platform.h"
 #include "src/replica_base.h"
 
@@ -97,9 +98,6 @@
 /** Now, as records carry it. */
 auto UnixNow() -> unix_ms;
 
-/** Waits on the coroutine's strand. */
-auto Sleep(duration time) -> boost::asio::awaitable<void>;
-
 /** A failure with ran=no. */
 auto NotRun(error_code code, std::string message, std::string step) -> failure;
 
--- a/src/batchd_main.cc
+++ b/src/batchd_main.cc
@@ -11,8 +11,6 @@
 #include <exception>
 #include <iostream>
 #include <memory>
-#include <thread>
-#include <vector>
 
 #include "src/batchd_base.h"
 #include "src/batchd_dispatch.h"
@@ -97,16 +95,6 @@
   d.io.stop();
 }
 
-/** Binds one server; false with a log line if that fails. */
-auto Listen(auto& server, const asio::ip::tcp::endpoint& endpoint) -> bool {
-  auto bound = server.Listen(endpoint);
-  if (!bound) {
-    Log(log_level::kError, log_category::kCore,
-        {bound.error().message, bound.error().step, bound.error().peer});
-  }
-  return bound.has_value();
-}
-
 /** Runs the daemon until it is stopped. */
 auto RunDaemon(const batchd_settings& settings) -> int {
   asio::io_context io(static_cast<int>(settings.worker_threads));
@@ -127,20 +115,13 @@
         io, http_limits{},
         [&d](http_exchange& exchange) { return ServeHealth(d, exchange); });
   }
-  if (!Listen(links, settings.batch_link) ||
-      (health && !Listen(*health, *settings.http))) {
+  if (!IsListening(links.Listen(settings.batch_link)) ||
+      (health && !IsListening(health->Listen(*settings.http)))) {
     return 1;
   }
   StartAll(d);
   Start(d, WaitForStop(d));
-  std::vector<std::thread> workers;
-  for (unsigned i = 1; i < settings.worker_threads; ++i) {
-    workers.emplace_back([&io] { io.run(); });
-  }
-  io.run();
-  for (auto& worker : workers) {
-    worker.join();
-  }
+  RunWorkers(io, settings.worker_threads);
   return 0;
 }
 
--- a/src/controld_base.cc
+++ b/src/controld_base.cc
@@ -249,9 +249,4 @@
   Log(level, category, {error.message, error.step, error.peer});
 }
 
-auto Sleep(duration length) -> asio::awaitable<void> {
-  asio::steady_timer timer(co_await asio::this_coro::executor, length);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 }  // namespace dogwood
--- a/src/controld_base.h
+++ b/src/controld_base.h
@@ -20,6 +20,7 @@
 #include "src/core.h"
 #include "src/freshness.h"
 #include "src/link.h"
+#include "src/net.h"
 #include "src/platform.h"
 #include "src/replica_base.h"
 
@@ -162,9 +163,6 @@
 auto LogFailure(log_level level, log_category category, const failure& error)
     -> void;
 
-/** Waits for `length`. */
-auto Sleep(duration length) -> boost::asio::awaitable<void>;
-
 }  // namespace dogwood
 
 #endif  // SRC_CONTROLD_BASE_H_
--- a/src/controld_main.cc
+++ b/src/controld_main.cc
@@ -10,8 +10,6 @@
 #include <csignal>
 #include <exception>
 #include <iostream>
-#include <thread>
-#include <vector>
 
 #include "src/controld_base.h"
 #include "src/controld_http.h"
@@ -73,15 +71,6 @@
   c.io.stop();
 }
 
-/** Binds one server; false with a log line if that fails. */
-auto Listen(auto& server, const asio::ip::tcp::endpoint& endpoint) -> bool {
-  auto bound = server.Listen(endpoint);
-  if (!bound) {
-    LogFailure(log_level::kError, log_category::kCore, bound.error());
-  }
-  return bound.has_value();
-}
-
 /** Runs the daemon until it is stopped. */
 auto RunDaemon(const controld_settings& settings) -> int {
   asio::io_context io(static_cast<int>(settings.worker_threads));
@@ -96,20 +85,13 @@
   http_server operators(io, http_limits{}, [&c](http_exchange& exchange) {
     return ServeOperator(c, exchange);
   });
-  if (!Listen(links, settings.control_link) ||
-      !Listen(operators, settings.operators)) {
+  if (!IsListening(links.Listen(settings.control_link)) ||
+      !IsListening(operators.Listen(settings.operators))) {
     return 1;
   }
   Start(c, Run(c));
   Start(c, WaitForStop(c));
-  std::vector<std::thread> workers;
-  for (unsigned i = 1; i < settings.worker_threads; ++i) {
-    workers.emplace_back([&io] { io.run(); });
-  }
-  io.run();
-  for (auto& worker : workers) {
-    worker.join();
-  }
+  RunWorkers(io, settings.worker_threads);
   return 0;
 }
 
--- a/src/entryd_fleet.cc
+++ b/src/entryd_fleet.cc
@@ -28,12 +28,6 @@
 /** Longest answer to GET /load. */
 constexpr std::size_t kMaxLoadBytes = 64UL << 10;
 
-/** Waits on the coroutine's executor. */
-auto Sleep(duration period) -> asio::awaitable<void> {
-  asio::steady_timer timer(co_await asio::this_coro::executor, period);
-  co_await timer.async_wait(kAwait);
-}
-
 /** The backend servers of a host list. */
 auto BackendServers(const std::vector<listed_host>& hosts)
     -> std::vector<backend_server> {
--- a/src/entryd_main.cc
+++ b/src/entryd_main.cc
@@ -3,13 +3,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <thread>
-#include <vector>
 
 #include "src/entryd_base.h"
 #include "src/entryd_fleet.h"
@@ -44,12 +41,6 @@
   co_return MakeMessage(state.grants->Answer(*request));
 }
 
-/** Waits for `period` on the coroutine's executor. */
-auto Sleep(duration period) -> asio::awaitable<void> {
-  asio::steady_timer timer(co_await asio::this_coro::executor, period);
-  co_await timer.async_wait(kAwait);
-}
-
 /** Waits until no request is active, at most until `deadline`. */
 auto FinishRequests(const http_server& server, time_point deadline)
     -> asio::awaitable<void> {
@@ -111,26 +102,16 @@
   http_server server(io, state.options.limits, [&state](http_exchange& e) {
     return HandleCaller(state, e);
   });
-  for (const auto& listening : {links.Listen(state.options.link_endpoint),
-                                server.Listen(state.options.entry_endpoint)}) {
-    if (!listening) {
-      const auto& error = listening.error();
-      Log(log_level::kError, log_category::kCore,
-          {error.message, error.step, error.peer});
-      return 1;
-    }
+  if (!IsListening(links.Listen(state.options.link_endpoint)) ||
+      !IsListening(server.Listen(state.options.entry_endpoint))) {
+    return 1;
   }
   StartLoops(state, controld);
   asio::co_spawn(asio::make_strand(io), StopOnSignal(state, server),
                  asio::detached);
   Log(log_level::kInfo, log_category::kCore,
       {"serving callers", "start", state.options.entry_address});
-  std::vector<std::jthread> threads;
-  for (unsigned i = 1; i < state.options.worker_threads; ++i) {
-    threads.emplace_back([&io] { io.run(); });
-  }
-  io.run();
-  threads.clear();
+  RunWorkers(io, static_cast<unsigned>(state.options.worker_threads));
   // Coroutines that still wait refer to `state`. Ending here spares them from
   // being destroyed after it.
   std::cout.flush();
--- a/src/http.h
+++ b/src/http.h
@@ -7,5 +7,6 @@
 #include "src/http_client.h"
 #include "src/http_server.h"
 #include "src/http_type.h"
+#include "src/net.h"
 
 #endif  // SRC_HTTP_H_
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -13,7 +13,7 @@
 #include <utility>
 
 #include "src/core.h"
-#include "src/http_server.h"
+#include "src/net.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -12,10 +12,10 @@
 #include <boost/beast/http.hpp>
 #include <boost/json/serialize.hpp>
 #include <cerrno>
-#include <charconv>
 #include <utility>
 
 #include "src/core.h"
+#include "src/net.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
@@ -35,6 +35,9 @@
 
 namespace {
 
+/** After a failed accept, so that a lack of file descriptors does not become a
+ * busy loop. */
+constexpr std::chrono::milliseconds kAcceptPause{50};
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
 /** A failure of the caller's connection. */
@@ -273,9 +276,11 @@
   while (state->acceptor.is_open()) {
     auto strand = asio::make_strand(state->io);
     auto [ec, socket] = co_await state->acceptor.async_accept(strand, kAwait);
-    if (!ec) {
-      asio::co_spawn(strand, Serve(state, std::move(socket)), asio::detached);
+    if (ec) {
+      co_await Sleep(kAcceptPause);
+      continue;
     }
+    asio::co_spawn(strand, Serve(state, std::move(socket)), asio::detached);
   }
 }
 
@@ -301,26 +306,12 @@
 http_server::~http_server() = default;
 
 auto http_server::Listen(const tcp::endpoint& endpoint) -> outcome<void> {
-  boost::system::error_code ec;
-  auto& acceptor = state_->acceptor;
-  acceptor.open(endpoint.protocol(), ec);
-  if (!ec) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  }
-  if (!ec) {
-    acceptor.bind(endpoint, ec);
-  }
-  if (!ec) {
-    acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  auto opened = OpenAcceptor(state_->acceptor, endpoint, "listen for HTTP");
+  if (opened) {
+    asio::co_spawn(state_->acceptor.get_executor(), AcceptLoop(state_),
+                   asio::detached);
   }
-  if (ec) {
-    return failure{.code = error_code::kUnavailable,
-                   .message = ec.message(),
-                   .step = "listen for HTTP",
-                   .peer = FormatEndpoint(endpoint)};
-  }
-  asio::co_spawn(acceptor.get_executor(), AcceptLoop(state_), asio::detached);
-  return {};
+  return opened;
 }
 
 auto http_server::BeginDrain() -> void {
@@ -338,30 +329,4 @@
   return state_->active;
 }
 
-auto ParseEndpoint(std::string_view text) -> outcome<tcp::endpoint> {
-  const failure bad{.code = error_code::kBadRequest,
-                    .message = "\"" + std::string(text) +
-                               "\" is not an address of the form ip:port",
-                    .step = "parse address",
-                    .peer = ""};
-  const auto colon = text.rfind(':');
-  if (colon == std::string_view::npos) {
-    return bad;
-  }
-  boost::system::error_code ec;
-  const auto address =
-      asio::ip::make_address(std::string(text.substr(0, colon)), ec);
-  std::uint16_t port = 0;
-  const auto* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  if (ec || parsed.ec != std::errc() || parsed.ptr != end) {
-    return bad;
-  }
-  return tcp::endpoint(address, port);
-}
-
-auto FormatEndpoint(const tcp::endpoint& endpoint) -> std::string {
-  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 }  // namespace dogwood
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -72,14 +72,6 @@
   std::shared_ptr<state> state_;
 };
 
-/** Endpoint of "ip:port". Fails with kBadRequest. */
-auto ParseEndpoint(std::string_view text)
-    -> outcome<boost::asio::ip::tcp::endpoint>;
-
-/** "ip:port" of an endpoint. */
-auto FormatEndpoint(const boost::asio::ip::tcp::endpoint& endpoint)
-    -> std::string;
-
 }  // namespace dogwood
 
 #endif  // SRC_HTTP_SERVER_H_
--- a/src/link_server.cc
+++ b/src/link_server.cc
@@ -10,6 +10,7 @@
 
 #include "src/core.h"
 #include "src/link_codec.h"
+#include "src/net.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
@@ -19,6 +20,9 @@
 
 /** A connection that has not authenticated by then is closed. */
 constexpr std::chrono::seconds kHandshakeLimit{5};
+/** After a failed accept, so that a lack of file descriptors does not become a
+ * busy loop. */
+constexpr std::chrono::milliseconds kAcceptPause{50};
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
 }  // namespace
@@ -95,6 +99,7 @@
     auto strand = asio::make_strand(state->io);
     auto [ec, socket] = co_await state->acceptor.async_accept(strand, kAwait);
     if (ec) {
+      co_await Sleep(kAcceptPause);
       continue;
     }
     auto channel = std::make_shared<link_channel>(std::move(socket));
@@ -121,27 +126,12 @@
 link_server::~link_server() = default;
 
 auto link_server::Listen(const tcp::endpoint& endpoint) -> outcome<void> {
-  boost::system::error_code ec;
-  auto& acceptor = state_->acceptor;
-  acceptor.open(endpoint.protocol(), ec);
-  if (!ec) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  auto opened = OpenAcceptor(state_->acceptor, endpoint, "listen for links");
+  if (opened) {
+    asio::co_spawn(state_->acceptor.get_executor(), AcceptLoop(state_),
+                   asio::detached);
   }
-  if (!ec) {
-    acceptor.bind(endpoint, ec);
-  }
-  if (!ec) {
-    acceptor.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return failure{.code = error_code::kUnavailable,
-                   .message = ec.message(),
-                   .step = "listen for links",
-                   .peer = endpoint.address().to_string() + ":" +
-                           std::to_string(endpoint.port())};
-  }
-  asio::co_spawn(acceptor.get_executor(), AcceptLoop(state_), asio::detached);
-  return {};
+  return opened;
 }
 
 }  // namespace dogwood
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -6,7 +6,7 @@
 
 #include "src/error_func.h"
 #include "src/http_client.h"
-#include "src/http_server.h"
+#include "src/net.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -4,9 +4,11 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -151,6 +153,39 @@
   return true;
 }
 
+/** Notes that a call has arrived and never answers it. */
+auto AnswerNever(std::promise<void>& arrived)
+    -> asio::awaitable<outcome<wire_message>> {
+  arrived.set_value();
+  asio::steady_timer never(co_await asio::this_coro::executor,
+                           time_point::max());
+  co_await never.async_wait(asio::use_awaitable);
+  co_return failure{};
+}
+
+/** The failure of a call whose server ends while it runs. */
+auto CallEndingPeer(unsigned short port) -> failure {
+  loop client_loop;
+  link_client calling(client_loop.io, Identity("client", "s"), Endpoint(port));
+  std::promise<void> arrived;
+  std::future<outcome<wire_message>> answer;
+  {
+    loop l;
+    link_server listening(
+        l.io, Identity("server", "s"),
+        [&arrived](link_peer, wire_message) { return AnswerNever(arrived); });
+    if (!listening.Listen(Endpoint(port))) {
+      return {};
+    }
+    answer = asio::co_spawn(asio::make_strand(client_loop.io),
+                            calling.Call(Request(5), clock::now() + kPatience),
+                            asio::use_future);
+    arrived.get_future().wait();
+  }
+  auto ended = answer.get();
+  return ended ? failure{} : ended.error();
+}
+
 }  // namespace
 }  // namespace dogwood::test
 
@@ -192,3 +227,11 @@
 Test(link, client_connects_again_after_a_restart) {
   cr_assert(dogwood::test::SurvivesRestart(22907));
 }
+
+// Guards against "not run" for a call that the peer has read: batch records and
+// items would be sent a second time.
+Test(link, a_call_that_breaks_after_it_was_sent_may_have_run) {
+  const auto error = dogwood::test::CallEndingPeer(22908);
+  cr_assert_eq(error.code, dogwood::error_code::kUnavailable);
+  cr_assert(error.ran == dogwood::ran_state::kMaybe);
+}
