--- a/scripts/dogwood_cluster.py
+++ b/scripts/dogwood_cluster.py
@@ -565,6 +565,7 @@
         }
         report["hosts"] = [
             {
+                "name": h["id"],
                 **{n: h[n] for n in h if n != "processes"},
                 "processes": {d: r["pid"] for d, r in h["processes"].items()},
                 "running": {d: Process(r).is_alive() for d, r in h["processes"].items()},
