Keep links by address in one class

controld, entryd and batchd each had their own class that makes a link when it is first needed and keeps it by address; two of them had the same name. Library wire now has link_table, and controld's ending of unused links stays, over the addresses of the members.

All 20 unit and property tests, quickstart, formatter and linter pass, and the failure tests kill_batchd, kill_entryd and resent_job; the other failure tests were not run again after this change.

--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -3,6 +3,7 @@
 dogwood_library(setting SOURCES setting_func.cc LIBS dogwood_core)
 dogwood_library(net SOURCES net_func.cc LIBS dogwood_core)
 dogwood_library(wire SOURCES link_codec.cc link_server.cc link_client.cc
+                        link_table.cc
                 LIBS dogwood_net PkgConfig::FLATBUFFERS)
 dogwood_library(http SOURCES http_type.cc http_server.cc http_client.cc
                 LIBS dogwood_net Boost::url)
--- a/src/batchd_base.h
+++ b/src/batchd_base.h
@@ -70,7 +70,7 @@
   config_replica replica;       ///< Configuration with its proof.
   link_client controld;         ///< The host's controld.
   platform_client platform;     ///< Log and host list.
-  peer_table peers;             ///< Other hosts' batchd.
+  link_table peers;             ///< Other hosts' batchd.
   server_table servers;         ///< Host list.
   window_table windows;         ///< Items at each server.
   flight_table flights;         ///< Where items were sent.
--- a/src/batchd_table.cc
+++ b/src/batchd_table.cc
@@ -134,20 +134,6 @@
   return found == flights_.end() ? std::nullopt : std::optional(found->second);
 }
 
-auto peer_table::Get(const std::string& address)
-    -> std::shared_ptr<link_client> {
-  const std::lock_guard lock(mutex_);
-  auto& link = links_[address];
-  if (!link) {
-    const auto endpoint = ParseEndpoint(address);
-    if (!endpoint) {
-      return nullptr;
-    }
-    link = std::make_shared<link_client>(io_, self_, endpoint.value());
-  }
-  return link;
-}
-
 auto wake_signal::Notify() const -> void {
   boost::asio::post(timer_->get_executor(),
                     [timer = timer_] { timer->cancel(); });
--- a/src/batchd_table.h
+++ b/src/batchd_table.h
@@ -108,21 +108,6 @@
   std::map<std::pair<partition_id, item_ref>, flight> flights_;
 };
 
-/** Links to other hosts' batchd by address. Thread-safe. */
-class peer_table {
- public:
-  peer_table(boost::asio::io_context& io, link_identity self)
-      : io_(io), self_(std::move(self)) {}
-  /** The link to "ip:port"; nullptr if that is no address. */
-  auto Get(const std::string& address) -> std::shared_ptr<link_client>;
-
- private:
-  boost::asio::io_context& io_;
-  link_identity self_;
-  std::mutex mutex_;
-  std::map<std::string, std::shared_ptr<link_client>> links_;
-};
-
 /** Something that several coroutines wait for. Guarded by its table's mutex
  * but for the timer, which is cancelled on its own executor. */
 class wake_signal {
--- a/src/controld_base.cc
+++ b/src/controld_base.cc
@@ -143,31 +143,6 @@
   return last ? last->arrived : time_point::min();
 }
 
-auto peer_table::Client(const std::string& address)
-    -> std::shared_ptr<link_client> {
-  auto endpoint = ParseEndpoint(address);
-  if (!endpoint) {
-    return nullptr;
-  }
-  const std::lock_guard lock(mutex_);
-  auto& client = clients_[address];
-  if (!client) {
-    client = std::make_shared<link_client>(io_, self_, endpoint.value());
-  }
-  return client;
-}
-
-auto peer_table::Keep(const std::vector<member>& used) -> void {
-  std::set<std::string> addresses;
-  for (const auto& m : used) {
-    addresses.insert(m.control_link);
-  }
-  const std::lock_guard lock(mutex_);
-  std::erase_if(clients_, [&addresses](const auto& entry) {
-    return !addresses.contains(entry.first);
-  });
-}
-
 controld::controld(asio::io_context& io_context, controld_settings given)
     : io(io_context),
       settings(std::move(given)),
--- a/src/controld_base.h
+++ b/src/controld_base.h
@@ -88,23 +88,6 @@
   std::map<std::string, given_proof> given_;
 };
 
-/** Clients for the control links of other hosts. Thread-safe. */
-class peer_table {
- public:
-  peer_table(boost::asio::io_context& io, link_identity self)
-      : io_(io), self_(std::move(self)) {}
-  /** The client for "ip:port"; nullptr if that is no address. */
-  auto Client(const std::string& address) -> std::shared_ptr<link_client>;
-  /** Ends the clients of addresses that are not in `used`. */
-  auto Keep(const std::vector<member>& used) -> void;
-
- private:
-  std::mutex mutex_;
-  boost::asio::io_context& io_;
-  link_identity self_;
-  std::map<std::string, std::shared_ptr<link_client>> clients_;
-};
-
 /** What controld is doing with its membership. */
 enum class serve_state {
   kServing,   ///< Joined or joining.
@@ -124,7 +107,7 @@
   freshness_tracker tracker;         ///< Proofs and vouches.
   record_store store;                ///< Records for other daemons.
   pull_table pulls;                  ///< Who pulls here.
-  peer_table peers;                  ///< Links to other hosts.
+  link_table peers;                  ///< Links to other hosts.
   given_table given;                 ///< Proofs given to peers.
   reply_table replies;               ///< Last replies of other hosts.
   seen_table seen;                   ///< Own records that are waited for.
--- a/src/controld_pull.cc
+++ b/src/controld_pull.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "src/core.h"
@@ -84,6 +85,15 @@
   return found == members.end() ? nullptr : &*found;
 }
 
+/** Addresses of the members' control links. */
+auto ControlLinks(const std::vector<member>& members) -> std::set<std::string> {
+  std::set<std::string> addresses;
+  for (const auto& m : members) {
+    addresses.insert(m.control_link);
+  }
+  return addresses;
+}
+
 /** Follows the stream; keeps whom not to ask for a while. */
 class follower {
  public:
@@ -95,7 +105,7 @@
     const auto members = MembersOf(c_);
     const auto position =
         TreePosition(members, c_.settings.self.host, c_.settings.log_region);
-    c_.peers.Keep(members);
+    c_.peers.Keep(ControlLinks(members));
     const bool answered = co_await PullFromAncestors(members, position);
     const bool asks_log = !answered || HasOldProof();
     bool log_answered = false;
@@ -255,7 +265,7 @@
              std::optional<vouch> up,
              time_point deadline)
     -> asio::awaitable<outcome<wire::tail_replyT>> {
-  auto client = c.peers.Client(peer.control_link);
+  auto client = c.peers.Get(peer.control_link);
   if (!client) {
     failure bad{.code = error_code::kBadRequest,
                 .message = "the join record has no valid control_link",
--- a/src/entryd_base.cc
+++ b/src/entryd_base.cc
@@ -20,20 +20,6 @@
 
 }  // namespace
 
-auto link_registry::Get(const std::string& address)
-    -> std::shared_ptr<link_client> {
-  const auto endpoint = ParseEndpoint(address);
-  if (!endpoint) {
-    return nullptr;
-  }
-  const std::lock_guard lock(mutex_);
-  auto& link = links_[address];
-  if (!link) {
-    link = std::make_shared<link_client>(io_, self_, endpoint.value());
-  }
-  return link;
-}
-
 entry_state::entry_state(boost::asio::io_context& context,
                          entry_options settings)
     : io(context),
--- a/src/entryd_base.h
+++ b/src/entryd_base.h
@@ -24,22 +24,6 @@
 class grant_exchange;
 class online_reporter;
 
-/** Links to other daemons by address, made when first needed. Thread-safe. */
-class link_registry {
- public:
-  link_registry(boost::asio::io_context& io, link_identity self)
-      : io_(io), self_(std::move(self)) {}
-
-  /** The link to "ip:port", nullptr if that is not an address. */
-  auto Get(const std::string& address) -> std::shared_ptr<link_client>;
-
- private:
-  boost::asio::io_context& io_;
-  link_identity self_;
-  std::mutex mutex_;
-  std::map<std::string, std::shared_ptr<link_client>> links_;
-};
-
 /** Everything that handlers and loops share. Members are thread-safe. */
 struct entry_state {
   entry_state(boost::asio::io_context& context, entry_options settings);
@@ -54,7 +38,7 @@
   retry_budget retries;                      ///< Budget of retries.
   entry_metrics metrics;                     ///< Counters.
   backend_pool pool;                         ///< Idle connections.
-  link_registry links;                       ///< Links to other daemons.
+  link_table links;                          ///< Links to other daemons.
   std::unique_ptr<grant_exchange> grants;    ///< Asks and answers.
   std::unique_ptr<online_reporter> reports;  ///< Reports to admitters.
   std::atomic<bool> draining{false};         ///< A planned stop has begun.
--- a/src/link.h
+++ b/src/link.h
@@ -6,6 +6,7 @@
 #include "generated/wire_generated.h"
 #include "src/link_client.h"
 #include "src/link_server.h"
+#include "src/link_table.h"
 #include "src/link_type.h"
 
 #endif  // SRC_LINK_H_
