--- a/cmake/control.cmake
+++ b/cmake/control.cmake
@@ -12,7 +12,9 @@
 dogwood_binary(dogwood_controld SOURCES src/controld_main.cc
                LIBS dogwood_control)
 dogwood_test(freshness dogwood_freshness)
-target_sources(freshness_test PRIVATE tests/freshness_world.cc)
+if(TARGET freshness_test)
+  target_sources(freshness_test PRIVATE tests/freshness_world.cc)
+endif()
 dogwood_test(link dogwood_wire)
 dogwood_library(order SOURCES order_base.cc LIBS Threads::Threads)
 dogwood_test(order dogwood_order)
--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -1,6 +1,6 @@
 # Targets of this area.
 dogwood_library(route SOURCES route_cmd.cc route_query.cc LIBS dogwood_core)
-dogwood_library(proxy SOURCES proxy_func.cc sse_base.cc
+dogwood_library(proxy SOURCES proxy_func.cc sse_base.cc sse_func.cc
                 LIBS dogwood_core dogwood_http Boost::url)
 dogwood_library(entry SOURCES entryd_setting.cc entryd_metric.cc entryd_base.cc
   entryd_backend.cc entryd_limit.cc entryd_fleet.cc entryd_identity.cc
--- /dev/null
+++ b/cmake/host.cmake
@@ -0,0 +1,20 @@
+# The process of the users' platform and the libraries that only it uses.
+dogwood_library(deployment SOURCES deployment_query.cc LIBS dogwood_core)
+dogwood_library(dispatch SOURCES dispatch_cmd.cc dispatch_local.cc
+                LIBS dogwood_core)
+dogwood_library(batch SOURCES batch_fold.cc batch_queue.cc batch_record.cc
+                LIBS dogwood_job)
+dogwood_library(fleet SOURCES fleet_func.cc LIBS dogwood_batch)
+add_library(dogwood_platform_adapter STATIC
+            platform/batch_codec.cc platform/request_codec.cc
+            platform/state_codec.cc platform/store_client.cc)
+target_link_libraries(dogwood_platform_adapter PUBLIC dogwood_proxy dogwood_http
+                                                      OpenSSL::Crypto)
+dogwood_library(hostd_lib
+                SOURCES hostd_base.cc hostd_batch.cc hostd_caller.cc
+                        hostd_front.cc hostd_placement.cc hostd_relay.cc
+                        hostd_setting.cc hostd_watch.cc
+                LIBS dogwood_platform_adapter dogwood_deployment
+                     dogwood_dispatch dogwood_fleet dogwood_entry dogwood_wire
+                     dogwood_setting)
+dogwood_binary(dogwood_hostd SOURCES src/hostd_main.cc LIBS dogwood_hostd_lib)
--- /dev/null
+++ b/src/batch_fold.cc
@@ -0,0 +1,118 @@
+#include "src/batch_fold.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwood {
+
+auto batch_job::FindItem(const batch_item_id& item) const
+    -> const batch_item* {
+  const auto found = index.find(item);
+  return found == index.end() ? nullptr : &submission.items[found->second];
+}
+
+auto batch_partition::Reset(log_offset first) -> void {
+  next_ = first;
+  jobs_.clear();
+  parts_.clear();
+}
+
+auto batch_partition::Apply(std::string_view record) -> batch_change {
+  ++next_.value;
+  auto parsed = ParseBatchRecord(record);
+  if (!parsed) {
+    return {};
+  }
+  if (auto* part = std::get_if<submission_part>(&*parsed)) {
+    return TakePart(std::move(*part));
+  }
+  if (auto* result = std::get_if<result_record>(&*parsed)) {
+    return TakeResult(std::move(*result));
+  }
+  return TakeEnd(std::get<end_record>(*parsed));
+}
+
+auto batch_partition::TakePart(submission_part part) -> batch_change {
+  auto& parts = parts_[part.job];
+  if (part.part != parts.size()) {
+    // A damaged submission: its parts are appended together and in order.
+    parts_.erase(part.job);
+    return {};
+  }
+  parts.push_back(std::move(part.bytes));
+  if (parts.size() < part.parts) {
+    return {};
+  }
+  std::string bytes;
+  for (const auto& piece : parts) {
+    bytes += piece;
+  }
+  parts_.erase(part.job);
+  auto submission = DecodeSubmission(bytes);
+  if (!submission || jobs_.contains(part.job)) {
+    return {};
+  }
+  auto& job = jobs_[part.job];
+  job.submission = std::move(submission.value());
+  for (std::size_t i = 0; i < job.submission.items.size(); ++i) {
+    job.index.emplace(job.submission.items[i].id, i);
+  }
+  return {.opened = part.job, .ended = {}, .listed = {}};
+}
+
+auto batch_partition::TakeResult(result_record record) -> batch_change {
+  const auto found = jobs_.find(record.job);
+  if (found == jobs_.end()) {
+    return {};
+  }
+  auto& job = found->second;
+  const auto item = record.result.item;
+  if (!job.index.contains(item) || !job.listed.insert(item).second) {
+    return {};
+  }
+  job.results.push_back(std::move(record.result));
+  return {.opened = {}, .ended = {}, .listed = std::pair(record.job, item)};
+}
+
+auto batch_partition::TakeEnd(const end_record& record) -> batch_change {
+  const auto found = jobs_.find(record.job);
+  if (found == jobs_.end() || found->second.ended) {
+    return {};
+  }
+  found->second.ended = true;
+  return {.opened = {}, .ended = record.job, .listed = {}};
+}
+
+auto batch_partition::Forget(unix_ms before) -> void {
+  std::erase_if(jobs_, [before](const auto& entry) {
+    return entry.second.IsClosed() &&
+           entry.second.submission.submitted < before;
+  });
+}
+
+auto batch_partition::Find(const batch_id& job) const -> const batch_job* {
+  const auto found = jobs_.find(job);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+auto batch_partition::Results(const batch_job& job,
+                              std::size_t first,
+                              std::size_t bytes)
+    -> std::span<const batch_result> {
+  const std::span<const batch_result> all(job.results);
+  if (first >= all.size()) {
+    return {};
+  }
+  std::size_t count = 0;
+  std::size_t size = 0;
+  for (const auto& result : all.subspan(first)) {
+    size += result.output.size();
+    if (count > 0 && size > bytes) {
+      break;
+    }
+    ++count;
+  }
+  return all.subspan(first, count);
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/batch_queue.cc
@@ -0,0 +1,82 @@
+#include "src/batch_queue.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace dogwood {
+auto batch_queue::Add(const batch_item_ref& ref, queued_item item) -> void {
+  items_.emplace(ref, std::move(item));
+}
+
+auto batch_queue::Remove(const batch_item_ref& ref) -> bool {
+  return items_.erase(ref) > 0;
+}
+
+auto batch_queue::RemovePartition(partition_id partition) -> void {
+  std::erase_if(items_, [partition](const auto& entry) {
+    return entry.first.partition == partition;
+  });
+}
+
+auto batch_queue::Take(time_point now, duration run_time)
+    -> std::optional<batch_item_ref> {
+  auto best = items_.end();
+  std::tuple<bool, time_point> best_rank;
+  for (auto it = items_.begin(); it != items_.end(); ++it) {
+    const auto& item = it->second;
+    if (item.running || now < item.not_before) {
+      continue;
+    }
+    const std::tuple rank(now + run_time > item.due, item.due);
+    if (best == items_.end() || rank < best_rank) {
+      best = it;
+      best_rank = rank;
+    }
+  }
+  if (best == items_.end()) {
+    return std::nullopt;
+  }
+  best->second.running = true;
+  return best->first;
+}
+
+auto batch_queue::Return(const batch_item_ref& ref, time_point not_before)
+    -> void {
+  if (auto* item = Find(ref)) {
+    item->running = false;
+    item->not_before = not_before;
+  }
+}
+
+auto batch_queue::CountFailure(const batch_item_ref& ref) -> bool {
+  auto* item = Find(ref);
+  if (item == nullptr) {
+    return false;
+  }
+  ++item->failures;
+  return item->failures >= item->max_attempts;
+}
+
+auto batch_queue::Expired(time_point now) const
+    -> std::vector<batch_item_ref> {
+  std::vector<batch_item_ref> expired;
+  for (const auto& [ref, item] : items_) {
+    if (now >= item.expires && !item.running) {
+      expired.push_back(ref);
+    }
+  }
+  return expired;
+}
+
+auto batch_queue::Find(const batch_item_ref& ref) -> queued_item* {
+  const auto found = items_.find(ref);
+  return found == items_.end() ? nullptr : &found->second;
+}
+
+auto batch_queue::RunningCount() const -> std::size_t {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      items_, [](const auto& entry) { return entry.second.running; }));
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/batch_record.cc
@@ -0,0 +1,188 @@
+#include "src/batch_record.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "src/job_record.h"
+
+namespace dogwood {
+namespace json = boost::json;
+namespace {
+
+/** Bytes that the line of JSON of a part takes at most. */
+constexpr std::size_t kPartLineBytes = 1024;
+
+/** A line of JSON and bytes. */
+auto Join(json::object line, std::string_view bytes) -> std::string {
+  auto record = json::serialize(line);
+  record += '\n';
+  record += bytes;
+  return record;
+}
+
+/** Reverses Join(); nothing if `record` has no such line. */
+auto Split(std::string_view record)
+    -> std::optional<std::pair<json::object, std::string_view>> {
+  const auto end = record.find('\n');
+  if (end == std::string_view::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code ec;
+  auto value = json::parse(record.substr(0, end), ec);
+  if (ec || !value.is_object()) {
+    return std::nullopt;
+  }
+  return std::pair(std::move(value.get_object()), record.substr(end + 1));
+}
+
+/** Line of an item; its body follows among the bytes. */
+auto ItemLine(const batch_item& item) -> json::object {
+  json::object headers;
+  for (const auto& field : item.headers.fields) {
+    headers[field.name] = field.value;
+  }
+  return {{"id", item.id.value},
+          {"path", item.path},
+          {"headers", std::move(headers)},
+          {"bytes", item.body.size()}};
+}
+
+/** Reverses ItemLine(); takes the body from `bytes`. */
+auto TakeItem(const json::object& line, std::string_view& bytes)
+    -> std::optional<batch_item> {
+  const auto size = NumberField(line, "bytes");
+  if (size > bytes.size()) {
+    return std::nullopt;
+  }
+  batch_item item{.id = batch_item_id(std::string(TextField(line, "id"))),
+                  .path = std::string(TextField(line, "path")),
+                  .headers = {},
+                  .body = std::string(bytes.substr(0, size))};
+  bytes.remove_prefix(size);
+  const auto* headers = line.if_contains("headers");
+  if (headers != nullptr && headers->is_object()) {
+    for (const auto& field : headers->get_object()) {
+      item.headers.fields.push_back(
+          {std::string(field.key()), std::string(field.value().as_string())});
+    }
+  }
+  return item;
+}
+
+/** A submission that cannot be read. */
+auto Unreadable() -> failure {
+  return {.code = error_code::kBadRequest,
+          .message = "submission record is damaged",
+          .ran = ran_state::kNo,
+          .step = "decode submission",
+          .peer = ""};
+}
+
+}  // namespace
+
+auto EncodeSubmission(const batch_submission& submission) -> std::string {
+  json::array items;
+  std::string bodies;
+  for (const auto& item : submission.items) {
+    items.push_back(ItemLine(item));
+    bodies += item.body;
+  }
+  return Join({{"job", submission.id.value},
+               {"workspace", submission.workspace.value},
+               {"host", submission.host},
+               {"path", submission.path},
+               {"submitted", submission.submitted.value},
+               {"items", std::move(items)}},
+              bodies);
+}
+
+auto DecodeSubmission(std::string_view bytes) -> outcome<batch_submission> {
+  const auto split = Split(bytes);
+  if (!split) {
+    return Unreadable();
+  }
+  const auto& [line, bodies] = *split;
+  batch_submission submission{
+      .id = batch_id(std::string(TextField(line, "job"))),
+      .workspace = workspace_id(std::string(TextField(line, "workspace"))),
+      .host = std::string(TextField(line, "host")),
+      .path = std::string(TextField(line, "path")),
+      .submitted = unix_ms(NumberField(line, "submitted")),
+      .items = {}};
+  auto rest = bodies;
+  const auto* items = line.if_contains("items");
+  if (items == nullptr || !items->is_array()) {
+    return Unreadable();
+  }
+  for (const auto& entry : items->get_array()) {
+    auto item = entry.is_object() ? TakeItem(entry.get_object(), rest)
+                                  : std::nullopt;
+    if (!item) {
+      return Unreadable();
+    }
+    submission.items.push_back(std::move(*item));
+  }
+  return submission;
+}
+
+auto SubmissionRecords(const batch_submission& submission,
+                       std::size_t record_bytes) -> std::vector<std::string> {
+  const auto bytes = EncodeSubmission(submission);
+  const auto piece = record_bytes - kPartLineBytes;
+  const auto parts = std::max<std::size_t>(1, (bytes.size() + piece - 1) / piece);
+  std::vector<std::string> records;
+  for (std::size_t part = 0; part < parts; ++part) {
+    records.push_back(Join({{"kind", "submit"},
+                            {"job", submission.id.value},
+                            {"part", part},
+                            {"parts", parts}},
+                           std::string_view(bytes).substr(part * piece, piece)));
+  }
+  return records;
+}
+
+auto ResultRecord(const batch_id& job, const batch_result& result)
+    -> std::string {
+  return Join({{"kind", "result"},
+               {"job", job.value},
+               {"item", result.item.value},
+               {"done", result.end == batch_end::kDone}},
+              result.output);
+}
+
+auto EndRecord(const batch_id& job) -> std::string {
+  return Join({{"kind", "end"}, {"job", job.value}}, "");
+}
+
+auto ParseBatchRecord(std::string_view record) -> std::optional<batch_record> {
+  const auto split = Split(record);
+  if (!split) {
+    return std::nullopt;
+  }
+  const auto& [line, bytes] = *split;
+  const auto kind = TextField(line, "kind");
+  const batch_id job(std::string(TextField(line, "job")));
+  if (kind == "submit") {
+    return submission_part{job, NumberField(line, "part"),
+                           NumberField(line, "parts"), std::string(bytes)};
+  }
+  if (kind == "result") {
+    const auto* done = line.if_contains("done");
+    const bool is_done = done != nullptr && done->is_bool() && done->get_bool();
+    return result_record{
+        job,
+        {batch_item_id(std::string(TextField(line, "item"))),
+         is_done ? batch_end::kDone : batch_end::kAbandoned,
+         std::string(bytes)}};
+  }
+  if (kind == "end") {
+    return end_record{job};
+  }
+  return std::nullopt;
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/deployment_query.cc
@@ -0,0 +1,74 @@
+#include "src/deployment_query.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace dogwood {
+
+deployment_index::deployment_index(deployment state)
+    : state_(std::move(state)) {
+  for (const auto& route : state_.routes) {
+    routes_by_host_[route.host].push_back(&route);
+  }
+  for (auto& [host, routes] : routes_by_host_) {
+    std::ranges::sort(routes, [](const auto* a, const auto* b) {
+      return a->prefix.size() > b->prefix.size();
+    });
+  }
+  for (const auto& workspace : state_.workspaces) {
+    workspaces_[workspace.id] = &workspace;
+    for (const auto& hash : workspace.hashes) {
+      by_key_[hash] = &workspace;
+    }
+  }
+  for (const auto& service : state_.services) {
+    services_[service.id] = &service;
+  }
+}
+
+auto deployment_index::FindRoute(std::string_view host,
+                                 std::string_view path) const
+    -> const route_rule* {
+  const auto found = routes_by_host_.find(std::string(host));
+  if (found == routes_by_host_.end()) {
+    return nullptr;
+  }
+  const auto route = std::ranges::find_if(
+      found->second,
+      [path](const auto* r) { return path.starts_with(r->prefix); });
+  return route == found->second.end() ? nullptr : *route;
+}
+
+auto deployment_index::FindKey(std::string_view hash) const
+    -> const workspace_rule* {
+  const auto found = by_key_.find(std::string(hash));
+  return found == by_key_.end() ? nullptr : found->second;
+}
+
+auto deployment_index::FindWorkspace(const workspace_id& id) const
+    -> const workspace_rule* {
+  const auto found = workspaces_.find(id);
+  return found == workspaces_.end() ? nullptr : found->second;
+}
+
+auto deployment_index::FindService(const service_id& id) const
+    -> const service_rule* {
+  const auto found = services_.find(id);
+  return found == services_.end() ? nullptr : found->second;
+}
+
+auto PickService(const route_rule& route, double draw) -> const service_id& {
+  const auto total = std::accumulate(
+      route.services.begin(), route.services.end(), 0U,
+      [](unsigned sum, const auto& share) { return sum + share.weight; });
+  auto left = draw * total;
+  for (const auto& share : route.services) {
+    left -= share.weight;
+    if (left < 0) {
+      return share.service;
+    }
+  }
+  return route.services.back().service;
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/dispatch.h
@@ -0,0 +1,9 @@
+/** Public header of library dispatch: placement of requests on backend servers. */
+#ifndef SRC_DISPATCH_H_
+#define SRC_DISPATCH_H_
+
+#include "src/dispatch_base.h"
+#include "src/dispatch_local.h"
+#include "src/dispatch_type.h"
+
+#endif  // SRC_DISPATCH_H_
--- /dev/null
+++ b/src/dispatch_local.cc
@@ -0,0 +1,160 @@
+#include "src/dispatch_local.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dogwood {
+namespace {
+
+/** Requests beyond its slots that a server may hold before this host looks
+ * elsewhere; servers queue a few. */
+constexpr std::uint32_t kQueuedPlaces = 2;
+/** A refused caller returns after this. */
+constexpr std::chrono::milliseconds kReturn{800};
+
+}  // namespace
+
+local_placement::local_placement(double share, std::uint64_t seed)
+    : share_(share), random_(seed) {}
+
+auto local_placement::SetServers(std::vector<registered_server> servers,
+                                 std::map<data_centre_id, region_id> regions)
+    -> void {
+  regions_ = std::move(regions);
+  std::map<server_id, row> rows;
+  for (auto& server : servers) {
+    const auto id = server.id;
+    const auto known = rows_.find(id);
+    auto& entry = rows[id];
+    if (known != rows_.end()) {
+      entry = std::move(known->second);
+    }
+    entry.info = std::move(server);
+  }
+  rows_ = std::move(rows);
+}
+
+auto local_placement::SetHostCount(std::size_t hosts) -> void {
+  hosts_ = std::max<std::size_t>(1, hosts);
+}
+
+auto local_placement::SetCounts(const std::vector<server_count>& counts,
+                                time_point until) -> void {
+  for (const auto& entry : counts) {
+    const auto found = rows_.find(entry.server);
+    if (found != rows_.end()) {
+      auto& r = found->second;
+      r.others = entry.count > r.own ? entry.count - r.own : 0;
+    }
+  }
+  counts_until_ = until;
+}
+
+auto local_placement::NoteBegin(const server_id& server) -> void {
+  const auto found = rows_.find(server);
+  if (found != rows_.end()) {
+    ++found->second.own;
+  }
+}
+
+auto local_placement::NoteEnd(const server_id& server) -> void {
+  const auto found = rows_.find(server);
+  if (found != rows_.end() && found->second.own > 0) {
+    --found->second.own;
+  }
+}
+
+auto local_placement::Pause(const server_id& server, time_point until)
+    -> void {
+  const auto found = rows_.find(server);
+  if (found != rows_.end()) {
+    found->second.paused_until = until;
+  }
+}
+
+auto local_placement::TakeToken(const placement_ask& ask,
+                                const limit_rate& rate,
+                                time_point now) -> bool {
+  if (!ask.takes_token || rate.per_s <= 0) {
+    return true;
+  }
+  const auto part = share_ / static_cast<double>(hosts_);
+  auto& b = buckets_[ask.workspace];
+  if (b.filled_at == time_point()) {
+    b.filled_at = now;
+  }
+  const auto seconds =
+      std::chrono::duration<double>(now - b.filled_at).count();
+  b.level = std::min(b.level + rate.per_s * part * seconds,
+                     std::max(1.0, rate.burst * part));
+  b.filled_at = now;
+  if (b.level < 1) {
+    return false;
+  }
+  b.level -= 1;
+  return true;
+}
+
+auto local_placement::Ask(const placement_ask& ask,
+                          const limit_rate& rate,
+                          time_point now) -> placement_answer {
+  placement_answer answer{.verdict = placement_verdict::kNoServer,
+                          .server = {},
+                          .retry_at = now + kReturn};
+  const row* best = nullptr;
+  std::tuple<bool, int, double, std::uint64_t> best_rank;
+  for (const auto& [id, r] : rows_) {
+    if (r.info.service != ask.service || r.info.leaving ||
+        std::ranges::find(ask.avoided, id) != ask.avoided.end()) {
+      continue;
+    }
+    const auto others = now < counts_until_ ? r.others : 0;
+    const auto load = r.own + others;
+    const bool is_batch = ask.work == work_class::kBatch;
+    const auto places =
+        is_batch ? r.info.slots / 2 : r.info.slots + kQueuedPlaces;
+    if (answer.verdict == placement_verdict::kNoServer) {
+      answer.verdict = placement_verdict::kNoRoom;
+    }
+    if (load >= places || now < r.paused_until) {
+      continue;
+    }
+    const auto region = regions_.find(r.info.data_centre);
+    const bool is_near =
+        region != regions_.end() && region->second == ask.place.region;
+    const int tier =
+        r.info.data_centre == ask.place.data_centre ? 0 : (is_near ? 1 : 2);
+    const std::tuple rank(load >= r.info.slots, tier,
+                          static_cast<double>(load) / r.info.slots, random_());
+    if (best == nullptr || rank < best_rank) {
+      best = &r;
+      best_rank = rank;
+    }
+  }
+  if (best == nullptr) {
+    return answer;
+  }
+  if (!TakeToken(ask, rate, now)) {
+    answer.verdict = placement_verdict::kOverLimit;
+    return answer;
+  }
+  answer.verdict = placement_verdict::kGranted;
+  answer.server = best->info.id;
+  return answer;
+}
+
+auto local_placement::Find(const server_id& server) const
+    -> const registered_server* {
+  const auto found = rows_.find(server);
+  return found == rows_.end() ? nullptr : &found->second.info;
+}
+
+auto local_placement::Servers() const -> std::vector<registered_server> {
+  std::vector<registered_server> servers;
+  for (const auto& [id, r] : rows_) {
+    servers.push_back(r.info);
+  }
+  return servers;
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/dispatch_local.h
@@ -0,0 +1,73 @@
+/** Placement by a host on its own, while no dispatcher answers it. */
+#ifndef SRC_DISPATCH_LOCAL_H_
+#define SRC_DISPATCH_LOCAL_H_
+
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "src/dispatch_type.h"
+
+namespace dogwood {
+
+/** What one host knows of the servers and of the limits without its
+ * dispatcher. Has no clock and no I/O. Not thread-safe. */
+class local_placement {
+ public:
+  /** `share` is the part of a workspace's rate, divided by the number of
+   * hosts, that this host admits: others may still have a dispatcher. */
+  local_placement(double share, std::uint64_t seed);
+
+  /** Replaces the servers and where each data centre is. */
+  auto SetServers(std::vector<registered_server> servers,
+                  std::map<data_centre_id, region_id> regions) -> void;
+  /** Number of hosts that share each limit. */
+  auto SetHostCount(std::size_t hosts) -> void;
+  /** Takes the dispatcher's last counts. They grow old, so they are used until
+   * `until` only. */
+  auto SetCounts(const std::vector<server_count>& counts, time_point until)
+      -> void;
+  /** Notes that this host began or ended a run on a server. */
+  auto NoteBegin(const server_id& server) -> void;
+  auto NoteEnd(const server_id& server) -> void;
+  /** Notes that a server could not be reached. */
+  auto Pause(const server_id& server, time_point until) -> void;
+  /** Decides at once. Batch work is not placed without a dispatcher unless the
+   * server looks half empty. */
+  auto Ask(const placement_ask& ask, const limit_rate& rate, time_point now)
+      -> placement_answer;
+
+  /** A registered server, nullptr if it is not known. */
+  auto Find(const server_id& server) const -> const registered_server*;
+  /** Listed servers. */
+  auto Servers() const -> std::vector<registered_server>;
+
+ private:
+  struct row {
+    registered_server info;    ///< As registered.
+    std::uint32_t own = 0;     ///< Runs of this host.
+    std::uint32_t others = 0;  ///< Runs of other hosts by the last counts.
+    time_point paused_until;   ///< Gets nothing before then.
+  };
+  struct bucket {
+    double level = 0;      ///< Tokens.
+    time_point filled_at;  ///< Time of the last fill.
+  };
+
+  auto TakeToken(const placement_ask& ask,
+                 const limit_rate& rate,
+                 time_point now) -> bool;
+
+  double share_;
+  std::mt19937_64 random_;
+  std::size_t hosts_ = 1;
+  std::map<server_id, row> rows_;
+  std::map<data_centre_id, region_id> regions_;
+  std::map<workspace_id, bucket> buckets_;
+  time_point counts_until_;
+};
+
+}  // namespace dogwood
+
+#endif  // SRC_DISPATCH_LOCAL_H_
--- a/src/entryd_backend.cc
+++ b/src/entryd_backend.cc
@@ -1,5 +1,6 @@
 #include "src/entryd_backend.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -78,11 +79,12 @@
 }
 
 auto backend_pool::Put(std::shared_ptr<backend_connection> connection,
-                       time_point now) -> void {
+                       time_point now,
+                       duration life) -> void {
   const std::lock_guard lock(mutex_);
   auto& kept = idle_[connection->address()];
   if (kept.size() < per_server_ && connection->CanBeReused()) {
-    kept.push_back({std::move(connection), now + idle_life_});
+    kept.push_back({std::move(connection), now + std::min(life, idle_life_)});
   }
 }
 
--- a/src/entryd_backend.h
+++ b/src/entryd_backend.h
@@ -35,6 +35,8 @@
   /** Sends a whole request; `request` must outlive the call. */
   auto Send(const http_request& request, time_point deadline)
       -> boost::asio::awaitable<outcome<void>>;
+  /** See http_connection. */
+  auto ExpectAnswer() -> void { connection_->ExpectAnswer(); }
   /** Reads status and fields of the answer. */
   auto ReadHead(time_point deadline)
       -> boost::asio::awaitable<outcome<http_head>>;
@@ -61,9 +63,11 @@
   /** The youngest idle connection that can be used, nullptr if none. */
   auto Take(const std::string& address, time_point now)
       -> std::shared_ptr<backend_connection>;
-  /** Keeps a connection whose answer was whole, if there is room. */
-  auto Put(std::shared_ptr<backend_connection> connection, time_point now)
-      -> void;
+  /** Keeps a connection whose answer was whole, if there is room. It is used
+   * for `life` at most, and for the pool's idle life if that is shorter. */
+  auto Put(std::shared_ptr<backend_connection> connection,
+           time_point now,
+           duration life = duration::max()) -> void;
   /** Closes connections that are too old. */
   auto Expire(time_point now) -> void;
 
--- /dev/null
+++ b/src/fleet_func.cc
@@ -0,0 +1,168 @@
+#include "src/fleet_func.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <charconv>
+#include <cmath>
+#include <set>
+#include <tuple>
+
+#include "src/core.h"
+
+namespace dogwood {
+namespace {
+
+constexpr std::string_view kTopicPrefix = "jobs-";
+/** Separates the parts of a member's name. */
+constexpr char kSeparator = '|';
+/** Shares of a processor are told in thousandths. */
+constexpr double kShareScale = 1000;
+/** Fewest addresses in an answer if there are more members elsewhere: a caller
+ * whose only host dies has nowhere to go. */
+constexpr std::size_t kLeastAddresses = 2;
+
+/** Whole number that is the whole of `text`. */
+auto ParseNumber(std::string_view text) -> std::optional<std::uint32_t> {
+  std::uint32_t number = 0;
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace
+
+auto JobTopics() -> std::vector<std::string> {
+  std::vector<std::string> topics;
+  for (std::uint32_t i = 0; i < kJobTopics; ++i) {
+    topics.push_back(std::string(kTopicPrefix) + std::to_string(i));
+  }
+  return topics;
+}
+
+auto LocatePartition(partition_id partition, std::uint32_t per_topic)
+    -> log_partition {
+  return {std::string(kTopicPrefix) +
+              std::to_string(partition.value / per_topic),
+          partition.value % per_topic};
+}
+
+auto PartitionAt(const log_partition& where, std::uint32_t per_topic)
+    -> std::optional<partition_id> {
+  if (!where.topic.starts_with(kTopicPrefix) || where.number >= per_topic) {
+    return std::nullopt;
+  }
+  const auto topic = ParseNumber(
+      std::string_view(where.topic).substr(kTopicPrefix.size()));
+  if (!topic || *topic >= kJobTopics) {
+    return std::nullopt;
+  }
+  return partition_id(*topic * per_topic + where.number);
+}
+
+auto PartitionOf(const batch_id& job, std::uint32_t per_topic)
+    -> partition_id {
+  return partition_id(static_cast<std::uint32_t>(
+      StableHash(job.value) % (kJobTopics * per_topic)));
+}
+
+auto FormatMember(const fleet_member& member) -> std::string {
+  const auto share =
+      static_cast<std::uint32_t>(std::lround(member.processor_share *
+                                             kShareScale));
+  return member.ip + kSeparator + member.data_centre.value + kSeparator +
+         std::to_string(share);
+}
+
+auto ParseMember(std::string_view name) -> std::optional<fleet_member> {
+  std::vector<std::string> parts;
+  boost::split(parts, name, [](char c) { return c == kSeparator; });
+  if (parts.size() != 3) {
+    return std::nullopt;
+  }
+  const auto share = ParseNumber(parts[2]);
+  if (!share) {
+    return std::nullopt;
+  }
+  return fleet_member{.name = std::string(name),
+                      .ip = parts[0],
+                      .data_centre = data_centre_id(parts[1]),
+                      .processor_share = *share / kShareScale};
+}
+
+auto BuildView(std::uint64_t generation,
+               std::span<const partition_owner_row> rows,
+               std::uint32_t per_topic) -> fleet_view {
+  fleet_view view;
+  view.generation = generation;
+  std::set<std::string> names;
+  for (const auto& row : rows) {
+    names.insert(row.member);
+  }
+  for (const auto& name : names) {
+    if (auto member = ParseMember(name)) {
+      view.members.push_back(std::move(*member));
+    }
+  }
+  view.owners.assign(kJobTopics * per_topic,
+                     static_cast<std::uint32_t>(view.members.size()));
+  for (const auto& row : rows) {
+    const auto partition = PartitionAt(row.partition, per_topic);
+    const auto member = std::ranges::find(view.members, row.member,
+                                          &fleet_member::name);
+    if (partition && member != view.members.end()) {
+      view.owners[partition->value] =
+          static_cast<std::uint32_t>(member - view.members.begin());
+    }
+  }
+  return view;
+}
+
+auto DispatcherOf(const fleet_view& view,
+                  const std::map<data_centre_id, region_id>& regions)
+    -> const fleet_member* {
+  const auto region_of = [&regions](const fleet_member& member) {
+    const auto found = regions.find(member.data_centre);
+    return found == regions.end() ? region_id() : found->second;
+  };
+  std::map<region_id, std::size_t> sizes;
+  for (const auto& member : view.members) {
+    ++sizes[region_of(member)];
+  }
+  const auto rank = [&](const fleet_member& member) {
+    return std::tuple(member.processor_share, sizes[region_of(member)],
+                      StableHash(member.name));
+  };
+  const auto best = std::ranges::max_element(
+      view.members,
+      [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+  return best == view.members.end() ? nullptr : &*best;
+}
+
+auto MembersNear(const fleet_view& view,
+                 const std::map<data_centre_id, region_id>& regions,
+                 const data_centre_id& data_centre,
+                 const region_id& region) -> std::vector<const fleet_member*> {
+  std::vector<const fleet_member*> same_centre;
+  std::vector<const fleet_member*> same_region;
+  std::vector<const fleet_member*> all;
+  for (const auto& member : view.members) {
+    const auto found = regions.find(member.data_centre);
+    all.push_back(&member);
+    if (member.data_centre == data_centre) {
+      same_centre.push_back(&member);
+    }
+    if (found != regions.end() && found->second == region) {
+      same_region.push_back(&member);
+    }
+  }
+  if (same_centre.size() >= kLeastAddresses) {
+    return same_centre;
+  }
+  return same_region.size() >= kLeastAddresses ? same_region : all;
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/hostd_base.cc
@@ -0,0 +1,58 @@
+#include "src/hostd_base.h"
+
+#include <cstring>
+
+#include "src/hostd_batch.h"
+#include "src/hostd_caller.h"
+#include "src/hostd_placement.h"
+
+namespace dogwood {
+namespace {
+
+/** Idle connections kept for each server. */
+constexpr std::size_t kPooledConnections = 16;
+/** An idle connection is used for this long if its server names no time. */
+constexpr std::chrono::seconds kIdleLife{4};
+
+/** A seed from the system's random source. */
+auto RandomSeed() -> std::uint64_t {
+  const auto bytes = RandomBytes(sizeof(std::uint64_t));
+  std::uint64_t seed = 0;
+  std::memcpy(&seed, bytes.data(), sizeof(seed));
+  return seed;
+}
+
+/** This host as a member. */
+auto SelfOf(const hostd_options& options) -> fleet_member {
+  fleet_member self{.name = {},
+                    .ip = options.front.address().to_string(),
+                    .data_centre = options.data_centre,
+                    .processor_share = options.processor_share};
+  self.name = FormatMember(self);
+  return self;
+}
+
+}  // namespace
+
+host_state::host_state(boost::asio::io_context& context, hostd_options values)
+    : io(context),
+      options(std::move(values)),
+      self(SelfOf(options)),
+      random(RandomSeed()),
+      links(context, {self.name, "hostd", options.secret}),
+      pool(kPooledConnections, kIdleLife),
+      placement(std::make_unique<placement_service>(*this, random())),
+      batch(std::make_unique<batch_service>(*this)),
+      callers(std::make_unique<caller_watch>(*this)) {}
+
+host_state::~host_state() = default;
+
+auto host_state::LinkOf(const fleet_member& member) const -> std::string {
+  return member.ip + ":" + std::to_string(options.link.port());
+}
+
+auto host_state::Draw() -> double {
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/hostd_batch.h
@@ -0,0 +1,149 @@
+/** Batch jobs: the partitions that this host owns, the runs of their items, and
+ * the callers' calls, which go to the owner of a job's partition. */
+#ifndef SRC_HOSTD_BATCH_H_
+#define SRC_HOSTD_BATCH_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "platform/adapter.h"
+#include "src/batch.h"
+#include "src/caller_type.h"
+#include "src/hostd_relay.h"
+#include "src/http.h"
+#include "src/link.h"
+#include "src/wait_list.h"
+
+namespace dogwood {
+
+struct host_state;
+
+/** What a call on a batch job asks its owner for. */
+enum class batch_call_kind : std::uint8_t {
+  kSubmit,   ///< Accept the job in `body`, see EncodeSubmission().
+  kResults,  ///< Results from `position` on.
+  kItem,     ///< Body of `item`.
+  kEnd,      ///< End the job.
+};
+
+/** Answers a caller's call on a batch job. */
+auto HandleBatchCall(host_state& host,
+                     http_exchange& exchange,
+                     const caller_request& caller,
+                     const workspace_id& workspace)
+    -> boost::asio::awaitable<void>;
+
+/** Jobs of the partitions that this host owns. */
+class batch_service {
+ public:
+  explicit batch_service(host_state& host);
+  ~batch_service();
+
+  /** Starts the loops. */
+  auto Start() -> void;
+  /** The set of owned partitions has changed. */
+  auto OwnershipChanged() -> void;
+  /** The declared state has changed. */
+  auto StateChanged() -> void;
+  /** Ends all runs and waits until what came of them is in the log, at most
+   * until `deadline`: another host is to take over. */
+  auto HandOver(time_point deadline) -> boost::asio::awaitable<void>;
+  /** Answers a call for a partition that this host owns. */
+  auto Answer(const wire::batch_callT& call)
+      -> boost::asio::awaitable<http_response>;
+  /** Items that wait or run, for metrics. */
+  auto ItemCount() const -> std::size_t { return queue_.Size(); }
+
+ private:
+  /** A record on its way into the log. */
+  struct pending_record {
+    std::vector<std::string> records;  ///< Appended together.
+    std::optional<batch_id> opens;     ///< Job that it submits.
+    std::optional<batch_id> ends;      ///< Job that it ends.
+    std::optional<batch_item_ref> lists;  ///< Item whose result it is.
+    bool may_be_in_log = false;  ///< An append with it had no answer.
+    bool is_settled = false;     ///< It is in the log, or needless by now.
+  };
+  /** One partition of this host. */
+  struct owned_partition {
+    owned_partition(boost::asio::io_context& io,
+                    boost::asio::ip::tcp::endpoint store)
+        : client(store), changed(io) {}
+    batch_partition fold;            ///< As read from the log.
+    bool is_loaded = false;          ///< The log has been read to its end.
+    bool is_owned = true;            ///< False once another host owns it.
+    bool is_writing = false;         ///< WriteLoop() runs.
+    adapter::store_client client;    ///< For this partition's calls.
+    std::list<std::shared_ptr<pending_record>> pending;  ///< In order.
+    wait_list changed;  ///< Notified of each change.
+  };
+  using partition_ptr = std::shared_ptr<owned_partition>;
+
+  auto Load(partition_id id, partition_ptr partition)
+      -> boost::asio::awaitable<void>;
+  auto CatchUp(partition_id id, partition_ptr partition)
+      -> boost::asio::awaitable<bool>;
+  auto ApplyRecords(partition_id id,
+                    owned_partition& partition,
+                    const std::vector<std::string>& records) -> void;
+  auto TakeChange(partition_id id,
+                  owned_partition& partition,
+                  const batch_change& change) -> void;
+  auto QueueItems(partition_id id, const batch_job& job) -> void;
+  auto Settle(owned_partition& partition) -> void;
+  auto Write(partition_id id,
+             partition_ptr partition,
+             std::shared_ptr<pending_record> record) -> void;
+  auto WriteLoop(partition_id id, partition_ptr partition)
+      -> boost::asio::awaitable<void>;
+  auto AppendOnce(partition_id id, partition_ptr partition)
+      -> boost::asio::awaitable<bool>;
+  auto AwaitSettled(partition_ptr partition,
+                    std::shared_ptr<pending_record> record,
+                    time_point deadline) -> boost::asio::awaitable<bool>;
+  auto AwaitLoaded(partition_ptr partition, time_point deadline)
+      -> boost::asio::awaitable<bool>;
+
+  auto Submit(partition_id id, partition_ptr partition,
+              const wire::batch_callT& call)
+      -> boost::asio::awaitable<http_response>;
+  auto Results(partition_ptr partition, const wire::batch_callT& call)
+      -> boost::asio::awaitable<http_response>;
+  auto End(partition_id id, partition_ptr partition,
+           const wire::batch_callT& call)
+      -> boost::asio::awaitable<http_response>;
+
+  auto RunDispatch() -> boost::asio::awaitable<void>;
+  auto RunItem(batch_item_ref ref) -> boost::asio::awaitable<void>;
+  auto RunPlaced(const batch_item_ref& ref,
+                 ticket_id ticket,
+                 const registered_server& server)
+      -> boost::asio::awaitable<void>;
+  auto TakeRun(const batch_item_ref& ref,
+               const attempt_result& result,
+               stream_progress progress,
+               std::string output,
+               const server_id& server) -> void;
+  auto List(const batch_item_ref& ref, batch_end end, std::string output)
+      -> void;
+  auto AbortItem(const batch_item_ref& ref) -> void;
+  auto RouteOf(const batch_submission& submission) const -> const route_rule*;
+  auto FindJob(const batch_item_ref& ref) -> const batch_job*;
+
+  host_state& host_;
+  std::map<partition_id, partition_ptr> partitions_;
+  batch_queue queue_;
+  std::map<batch_item_ref, attempt_handle*> runs_;
+  std::size_t asking_ = 0;  // Items that wait for a slot.
+  std::size_t running_ = 0;
+  double run_seconds_;  // Smoothed time of a whole run.
+};
+
+}  // namespace dogwood
+
+#endif  // SRC_HOSTD_BATCH_H_
--- /dev/null
+++ b/src/hostd_front.cc
@@ -0,0 +1,468 @@
+#include "src/hostd_front.h"
+
+#include <algorithm>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "platform/adapter.h"
+#include "src/hostd_base.h"
+#include "src/hostd_batch.h"
+#include "src/hostd_caller.h"
+#include "src/hostd_placement.h"
+#include "src/hostd_relay.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** A caller that sent no time limit is served for this long at most. */
+constexpr milliseconds kDefaultLimit{10000};
+/** A caller is asked to return after this while the host knows no state. */
+constexpr milliseconds kUnreadyReturn{500};
+/** A request whose time left is below this part of the longest that its route
+ * has seen was refused or has failed before. */
+constexpr double kReturningShare = 0.97;
+/** Sends to servers that did not run the request, per request. */
+constexpr unsigned kMostUnrun = 6;
+/** Longest Retry-After, as a part of the time left, that callers honour. */
+constexpr double kReturnShare = 0.3;
+
+/** A refusal before anything has run. */
+auto Refusal(error_code code, std::string message, std::string step)
+    -> failure {
+  return {.code = code,
+          .message = std::move(message),
+          .ran = ran_state::kNo,
+          .step = std::move(step),
+          .peer = ""};
+}
+
+/** Passes a stream on to a caller. */
+class caller_sink : public answer_sink {
+ public:
+  caller_sink(http_exchange& exchange, caller_watch::entry& watch)
+      : exchange_(exchange), watch_(watch) {}
+
+  auto TakeHead(const http_head& head) -> asio::awaitable<bool> override {
+    auto sent = co_await exchange_.BeginStream(head);
+    co_return Note(sent);
+  }
+
+  auto TakeEvents(std::string events) -> asio::awaitable<bool> override {
+    auto sent = co_await exchange_.WriteChunk(events);
+    co_return Note(sent);
+  }
+
+ private:
+  auto Note(const outcome<void>& sent) -> bool {
+    if (!sent) {
+      watch_.NoteGone();
+    }
+    return sent.has_value();
+  }
+
+  http_exchange& exchange_;
+  caller_watch::entry& watch_;
+};
+
+/** One request on its way. */
+class request_run {
+ public:
+  request_run(host_state& host,
+              http_exchange& exchange,
+              const caller_request& caller,
+              std::shared_ptr<const deployment_index> deployment,
+              const route_rule& route,
+              workspace_id workspace)
+      : host_(host),
+        exchange_(exchange),
+        caller_(caller),
+        deployment_(std::move(deployment)),
+        route_(route),
+        workspace_(std::move(workspace)),
+        service_(PickService(route, host.Draw())),
+        watch_(*host.callers, exchange),
+        sink_(exchange, watch_),
+        arrived_(clock::now()) {
+    const auto left = caller.time_left.value_or(kDefaultLimit);
+    const auto limit = route.answer_limit.count() > 0
+                           ? std::min(left, route.answer_limit)
+                           : left;
+    deadline_ = arrived_ + limit;
+    progress_.last_event = caller.resume_after;
+    auto& longest = host.longest_time_left[route.id];
+    is_returning_ = caller.time_left &&
+                    static_cast<double>(left.count()) <
+                        kReturningShare * static_cast<double>(longest.count());
+    longest = std::max(longest, left);
+  }
+
+  auto Run() -> asio::awaitable<void> {
+    while (true) {
+      auto placed = co_await Place();
+      if (watch_.is_gone()) {
+        GiveBack(placed);
+        co_return Finish("caller left");
+      }
+      if (placed.verdict != placement_verdict::kGranted) {
+        co_await Refuse(placed);
+        co_return;
+      }
+      const auto* server = host_.placement->FindServer(placed.server);
+      if (server == nullptr || server->service != service_ ||
+          server->leaving) {
+        GiveBack(placed);
+        avoided_.push_back(placed.server);
+        if (++unrun_ > kMostUnrun) {
+          co_await Fail(Refusal(error_code::kUnavailable,
+                                "no server could be used", "place request"));
+          co_return;
+        }
+        continue;
+      }
+      auto result = co_await Attempt(*server);
+      if (watch_.is_gone()) {
+        co_return Finish("caller left");
+      }
+      if (co_await TakeResult(std::move(result), *server)) {
+        co_return;
+      }
+    }
+  }
+
+ private:
+  auto Place() -> asio::awaitable<placement_answer> {
+    const auto& usual = host_.times[service_];
+    const auto first = milliseconds(
+        static_cast<std::int64_t>(usual.first_event_s * 1000));
+    ticket_ = host_.placement->NewTicket();
+    placement_ask ask{.host = {},
+                      .ticket = ticket_,
+                      .service = service_,
+                      .workspace = workspace_,
+                      .work = work_class::kOnline,
+                      .priority = route_.priority,
+                      .takes_token = !has_token_,
+                      .is_returning = is_returning_ || attempts_ > 0,
+                      .place = {host_.options.data_centre,
+                                host_.options.region},
+                      .start_by = arrived_ + route_.objective - first,
+                      .useless_after = deadline_ - first,
+                      .avoided = avoided_};
+    watch_.OnGone([this] { host_.placement->Withdraw(ticket_); });
+    auto answer = co_await host_.placement->Place(std::move(ask));
+    watch_.OnGone({});
+    has_token_ = has_token_ || answer.verdict == placement_verdict::kGranted;
+    co_return answer;
+  }
+
+  auto GiveBack(const placement_answer& placed) -> void {
+    if (placed.verdict == placement_verdict::kGranted) {
+      host_.placement->End(ticket_, run_outcome::kUnused);
+    }
+  }
+
+  auto IsRepeatable() const -> bool {
+    return route_.kind == request_kind::kIdempotent ||
+           (route_.kind == request_kind::kStream && route_.resumable);
+  }
+
+  auto Attempt(const registered_server& server)
+      -> asio::awaitable<attempt_result> {
+    const attempt_order order{
+        .request = &exchange_.Request(),
+        .attempt = caller_.attempt,
+        .server = server,
+        .workspace = workspace_,
+        .service = service_,
+        .deadline = deadline_,
+        .may_move = IsRepeatable() && attempts_ + 1 < route_.max_attempts,
+        .is_batch = false,
+        .is_repeatable = IsRepeatable()};
+    attempt_handle handle;
+    watch_.OnGone([&handle] { handle.Abort(); });
+    auto result =
+        co_await RunAttempt(host_, order, progress_, handle, sink_);
+    watch_.OnGone({});
+    host_.placement->End(ticket_, result.outcome);
+    if (result.first_event != time_point() &&
+        first_event_ == time_point()) {
+      first_event_ = result.first_event;
+      host_.metrics.NoteFirstToken(route_.id.value, first_event_ - arrived_);
+    }
+    co_return result;
+  }
+
+  /** Takes what came of an attempt; true if the request has its end. */
+  auto TakeResult(attempt_result result, const registered_server& server)
+      -> asio::awaitable<bool> {
+    last_server_ = server.id;
+    if (result.may_have_run) {
+      ++attempts_;
+      may_have_run_ = true;
+    } else {
+      ++unrun_;
+      avoided_.push_back(server.id);
+    }
+    if (result.is_whole && !result.answer && progress_.has_head) {
+      co_await exchange_.EndStream();
+      Finish("answered");
+      co_return true;
+    }
+    const bool is_final_answer =
+        result.answer && (result.answer->status / 100 != 5 || !MayRetry());
+    if (is_final_answer && !exchange_.HasBegun()) {
+      const auto status = result.answer->status;
+      host_.metrics.CountAnswer(status);
+      co_await exchange_.Respond(std::move(*result.answer));
+      Finish("answered", status);
+      co_return true;
+    }
+    if (result.may_have_run && !MayRetry()) {
+      co_await Fail(result.error);
+      co_return true;
+    }
+    if (!result.may_have_run && unrun_ > kMostUnrun) {
+      co_await Fail(result.error);
+      co_return true;
+    }
+    if (clock::now() >= deadline_) {
+      co_await Fail(result.error);
+      co_return true;
+    }
+    host_.metrics.CountRetry();
+    if (result.may_have_run) {
+      avoided_.push_back(server.id);
+    }
+    Log(log_level::kInfo, log_category::kRoute,
+        {"request " + caller_.attempt.value + " goes on elsewhere after event " +
+             std::to_string(progress_.last_event) + ": " +
+             result.error.message,
+         result.error.step, server.id.value});
+    co_return false;
+  }
+
+  /** Whether another server may run the request after one may have. */
+  auto MayRetry() const -> bool {
+    return IsRepeatable() && attempts_ < route_.max_attempts &&
+           clock::now() < deadline_;
+  }
+
+  auto Refuse(const placement_answer& placed) -> asio::awaitable<void> {
+    using enum placement_verdict;
+    const bool is_over = placed.verdict == kOverLimit;
+    auto error = Refusal(
+        is_over ? error_code::kTooManyRequests : error_code::kUnavailable,
+        is_over ? "workspace is at its limit"
+                : (placed.verdict == kNoServer ? "service has no server"
+                                               : "no slot is free in time"),
+        "place request");
+    error.message += "; " + std::to_string(placed.waiting) + " wait, " +
+                     std::to_string(placed.free) + " slots free";
+    const auto now = clock::now();
+    const auto wanted =
+        std::chrono::duration_cast<milliseconds>(placed.retry_at - now);
+    const auto longest = std::chrono::duration_cast<milliseconds>(
+        (deadline_ - now) * kReturnShare);
+    co_await Fail(std::move(error),
+                  std::clamp(wanted, milliseconds(1),
+                             std::max(longest, milliseconds(1))));
+  }
+
+  /** Ends the request without a whole answer. */
+  auto Fail(failure error, milliseconds retry_after = milliseconds(0))
+      -> asio::awaitable<void> {
+    if (exchange_.HasBegun()) {
+      // Returning closes the connection, so that the caller cannot take what
+      // it has for a whole answer.
+      Finish("broken off: " + error.message);
+      co_return;
+    }
+    if (may_have_run_) {
+      error.ran = ran_state::kMaybe;
+      error.code = clock::now() >= deadline_ ? error_code::kDeadlineExceeded
+                                             : error_code::kBadGateway;
+    } else {
+      error.ran = ran_state::kNo;
+      if (error.code != error_code::kTooManyRequests) {
+        error.code = error_code::kUnavailable;
+      }
+    }
+    host_.metrics.CountFailure(error.step, NameOf(error.code));
+    const auto status = HttpStatusOf(error.code);
+    Finish("refused or failed: " + error.message, status);
+    co_await RespondRefusal(exchange_, error, retry_after);
+  }
+
+  /** Writes the one line that every request leaves. */
+  auto Finish(std::string what, unsigned status = 200) -> void {
+    const auto now = clock::now();
+    host_.metrics.NoteTotal(route_.id.value, now - arrived_);
+    const auto millis = [](duration d) {
+      return std::chrono::duration_cast<milliseconds>(d).count();
+    };
+    json::object fields{
+        {"request", caller_.attempt.value},
+        {"workspace", workspace_.value},
+        {"route", route_.id.value},
+        {"state_version", deployment_->state().version.value},
+        {"outcome", std::move(what)},
+        {"status", status},
+        {"ms", millis(now - arrived_)},
+        {"first_event_ms", first_event_ == time_point()
+                               ? -1
+                               : millis(first_event_ - arrived_)},
+        {"time_left_ms", millis(deadline_ - now)},
+        {"attempts", attempts_},
+        {"not_run", unrun_},
+        {"last_event", progress_.last_event},
+        {"returning", is_returning_},
+        {"server", last_server_.value},
+        {"dispatcher", host_.placement->HasDispatcher()}};
+    LogEvent(log_level::kInfo, log_category::kRoute, "request_end",
+             std::move(fields));
+  }
+
+  host_state& host_;
+  http_exchange& exchange_;
+  const caller_request& caller_;
+  std::shared_ptr<const deployment_index> deployment_;  // Owns route_.
+  const route_rule& route_;
+  workspace_id workspace_;
+  service_id service_;
+  caller_watch::entry watch_;
+  caller_sink sink_;
+  time_point arrived_;
+  time_point deadline_;
+  time_point first_event_;
+  stream_progress progress_;
+  std::vector<server_id> avoided_;
+  ticket_id ticket_;
+  server_id last_server_;
+  unsigned attempts_ = 0;  // Servers that may have run it.
+  unsigned unrun_ = 0;     // Servers that certainly did not.
+  bool may_have_run_ = false;
+  bool has_token_ = false;
+  bool is_returning_ = false;
+};
+
+/** Logs a request that is refused before it has a route and a workspace. */
+auto RefuseEarly(host_state& host,
+                 http_exchange& exchange,
+                 const caller_request& caller,
+                 failure error,
+                 milliseconds retry_after = milliseconds(0))
+    -> asio::awaitable<void> {
+  host.metrics.CountFailure(error.step, NameOf(error.code));
+  const auto version = host.deployment == nullptr
+                           ? 0
+                           : host.deployment->state().version.value;
+  LogEvent(log_level::kInfo, log_category::kRoute, "request_refused",
+           {{"request", caller.attempt.value},
+            {"host_name", caller.host},
+            {"path", caller.path},
+            {"state_version", version},
+            {"status", HttpStatusOf(error.code)},
+            {"outcome", error.message}});
+  co_await RespondRefusal(exchange, error, retry_after);
+}
+
+}  // namespace
+
+auto RespondRefusal(http_exchange& exchange,
+                    const failure& error,
+                    milliseconds retry_after) -> asio::awaitable<void> {
+  auto response =
+      JsonResponse(HttpStatusOf(error.code), json::serialize(ToJson(error)));
+  response.headers.Set("Dogwood-Ran", NameOf(error.ran));
+  if (retry_after.count() > 0) {
+    adapter::SetRetryAfter(response.headers, retry_after);
+  }
+  auto sent = co_await exchange.Respond(std::move(response));
+  if (!sent) {
+    Log(log_level::kDebug, log_category::kHttp,
+        {sent.error().message, sent.error().step, sent.error().peer});
+  }
+}
+
+auto HandleCaller(host_state& host, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  const auto caller = adapter::DecodeRequest(exchange.Request());
+  const auto deployment = host.deployment;
+  if (deployment == nullptr) {
+    co_await RefuseEarly(host, exchange, caller,
+                         Refusal(error_code::kUnavailable,
+                                 "no declared state is known yet", "find route"),
+                         kUnreadyReturn);
+    co_return;
+  }
+  const bool is_job_call = caller.call != caller_call::kServe;
+  const auto* route =
+      is_job_call ? nullptr : deployment->FindRoute(caller.host, caller.path);
+  if (route == nullptr && !is_job_call) {
+    co_await RefuseEarly(
+        host, exchange, caller,
+        Refusal(error_code::kNotFound, "no route", "find route"));
+    co_return;
+  }
+  workspace_id workspace;
+  const bool needs_key = deployment->state().has_workspaces &&
+                         (route == nullptr || !route->open);
+  if (needs_key) {
+    const auto* owner = deployment->FindKey(caller.key_hash);
+    if (owner == nullptr) {
+      co_await RefuseEarly(
+          host, exchange, caller,
+          Refusal(error_code::kUnauthorized, "unknown key", "check key"));
+      co_return;
+    }
+    workspace = owner->id;
+  }
+  if (is_job_call || route->kind == request_kind::kBatch) {
+    co_await HandleBatchCall(host, exchange, caller, workspace);
+    co_return;
+  }
+  request_run run(host, exchange, caller, deployment, *route, workspace);
+  co_await run.Run();
+}
+
+auto HandleReady(host_state& host, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  const bool is_ready =
+      adapter::IsReadyCall(exchange.Request()) && host.IsReady();
+  co_await exchange.Respond(JsonResponse(is_ready ? 200 : 503, "{}"));
+}
+
+auto HandleDirectory(host_state& host, http_exchange& exchange)
+    -> asio::awaitable<void> {
+  if (!adapter::IsAddressesCall(exchange.Request())) {
+    co_await exchange.Respond(JsonResponse(404, "{}"));
+    co_return;
+  }
+  const auto question = adapter::DecodeAddressQuestion(exchange.Request());
+  const auto port = ":" + std::to_string(host.options.front.port());
+  std::vector<std::string> addresses;
+  for (const auto* member :
+       MembersNear(host.view, host.options.data_centres, question.data_centre,
+                   question.region)) {
+    if (member->name != host.self.name || host.IsReady()) {
+      addresses.push_back(member->ip + port);
+    }
+  }
+  if (addresses.empty() && host.IsReady()) {
+    addresses.push_back(host.self.ip + port);
+  }
+  if (addresses.empty()) {
+    co_await exchange.Respond(JsonResponse(503, "{}"));
+    co_return;
+  }
+  co_await exchange.Respond(JsonResponse(
+      200, adapter::EncodeAddresses(addresses, host.options.address_keep)));
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/hostd_main.cc
@@ -0,0 +1,305 @@
+/** dogwood_hostd: all that runs on one host of the users' platform. */
+#include <sys/stat.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <vector>
+
+#include "src/hostd_base.h"
+#include "src/hostd_batch.h"
+#include "src/hostd_caller.h"
+#include "src/hostd_front.h"
+#include "src/hostd_placement.h"
+#include "src/hostd_watch.h"
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+/** Variable that names the settings file if the command line does not. */
+constexpr const char* kSettingsVariable = "DOGWOODPASS_SETTINGS";
+/** Lines of log a second; a host answers some tens of requests a second. */
+constexpr double kLogLinesPerSecond = 300;
+/** Period of checks of the settings file, of limits and of idle connections. */
+constexpr milliseconds kHousekeeping{500};
+/** After SIGTERM new connections are taken this long: callers keep addresses
+ * for three times the time they are told. */
+constexpr int kKeepFactor = 2;
+constexpr milliseconds kKeepMargin{500};
+/** The process ends this long before the platform kills it. */
+constexpr milliseconds kKillMargin{700};
+/** For records of batch jobs under way at SIGTERM. */
+constexpr milliseconds kHandOverLimit{600};
+constexpr milliseconds kDrainTick{20};
+/** No request may have been active for this long at the end: a request that is
+ * being read counts as active only once it is whole. */
+constexpr milliseconds kQuietTime{300};
+
+/** The servers that listen. */
+struct host_servers {
+  host_servers(host_state& host)
+      : front(host.io,
+              http_limits(),
+              [&host](http_exchange& e) { return HandleCaller(host, e); }),
+        ready(host.io,
+              http_limits(),
+              [&host](http_exchange& e) { return HandleReady(host, e); }),
+        directory(host.io,
+                  http_limits(),
+                  [&host](http_exchange& e) {
+                    return HandleDirectory(host, e);
+                  }),
+        metrics(host.io, http_limits(), [&host](http_exchange& e) {
+          return HandleMetrics(host, e);
+        }) {}
+
+  /** Prints the metrics. */
+  static auto HandleMetrics(host_state& host, http_exchange& exchange)
+      -> asio::awaitable<void> {
+    const auto count = [](std::size_t n) { return static_cast<double>(n); };
+    http_response response;
+    response.headers.Set("Content-Type", "text/plain; version=0.0.4");
+    response.body = host.metrics.Print(
+        {{"dogwood_requests_open", count(host.callers->Count())},
+         {"dogwood_slots_held", count(host.placement->HeldCount())},
+         {"dogwood_asks_waiting_online",
+          count(host.placement->WaitingCount(work_class::kOnline))},
+         {"dogwood_asks_waiting_batch",
+          count(host.placement->WaitingCount(work_class::kBatch))},
+         {"dogwood_batch_items_open", count(host.batch->ItemCount())},
+         {"dogwood_partitions_owned", count(host.owned.size())},
+         {"dogwood_members", count(host.view.members.size())},
+         {"dogwood_servers", count(host.servers.size())},
+         {"dogwood_state_version",
+          host.deployment == nullptr
+              ? 0
+              : count(host.deployment->state().version.value)},
+         {"dogwood_store_lost", host.store.is_lost ? 1 : 0},
+         {"dogwood_has_dispatcher", host.placement->HasDispatcher() ? 1 : 0},
+         {"dogwood_draining", host.draining ? 1 : 0}});
+    response.body += PrintLinkTotals();
+    co_await exchange.Respond(std::move(response));
+  }
+
+  http_server front;      ///< Callers' requests.
+  http_server ready;      ///< The platform's checks.
+  http_server directory;  ///< Questions for addresses.
+  http_server metrics;    ///< Metrics.
+};
+
+/** Answers a call of another host. */
+auto HandleLink(host_state& host, wire_message message)
+    -> asio::awaitable<outcome<wire_message>> {
+  if (const auto* place = message.Asplace_request()) {
+    co_return co_await host.placement->HandlePlace(*place);
+  }
+  if (const auto* ends = message.Asends_request()) {
+    host.placement->HandleEnds(*ends);
+    co_return MakeMessage(wire::doneT());
+  }
+  if (const auto* held = message.Asheld_request()) {
+    co_return MakeMessage(host.placement->HandleHeld(*held));
+  }
+  if (const auto* preempt = message.Aspreempt_request()) {
+    host.placement->HandlePreempt(*preempt);
+    co_return MakeMessage(wire::doneT());
+  }
+  if (const auto* view = message.Asview_request()) {
+    co_return MakeMessage(AnswerView(host, *view));
+  }
+  if (const auto* call = message.Asbatch_call()) {
+    auto response = co_await host.batch->Answer(*call);
+    wire::http_replyT reply;
+    reply.status = response.status;
+    reply.content_type = std::string(response.headers.Get("Content-Type"));
+    reply.body = std::move(response.body);
+    co_return MakeMessage(std::move(reply));
+  }
+  co_return failure{.code = error_code::kBadRequest,
+                    .message = "hostd does not answer such calls",
+                    .ran = ran_state::kNo,
+                    .step = "answer call",
+                    .peer = host.self.name};
+}
+
+/** Waits until no request is active, at most until `deadline`. */
+auto FinishRequests(const http_server& server, time_point deadline)
+    -> asio::awaitable<void> {
+  auto quiet_since = clock::now();
+  while (clock::now() < deadline) {
+    if (server.ActiveRequests() > 0) {
+      quiet_since = clock::now();
+    }
+    if (clock::now() - quiet_since >= kQuietTime) {
+      co_return;
+    }
+    co_await Sleep(kDrainTick);
+  }
+}
+
+/** Waits for SIGTERM, then stops without cutting a request. */
+auto StopOnSignal(host_state& host, host_servers& servers)
+    -> asio::awaitable<void> {
+  asio::signal_set signals(host.io, SIGTERM, SIGINT);
+  co_await signals.async_wait(kAwait);
+  const auto end = clock::now() + host.options.drain_limit - kKillMargin;
+  const auto listen_until =
+      clock::now() + kKeepFactor * host.options.address_keep + kKeepMargin;
+  Log(log_level::kInfo, log_category::kCore, {"draining", "stop", ""});
+  host.draining = true;
+  servers.front.BeginDrain();
+  co_await host.batch->HandOver(clock::now() + kHandOverLimit);
+  co_await LeaveFleet(host);
+  while (clock::now() < std::min(listen_until, end)) {
+    co_await Sleep(kDrainTick);
+  }
+  servers.front.StopListening();
+  co_await FinishRequests(servers.front, end);
+  Log(log_level::kInfo, log_category::kCore,
+      {"stopped with " + std::to_string(servers.front.ActiveRequests()) +
+           " active requests",
+       "stop", ""});
+  FlushLog();
+  host.io.stop();
+}
+
+/** Time of the last change of a file; 0 if there is none. */
+auto ChangeTime(const std::string& path) -> std::int64_t {
+  struct stat status {};
+  return ::stat(path.c_str(), &status) == 0
+             ? static_cast<std::int64_t>(status.st_mtim.tv_sec) * 1000000000 +
+                   status.st_mtim.tv_nsec
+             : 0;
+}
+
+/** Takes what may change while the process runs: peers and log levels. */
+auto Reload(host_state& host, const std::string& path) -> void {
+  auto values = ToOutcome([&] { return ReadSettings(HostdSettings(), path); });
+  if (!values) {
+    Log(log_level::kError, log_category::kCore,
+        {values.error().message, "reload settings", path});
+    return;
+  }
+  auto options = ReadHostdOptions(values.value());
+  if (!options) {
+    Log(log_level::kError, log_category::kCore,
+        {options.error().message, "reload settings", path});
+    return;
+  }
+  host.options.peers = options->peers;
+  host.options.address_keep = options->address_keep;
+  host.options.drain_limit = options->drain_limit;
+  Log(log_level::kInfo, log_category::kCore,
+      {"settings reloaded", "reload settings", path});
+}
+
+/** Reloads the settings on SIGHUP. */
+auto ReloadOnSignal(host_state& host, std::string path)
+    -> asio::awaitable<void> {
+  asio::signal_set signals(host.io, SIGHUP);
+  while (true) {
+    co_await signals.async_wait(kAwait);
+    Reload(host, path);
+  }
+}
+
+/** Applies the declared limits, reloads settings that changed without a signal,
+ * closes idle connections. */
+auto KeepHouse(host_state& host, host_servers& servers, std::string path)
+    -> asio::awaitable<void> {
+  auto changed_at = ChangeTime(path);
+  while (true) {
+    if (host.deployment != nullptr) {
+      const auto& limits = host.deployment->state().limits;
+      servers.front.SetLimits(
+          {.header_bytes = limits.header_bytes,
+           .body_bytes = limits.body_bytes,
+           .idle_ms = static_cast<unsigned>(limits.idle_limit.count()),
+           .header_ms = static_cast<unsigned>(limits.header_limit.count())});
+    }
+    const auto now_changed = ChangeTime(path);
+    if (now_changed != changed_at) {
+      changed_at = now_changed;
+      Reload(host, path);
+    }
+    host.pool.Expire(clock::now());
+    co_await Sleep(kHousekeeping);
+  }
+}
+
+/** Serves until a signal; returns the exit code. */
+auto Serve(hostd_options options, const std::string& settings_path) -> int {
+  // One thread: a host has half a core, and nothing here blocks.
+  asio::io_context io(1);
+  host_state host(io, std::move(options));
+  link_server links(io, {host.self.name, "hostd", host.options.secret},
+                    [&host](link_peer, wire_message message) {
+                      return HandleLink(host, std::move(message));
+                    });
+  host_servers servers(host);
+  if (!IsListening(links.Listen(host.options.link)) ||
+      !IsListening(servers.front.Listen(host.options.front)) ||
+      !IsListening(servers.ready.Listen(host.options.ready)) ||
+      !IsListening(servers.directory.Listen(host.options.directory)) ||
+      !IsListening(servers.metrics.Listen(host.options.metrics))) {
+    return 1;
+  }
+  StartWatching(host);
+  host.placement->Start();
+  host.batch->Start();
+  host.callers->Start();
+  asio::co_spawn(io, StopOnSignal(host, servers), asio::detached);
+  asio::co_spawn(io, ReloadOnSignal(host, settings_path), asio::detached);
+  asio::co_spawn(io, KeepHouse(host, servers, settings_path), asio::detached);
+  Log(log_level::kInfo, log_category::kCore,
+      {"serving callers", "start", FormatEndpoint(host.options.front)});
+  io.run();
+  // Coroutines that still wait refer to `host`. Ending here spares them from
+  // being destroyed after it.
+  std::cout.flush();
+  std::quick_exit(0);
+}
+
+}  // namespace
+}  // namespace dogwood
+
+auto main(int argc, char** argv) -> int {
+  std::vector<const char*> arguments(argv, argv + argc);
+  const char* path = std::getenv(dogwood::kSettingsVariable);
+  if (argc == 1 && path != nullptr) {
+    arguments.insert(arguments.end(), {"--settings", path});
+  }
+  int exit_code = 0;
+  const auto* values = dogwood::SettingsFromCommandLine(
+      dogwood::HostdSettings(), "dogwood_hostd",
+      static_cast<int>(arguments.size()), arguments.data(), exit_code);
+  if (values == nullptr) {
+    return exit_code;
+  }
+  auto options = dogwood::ReadHostdOptions(*values);
+  if (!options) {
+    std::cerr << options.error().message << "\n";
+    return 2;
+  }
+  if (!dogwood::StartLog(options->host.value, "hostd", options->log_levels)) {
+    std::cerr << "setting \"log_levels\" cannot be read\n";
+    return 2;
+  }
+  dogwood::StartLogWriter(dogwood::kLogLinesPerSecond);
+  std::string settings_path;
+  for (std::size_t i = 0; i + 1 < arguments.size(); ++i) {
+    if (std::string_view(arguments[i]) == "--settings") {
+      settings_path = arguments[i + 1];
+    }
+  }
+  return dogwood::Serve(std::move(options.value()), settings_path);
+}
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -43,6 +43,7 @@
   beast::flat_buffer buffer;  ///< Bytes read ahead.
   std::string peer;           ///< "ip:port".
   std::optional<http::response_parser<http::buffer_body>> parser;  ///< Answer.
+  bool is_head = false; ///< The request was a HEAD.
   bool whole = false;   ///< The answer has been read to its end.
   bool failed = false;  ///< An operation failed.
 
@@ -90,16 +91,14 @@
   for (const auto& field : request.headers.fields) {
     message.insert(field.name, field.value);
   }
-  message.set(http::field::host, state_->peer);
+  if (request.headers.Get("Host").empty()) {
+    message.set(http::field::host, state_->peer);
+  }
   message.erase(http::field::transfer_encoding);
   message.body() = request.body;
   message.prepare_payload();
-  state_->whole = false;
-  state_->parser.emplace();
-  state_->parser->body_limit(boost::none);
-  if (request.method == "HEAD") {
-    state_->parser->skip(true);
-  }
+  state_->is_head = request.method == "HEAD";
+  ExpectAnswer();
   state_->stream.expires_at(deadline);
   auto [ec, n] = co_await http::async_write(state_->stream, message, kAwait);
   if (ec) {
@@ -108,6 +107,13 @@
   co_return outcome<void>();
 }
 
+auto http_connection::ExpectAnswer() -> void {
+  state_->whole = false;
+  state_->parser.emplace();
+  state_->parser->body_limit(boost::none);
+  state_->parser->skip(state_->is_head);
+}
+
 auto http_connection::ReadHead(time_point deadline)
     -> asio::awaitable<outcome<http_head>> {
   state_->stream.expires_at(deadline);
@@ -155,6 +161,10 @@
          IsQuiet(state_->stream.socket().native_handle());
 }
 
+auto http_connection::Peer() const -> const std::string& {
+  return state_->peer;
+}
+
 auto http_connection::Abort() -> void {
   asio::post(state_->stream.get_executor(), [s = state_] {
     s->failed = true;
@@ -162,20 +172,15 @@
   });
 }
 
-auto Fetch(tcp::endpoint endpoint,
-           http_request request,
-           time_point deadline,
-           std::size_t max_body) -> asio::awaitable<outcome<http_response>> {
-  auto connection = co_await http_connection::Connect(endpoint, deadline);
-  if (!connection) {
-    co_return connection.error();
-  }
-  auto& conn = *connection.value();
-  auto sent = co_await conn.Send(request, deadline);
+auto Exchange(http_connection& connection,
+              const http_request& request,
+              time_point deadline,
+              std::size_t max_body) -> asio::awaitable<outcome<http_response>> {
+  auto sent = co_await connection.Send(request, deadline);
   if (!sent) {
     co_return sent.error();
   }
-  auto head = co_await conn.ReadHead(deadline);
+  auto head = co_await connection.ReadHead(deadline);
   if (!head) {
     co_return head.error();
   }
@@ -183,7 +188,7 @@
   response.status = head->status;
   response.headers = std::move(head->headers);
   while (true) {
-    auto part = co_await conn.ReadSome(deadline);
+    auto part = co_await connection.ReadSome(deadline);
     if (!part) {
       co_return part.error();
     }
@@ -197,10 +202,23 @@
                                std::to_string(max_body) + " bytes",
                     .ran = ran_state::kMaybe,
                     .step = "read body",
-                    .peer = FormatEndpoint(endpoint)};
+                    .peer = connection.Peer()};
       co_return error;
     }
   }
 }
 
+auto Fetch(tcp::endpoint endpoint,
+           http_request request,
+           time_point deadline,
+           std::size_t max_body) -> asio::awaitable<outcome<http_response>> {
+  auto connection = co_await http_connection::Connect(endpoint, deadline);
+  if (!connection) {
+    co_return connection.error();
+  }
+  auto response = co_await Exchange(*connection.value(), request, deadline,
+                                    max_body);
+  co_return response;
+}
+
 }  // namespace dogwood
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -25,9 +25,12 @@
       -> boost::asio::awaitable<outcome<std::unique_ptr<http_connection>>>;
   ~http_connection();
 
-  /** Sends a whole request. Sets Host and Content-Length. */
+  /** Sends a whole request. Sets Content-Length, and Host if absent. */
   auto Send(const http_request& request, time_point deadline)
       -> boost::asio::awaitable<outcome<void>>;
+  /** Prepares to read one more answer after a whole one that belonged to no
+   * request of this connection. */
+  auto ExpectAnswer() -> void;
   /** Reads status and fields of the answer. */
   auto ReadHead(time_point deadline)
       -> boost::asio::awaitable<outcome<http_head>>;
@@ -38,6 +41,8 @@
   /** Whether the answer was whole, the server keeps the connection and no
    * further bytes have come. */
   auto CanBeReused() const -> bool;
+  /** Address of the server, "ip:port". */
+  auto Peer() const -> const std::string&;
   /** Closes from any thread; pending operations fail. */
   auto Abort() -> void;
 
@@ -47,6 +52,14 @@
   std::shared_ptr<state> state_;
 };
 
+/** Sends one request and reads the whole answer, of at most `max_body` bytes.
+ */
+auto Exchange(http_connection& connection,
+              const http_request& request,
+              time_point deadline,
+              std::size_t max_body = 64UL << 20)
+    -> boost::asio::awaitable<outcome<http_response>>;
+
 /** Sends one request over a new connection and reads the whole answer, of at
  * most `max_body` bytes. */
 auto Fetch(boost::asio::ip::tcp::endpoint endpoint,
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json/serialize.hpp>
 #include <cerrno>
+#include <tuple>
 #include <utility>
 
 #include "src/core.h"
@@ -40,6 +41,9 @@
 constexpr std::chrono::milliseconds kAcceptPause{50};
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+/** Bytes of a request that are read at first. */
+constexpr std::size_t kFirstReadBytes = 4096;
+
 /** A failure of the caller's connection. */
 auto CallerFailure(const beast::error_code& ec,
                    std::string step,
@@ -234,6 +238,36 @@
   std::atomic<std::size_t>& count_;
 };
 
+/** Reads one request: waits for its first byte, then for its head, then for its
+ * body, each with a limit of its own. */
+auto ReadRequest(beast::tcp_stream& stream,
+                 beast::flat_buffer& buffer,
+                 http::request_parser<http::string_body>& parser,
+                 const http_limits& limits)
+    -> asio::awaitable<beast::error_code> {
+  const std::chrono::milliseconds idle(limits.idle_ms);
+  beast::error_code ec;
+  std::size_t n = 0;
+  if (buffer.size() == 0) {
+    stream.expires_after(idle);
+    std::tie(ec, n) = co_await stream.async_read_some(
+        buffer.prepare(kFirstReadBytes), kAwait);
+    buffer.commit(n);
+    if (ec) {
+      co_return ec == asio::error::eof ? http::error::end_of_stream : ec;
+    }
+  }
+  stream.expires_after(std::chrono::milliseconds(limits.header_ms));
+  std::tie(ec, n) =
+      co_await http::async_read_header(stream, buffer, parser, kAwait);
+  if (ec) {
+    co_return ec;
+  }
+  stream.expires_after(idle);
+  std::tie(ec, n) = co_await http::async_read(stream, buffer, parser, kAwait);
+  co_return ec;
+}
+
 /** Serves one connection until it ends. */
 template <typename State>
 auto Serve(std::shared_ptr<State> state, tcp::socket accepted)
@@ -244,14 +278,14 @@
   accepted.set_option(tcp::no_delay(true), ec);
   beast::tcp_stream stream(std::move(accepted));
   beast::flat_buffer buffer;
-  const std::chrono::milliseconds idle(state->limits.idle_ms);
   while (true) {
+    const http_limits limits = state->limits;
+    const std::chrono::milliseconds idle(limits.idle_ms);
     http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(state->limits.header_bytes));
-    parser.body_limit(state->limits.body_bytes);
-    stream.expires_after(idle);
-    auto [read_ec, n] =
-        co_await http::async_read(stream, buffer, parser, kAwait);
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    const auto read_ec =
+        co_await ReadRequest(stream, buffer, parser, limits);
     if (read_ec) {
       co_await RefuseRequest(stream, read_ec, peer, idle);
       break;
@@ -314,6 +348,10 @@
   return opened;
 }
 
+auto http_server::SetLimits(const http_limits& limits) -> void {
+  state_->limits = limits;
+}
+
 auto http_server::BeginDrain() -> void {
   state_->draining = true;
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -59,6 +59,9 @@
 
   /** Binds and starts to accept. */
   auto Listen(const boost::asio::ip::tcp::endpoint& endpoint) -> outcome<void>;
+  /** Replaces the limits; they hold from the next request of each connection.
+   * Must be called where the io_context runs, on one thread. */
+  auto SetLimits(const http_limits& limits) -> void;
   /** Answers from now on close their connections; idle ones close after
    * their next answer or when idle_ms passes. */
   auto BeginDrain() -> void;
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -63,6 +63,7 @@
   std::size_t header_bytes = 16UL << 10;  ///< Longest head.
   std::size_t body_bytes = 8UL << 20;     ///< Longest body.
   unsigned idle_ms = 60000;               ///< Longest silence of a caller.
+  unsigned header_ms = 60000;             ///< Longest time to send a head.
 };
 
 }  // namespace dogwood
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -2,6 +2,7 @@
 #ifndef SRC_LOG_FUNC_H_
 #define SRC_LOG_FUNC_H_
 
+#include <boost/json/object.hpp>
 #include <string>
 #include <string_view>
 
@@ -36,6 +37,20 @@
               std::string_view daemon,
               std::string_view levels) -> bool;
 
+/** Writes one line of a named event with its fields if the category's level
+ * allows it. Thread-safe. */
+auto LogEvent(log_level level,
+              log_category category,
+              std::string_view event,
+              boost::json::object fields) -> void;
+
+/** From now on lines are written by a thread of their own, so that a reader
+ * that does not keep up blocks nobody. At most `lines_per_s` lines are written;
+ * those beyond are dropped, and their number is told. */
+auto StartLogWriter(double lines_per_s) -> void;
+/** Writes the lines that wait. */
+auto FlushLog() -> void;
+
 /** Writes one line if the category's level allows it. Thread-safe. */
 auto Log(log_level level, log_category category, const log_line& line) -> void;
 
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -5,5 +5,6 @@
 
 #include "src/proxy_func.h"
 #include "src/sse_base.h"
+#include "src/sse_func.h"
 
 #endif  // SRC_PROXY_H_
--- a/src/proxy_func.cc
+++ b/src/proxy_func.cc
@@ -47,25 +47,6 @@
       names, [name](auto other) { return boost::iequals(name, other); });
 }
 
-/** Removes hop-by-hop fields and those that Connection names. */
-auto RemoveHopByHop(http_headers& headers) -> void {
-  std::vector<std::string> named;
-  for (const auto& field : headers.fields) {
-    if (boost::iequals(field.name, "Connection")) {
-      std::vector<std::string> parts;
-      boost::split(parts, field.value, boost::is_any_of(","));
-      named.insert(named.end(), parts.begin(), parts.end());
-    }
-  }
-  for (auto& name : named) {
-    boost::trim(name);
-    headers.Remove(name);
-  }
-  std::erase_if(headers.fields, [](const http_header& field) {
-    return Contains(kHopByHop, field.name);
-  });
-}
-
 /** Percent-decoded text; the text itself if it is not well-formed. */
 auto Decoded(std::string_view text) -> std::string {
   const auto view = boost::urls::make_pct_string_view(text);
@@ -144,6 +125,24 @@
 
 }  // namespace
 
+auto RemoveHopByHop(http_headers& headers) -> void {
+  std::vector<std::string> named;
+  for (const auto& field : headers.fields) {
+    if (boost::iequals(field.name, "Connection")) {
+      std::vector<std::string> parts;
+      boost::split(parts, field.value, boost::is_any_of(","));
+      named.insert(named.end(), parts.begin(), parts.end());
+    }
+  }
+  for (auto& name : named) {
+    boost::trim(name);
+    headers.Remove(name);
+  }
+  std::erase_if(headers.fields, [](const http_header& field) {
+    return Contains(kHopByHop, field.name);
+  });
+}
+
 auto BearerKey(const http_headers& headers) -> std::string_view {
   constexpr std::string_view kScheme = "bearer ";
   const auto value = headers.Get("Authorization");
--- a/src/proxy_func.h
+++ b/src/proxy_func.h
@@ -44,6 +44,10 @@
 auto CallerHeaders(const http_headers& headers, std::string_view request_id)
     -> http_headers;
 
+/** Removes the fields that concern one connection only (RFC 9110, 7.6.1), those
+ * that Connection names, and those that framing sets anew. */
+auto RemoveHopByHop(http_headers& headers) -> void;
+
 /** Whether an answer can belong to the request: a server that names another
  * request's id has crossed its answers. */
 auto IsAnswerTo(const http_head& head, std::string_view request_id) -> bool;
--- /dev/null
+++ b/src/sse_func.cc
@@ -0,0 +1,51 @@
+#include "src/sse_func.h"
+
+#include <charconv>
+
+namespace dogwood {
+namespace {
+
+/** Value of a line "name: value" if its name is `name`. */
+auto ValueOf(std::string_view line, std::string_view name)
+    -> std::optional<std::string_view> {
+  if (!line.starts_with(name) || line.size() <= name.size() ||
+      line[name.size()] != ':') {
+    return std::nullopt;
+  }
+  line.remove_prefix(name.size() + 1);
+  if (line.starts_with(' ')) {
+    line.remove_prefix(1);
+  }
+  return line;
+}
+
+}  // namespace
+
+auto ParseEventFields(std::string_view event) -> event_fields {
+  event_fields fields;
+  while (!event.empty()) {
+    const auto end = event.find('\n');
+    auto line = event.substr(0, end);
+    event = end == std::string_view::npos ? "" : event.substr(end + 1);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (const auto id = ValueOf(line, "id")) {
+      std::uint64_t number = 0;
+      const auto* last = id->data() + id->size();
+      if (std::from_chars(id->data(), last, number).ptr == last &&
+          !id->empty()) {
+        fields.id = number;
+      }
+    } else if (const auto data = ValueOf(line, "data")) {
+      if (fields.has_data) {
+        fields.data += '\n';
+      }
+      fields.has_data = true;
+      fields.data += *data;
+    }
+  }
+  return fields;
+}
+
+}  // namespace dogwood
