Await outside of conditions; copy the server of an attempt

Ruled out: prvalue arguments of awaited coroutines, the optional offset of an append; both were named and made no difference.

--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -148,7 +148,8 @@
 auto batch_service::Load(partition_id id, partition_ptr partition)
     -> asio::awaitable<void> {
   while (partition->is_owned && !partition->is_loaded) {
-    if (co_await CatchUp(id, partition)) {
+    const bool is_read = co_await CatchUp(id, partition);
+    if (is_read) {
       partition->is_loaded = true;
       if (!partition->fold.Jobs().empty()) {
         LogEvent(log_level::kInfo, log_category::kJob, "partition_loaded",
@@ -319,7 +320,8 @@
 auto batch_service::WriteLoop(partition_id id, partition_ptr partition)
     -> asio::awaitable<void> {
   while (partition->is_owned && !partition->pending.empty()) {
-    if (!co_await AppendOnce(id, partition)) {
+    const bool is_appended = co_await AppendOnce(id, partition);
+    if (!is_appended) {
       co_await Sleep(kStorePause);
     }
   }
@@ -345,10 +347,10 @@
     sent.push_back(record);
   }
   const auto where = LocatePartition(id, host_.options.partitions_per_topic);
-  const auto at = partition->fold.next();
+  const std::optional<log_offset> at = partition->fold.next();
   auto appended = co_await partition->client.Append(
       where, records, at, clock::now() + kStoreLimit);
-  if (appended && appended->first == at) {
+  if (appended && appended->first == *at) {
     ApplyRecords(id, *partition, records);
     Settle(*partition);
     co_return true;
@@ -584,14 +586,16 @@
     queue_.Return(ref, clock::now() + kUnrunPause);
     co_return;
   }
-  const auto* server = host_.placement->FindServer(placed.server);
-  if (server == nullptr || server->leaving || queue_.Find(ref) == nullptr ||
+  const auto* found = host_.placement->FindServer(placed.server);
+  if (found == nullptr || found->leaving || queue_.Find(ref) == nullptr ||
       host_.draining) {
     host_.placement->End(ticket, run_outcome::kUnused);
     queue_.Return(ref, clock::now());
     co_return;
   }
-  co_await RunPlaced(ref, ticket, *server);
+  // A copy: the registrations may change while the server answers.
+  const auto server = *found;
+  co_await RunPlaced(ref, ticket, server);
 }
 
 auto batch_service::RunPlaced(const batch_item_ref& ref,
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -113,9 +113,8 @@
         co_await Refuse(placed);
         co_return;
       }
-      const auto* server = host_.placement->FindServer(placed.server);
-      if (server == nullptr || server->service != service_ ||
-          server->leaving) {
+      const auto* found = host_.placement->FindServer(placed.server);
+      if (found == nullptr || found->service != service_ || found->leaving) {
         GiveBack(placed);
         avoided_.push_back(placed.server);
         if (++unrun_ > kMostUnrun) {
@@ -125,11 +124,14 @@
         }
         continue;
       }
-      auto result = co_await Attempt(*server);
+      // A copy: the registrations may change while the server answers.
+      const auto server = *found;
+      auto result = co_await Attempt(server);
       if (watch_.is_gone()) {
         co_return Finish("caller left");
       }
-      if (co_await TakeResult(std::move(result), *server)) {
+      const bool is_over = co_await TakeResult(std::move(result), server);
+      if (is_over) {
         co_return;
       }
     }
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -172,12 +172,13 @@
     }
     co_return std::nullopt;
   }
-  co_return placement_answer{
-      .verdict = static_cast<placement_verdict>(placed->verdict),
-      .server = server_id(placed->server),
-      .waiting = placed->waiting,
-      .free = placed->free,
-      .retry_at = clock::now() + microseconds(placed->retry_after_us)};
+  placement_answer answer;
+  answer.verdict = static_cast<placement_verdict>(placed->verdict);
+  answer.server = server_id(placed->server);
+  answer.waiting = placed->waiting;
+  answer.free = placed->free;
+  answer.retry_at = clock::now() + microseconds(placed->retry_after_us);
+  co_return answer;
 }
 
 auto placement_service::AskHere(placement_ask ask)
@@ -193,10 +194,13 @@
     co_await wait->timer.async_wait(kAwait);
   }
   waiters_.erase(key);
-  co_return wait->answer.value_or(placement_answer{
-      .verdict = placement_verdict::kNoRoom,
-      .server = {},
-      .retry_at = clock::now()});
+  if (wait->answer) {
+    co_return *wait->answer;
+  }
+  placement_answer none;
+  none.verdict = placement_verdict::kNoRoom;
+  none.retry_at = clock::now();
+  co_return none;
 }
 
 auto placement_service::Deliver() -> void {
@@ -449,7 +453,8 @@
 
 auto placement_service::HandlePlace(const wire::place_requestT& request)
     -> asio::awaitable<wire_message> {
-  auto answer = co_await AskHere(DecodeAsk(request, clock::now()));
+  auto ask = DecodeAsk(request, clock::now());
+  auto answer = co_await AskHere(std::move(ask));
   wire::place_replyT reply;
   reply.verdict = static_cast<std::uint8_t>(answer.verdict);
   reply.server = answer.server.value;
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -156,7 +156,8 @@
       Log(log_level::kWarning, log_category::kRoute,
           {"answer to request " + answer_.attempt.value + " skipped",
            "read head of " + order_.attempt.value, order_.server.id.value});
-      if (!co_await ReadWhole()) {
+      const auto skipped = co_await ReadWhole();
+      if (!skipped) {
         co_return std::nullopt;
       }
       handle_.connection->ExpectAnswer();
@@ -295,7 +296,11 @@
       NoteEvent();
       std::string passed;
       const bool in_order = TakeEvents(events.value(), passed);
-      if (!passed.empty() && !co_await Pass(head, std::move(passed))) {
+      bool is_wanted = true;
+      if (!passed.empty()) {
+        is_wanted = co_await Pass(head, std::move(passed));
+      }
+      if (!is_wanted) {
         handle_.Abort();
         Fail(Found("nobody wants the answer any more", "pass on events"),
              run_outcome::kLeft);
@@ -313,8 +318,10 @@
       -> asio::awaitable<bool> {
     if (!progress_.has_head) {
       progress_.has_head = true;
-      if (!co_await sink_.TakeHead(
-              {head.status, adapter::FieldsForCaller(head.headers)})) {
+      const http_head for_caller{head.status,
+                                 adapter::FieldsForCaller(head.headers)};
+      const bool is_taken = co_await sink_.TakeHead(for_caller);
+      if (!is_taken) {
         co_return false;
       }
     }
@@ -322,7 +329,12 @@
   }
 
   auto RunSteps() -> asio::awaitable<void> {
-    if (!co_await Open() || !co_await Send()) {
+    const bool is_open = co_await Open();
+    if (!is_open) {
+      co_return;
+    }
+    const bool is_sent = co_await Send();
+    if (!is_sent) {
       co_return;
     }
     auto head = co_await ReadHead();
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -232,7 +232,11 @@
     auto snapshot = co_await ReadNewest(host, client, where);
     std::ranges::for_each(snapshot.records, take);
     auto next = snapshot.end;
-    while (auto page = co_await ReadNext(host, client, where, next)) {
+    while (true) {
+      const auto page = co_await ReadNext(host, client, where, next);
+      if (!page) {
+        break;
+      }
       // Only the newest counts; decoding each state of a storm costs time.
       std::optional<keyed_record> newest;
       for (const auto& record : page->records) {
@@ -263,7 +267,11 @@
     host.servers_known = true;
     host.placement->ServersChanged();
     auto next = snapshot.end;
-    while (auto page = co_await ReadNext(host, client, where, next)) {
+    while (true) {
+      const auto page = co_await ReadNext(host, client, where, next);
+      if (!page) {
+        break;
+      }
       for (const auto& record : page->records) {
         if (const auto keyed = adapter::SplitKeyedRecord(record)) {
           table.Take(*keyed);
