Read the log before a job is said to be absent

A host that lost a partition and regained it between two views, or had not heard of the loss, answered from a fold that another owner had overtaken. Change: an owner reads the end of the log before it answers 404 or a position beyond its results, and after each change of the members; calls that change a fold follow one another. Ruled out: reading without the lock; two coroutines shared a connection and applied records twice (exits).

--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -119,6 +119,11 @@
 auto batch_service::OwnershipChanged() -> void {
   for (auto it = partitions_.begin(); it != partitions_.end();) {
     if (host_.owned.contains(it->first)) {
+      // Another host may have owned it between the two views.
+      if (it->second->is_loaded) {
+        it->second->is_loaded = false;
+        asio::co_spawn(host_.io, Load(it->first, it->second), asio::detached);
+      }
       ++it;
       continue;
     }
@@ -158,6 +163,7 @@
                   {"jobs", partition->fold.Jobs().size()}});
       }
       for (const auto& [job, state] : partition->fold.Jobs()) {
+        DropItems(id, state);
         QueueItems(id, state);
       }
       partition->changed.Notify();
@@ -169,6 +175,13 @@
 
 auto batch_service::CatchUp(partition_id id, partition_ptr partition)
     -> asio::awaitable<bool> {
+  const auto section = co_await partition->store_calls.Enter();
+  const bool is_read = co_await ReadToEnd(id, partition);
+  co_return is_read;
+}
+
+auto batch_service::ReadToEnd(partition_id id, partition_ptr partition)
+    -> asio::awaitable<bool> {
   const auto where = LocatePartition(id, host_.options.partitions_per_topic);
   while (partition->is_owned) {
     const auto from = partition->fold.next();
@@ -221,9 +234,14 @@
     AbortItem(ref);
   }
   if (change.ended) {
-    const auto* job = partition.fold.Find(*change.ended);
-    for (const auto& item : job->submission.items) {
-      const batch_item_ref ref{id, *change.ended, item.id};
+    DropItems(id, *partition.fold.Find(*change.ended));
+  }
+}
+
+auto batch_service::DropItems(partition_id id, const batch_job& job) -> void {
+  for (const auto& item : job.submission.items) {
+    if (job.ended || job.listed.contains(item.id)) {
+      const batch_item_ref ref{id, job.submission.id, item.id};
       queue_.Remove(ref);
       AbortItem(ref);
     }
@@ -330,6 +348,11 @@
 
 auto batch_service::AppendOnce(partition_id id, partition_ptr partition)
     -> asio::awaitable<bool> {
+  const auto section = co_await partition->store_calls.Enter();
+  Settle(*partition);
+  if (partition->pending.empty()) {
+    co_return true;
+  }
   std::vector<std::string> records;
   std::vector<std::shared_ptr<pending_record>> sent;
   std::size_t bytes = 0;
@@ -368,9 +391,9 @@
     co_return false;
   }
   // Another host has written, or an append of this one whose answer was lost.
-  const bool caught_up = co_await CatchUp(id, partition);
+  const bool is_read = co_await ReadToEnd(id, partition);
   Settle(*partition);
-  co_return caught_up;
+  co_return is_read;
 }
 
 auto batch_service::AwaitSettled(partition_ptr partition,
@@ -424,6 +447,11 @@
   if (kind == batch_call_kind::kSubmit) {
     co_return co_await Submit(id, partition, call);
   }
+  const bool is_current = co_await Verify(id, partition, call);
+  if (!is_current) {
+    co_return FailureAnswer(error_code::kUnavailable,
+                            "the store does not tell whether the job exists");
+  }
   const auto* job = partition->fold.Find(batch_id(call.job));
   if (job == nullptr || job->submission.workspace.value != call.workspace) {
     co_return FailureAnswer(error_code::kNotFound, "no such batch job");
@@ -444,6 +472,19 @@
       .body = item->body};
 }
 
+auto batch_service::Verify(partition_id id,
+                           partition_ptr partition,
+                           const wire::batch_callT& call)
+    -> asio::awaitable<bool> {
+  const auto* job = partition->fold.Find(batch_id(call.job));
+  if (job != nullptr && call.position <= job->results.size()) {
+    co_return true;
+  }
+  // This host may have lost the partition without having heard of it yet.
+  const bool is_current = co_await CatchUp(id, partition);
+  co_return is_current;
+}
+
 auto batch_service::Submit(partition_id id,
                            partition_ptr partition,
                            const wire::batch_callT& call)
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -73,12 +73,13 @@
   struct owned_partition {
     owned_partition(boost::asio::io_context& io,
                     boost::asio::ip::tcp::endpoint store)
-        : client(store), changed(io) {}
+        : client(store), store_calls(io), changed(io) {}
     batch_partition fold;            ///< As read from the log.
     bool is_loaded = false;          ///< The log has been read to its end.
     bool is_owned = true;            ///< False once another host owns it.
     bool is_writing = false;         ///< WriteLoop() runs.
     adapter::store_client client;    ///< For this partition's calls.
+    async_section store_calls;       ///< Around calls that change `fold`.
     std::list<std::shared_ptr<pending_record>> pending;  ///< In order.
     wait_list changed;  ///< Notified of each change.
   };
@@ -86,8 +87,13 @@
 
   auto Load(partition_id id, partition_ptr partition)
       -> boost::asio::awaitable<void>;
+  /** Applies the records up to the end of the log; false if the store does not
+   * answer. */
   auto CatchUp(partition_id id, partition_ptr partition)
       -> boost::asio::awaitable<bool>;
+  /** The same within `store_calls`. */
+  auto ReadToEnd(partition_id id, partition_ptr partition)
+      -> boost::asio::awaitable<bool>;
   auto ApplyRecords(partition_id id,
                     owned_partition& partition,
                     const std::vector<std::string>& records) -> void;
@@ -95,6 +101,7 @@
                   owned_partition& partition,
                   const batch_change& change) -> void;
   auto QueueItems(partition_id id, const batch_job& job) -> void;
+  auto DropItems(partition_id id, const batch_job& job) -> void;
   auto Settle(owned_partition& partition) -> void;
   auto Write(partition_id id,
              partition_ptr partition,
@@ -109,6 +116,11 @@
   auto AwaitLoaded(partition_ptr partition, time_point deadline)
       -> boost::asio::awaitable<bool>;
 
+  /** Reads the end of the log if what this host knows does not answer the
+   * call; false if the store does not answer. */
+  auto Verify(partition_id id,
+              partition_ptr partition,
+              const wire::batch_callT& call) -> boost::asio::awaitable<bool>;
   auto Submit(partition_id id, partition_ptr partition,
               const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
--- a/src/wait_list.h
+++ b/src/wait_list.h
@@ -42,6 +42,45 @@
   std::vector<std::shared_ptr<boost::asio::steady_timer>> waiting_;
 };
 
+/** Lets one coroutine at a time into a section. To be used on one thread. */
+class async_section {
+ public:
+  explicit async_section(boost::asio::io_context& io) : left_(io) {}
+
+  /** Leaves the section at the end of its life. */
+  class guard {
+   public:
+    explicit guard(async_section& section) : section_(&section) {}
+    guard(guard&& other) noexcept
+        : section_(std::exchange(other.section_, nullptr)) {}
+    auto operator=(guard&&) -> guard& = delete;
+    guard(const guard&) = delete;
+    auto operator=(const guard&) -> guard& = delete;
+    ~guard() {
+      if (section_ != nullptr) {
+        section_->is_taken_ = false;
+        section_->left_.Notify();
+      }
+    }
+
+   private:
+    async_section* section_;
+  };
+
+  /** Waits until the section is free and enters it. */
+  auto Enter() -> boost::asio::awaitable<guard> {
+    while (is_taken_) {
+      co_await left_.Wait(time_point::max());
+    }
+    is_taken_ = true;
+    co_return guard(*this);
+  }
+
+ private:
+  wait_list left_;
+  bool is_taken_ = false;
+};
+
 }  // namespace dogwood
 
 #endif  // SRC_WAIT_LIST_H_
