Test the decisions of hostd and the adapter's decoders

Cause: the new libraries had no tests. Found by them: none in the program; RC_ASSERT does not short-circuit ||.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -3,7 +3,7 @@
 dogwood_library(dispatch SOURCES dispatch_cmd.cc dispatch_local.cc
                 LIBS dogwood_core)
 dogwood_library(batch SOURCES batch_fold.cc batch_queue.cc batch_record.cc
-                LIBS dogwood_job)
+                LIBS dogwood_job dogwood_http)
 dogwood_library(fleet SOURCES fleet_func.cc LIBS dogwood_batch)
 add_library(dogwood_platform_adapter STATIC
             platform/batch_codec.cc platform/request_codec.cc
@@ -18,3 +18,9 @@
                      dogwood_dispatch dogwood_fleet dogwood_entry dogwood_wire
                      dogwood_setting)
 dogwood_binary(dogwood_hostd SOURCES src/hostd_main.cc LIBS dogwood_hostd_lib)
+dogwood_test(deployment dogwood_deployment)
+dogwood_test(dispatch dogwood_dispatch)
+dogwood_test(batch dogwood_batch)
+dogwood_test(fleet dogwood_fleet)
+dogwood_test(adapter dogwood_platform_adapter)
+dogwood_test(hostd dogwood_hostd_lib)
--- /dev/null
+++ b/tests/adapter_test.cc
@@ -0,0 +1,274 @@
+/** Tests of the adapter: what the platform's messages become, also when they
+ * are damaged. */
+#include <rapidcheck.h>
+
+#include "platform/adapter.h"
+#include "platform/base64.h"
+#include "src/core.h"
+
+// Last: macros of Criterion clash with Boost headers that follow it.
+#include <criterion/criterion.h>
+
+namespace dogwood::testing {
+namespace {
+
+constexpr std::string_view kState = R"({"version":7,"routes":[
+ {"name":"r1","host":"one.example","pathPrefix":"/a/","kind":"streaming",
+  "timeoutMs":5000,"targetLatencyMs":300,"priority":2,"resumable":true,
+  "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+  "maxAttempts":2,"public":false,"gapAimMs":400},
+ {"name":"r2","host":"one.example","pathPrefix":"/b/","kind":"batch",
+  "service":"s1","completionTargetMs":18000,"retentionS":60,"maxAttempts":3},
+ {"name":"broken","host":5},
+ {"name":"r3","host":"two.example","pathPrefix":"/c/","kind":"unknown",
+  "service":"s1"}],
+ "services":[{"name":"s1","maxConns":170,"engine":{"slots":8}}, 5],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+  "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t1","apiKeys":["key-one"],"ratePerS":69,"burst":70}]})";
+
+/** A caller's request as it arrives. */
+auto Request() -> http_request {
+  http_request request;
+  request.method = "POST";
+  request.target = "/a/b?c=d";
+  request.headers.fields = {{"Host", "one.example:80"},
+                            {"X-Attempt-Id", "id-1"},
+                            {"X-Key", "key-one"},
+                            {"X-Tenant", "forged"},
+                            {"X-Deadline-Ms", "5000"},
+                            {"Last-Event-Id", "12"},
+                            {"X-Model", "m"},
+                            {"X-Expect-Instance", "forged"},
+                            {"Connection", "keep-alive, X-Hop"},
+                            {"X-Hop", "1"},
+                            {"Transfer-Encoding", "chunked"}};
+  request.body = "body";
+  return request;
+}
+
+/** Property: no bytes crash a decoder. */
+auto NoiseIsHarmless() -> bool {
+  return rc::check("decoders take any bytes", [] {
+    const auto noise = *rc::gen::string<std::string>();
+    adapter::DecodeState(noise);
+    adapter::DecodeServer("id", noise);
+    adapter::DecodeItems(noise);
+    adapter::SplitKeyedRecord(noise);
+    adapter::DecodeBase64(noise);
+    http_request request;
+    request.method = "GET";
+    request.target = noise;
+    request.headers.fields = {{"X-Deadline-Ms", noise},
+                              {"Last-Event-Id", noise},
+                              {"X-Wait-Ms", noise}};
+    adapter::DecodeRequest(request);
+    adapter::DecodeAnswer(
+        {200, {{{"X-Server-Load", noise}, {"Keep-Alive", noise}}}});
+  });
+}
+
+/** Property: a damaged state yields no entry that the whole one has not. */
+auto DamageAddsNothing() -> bool {
+  return rc::check("a damaged state names no new route", [] {
+    std::string text(kState);
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[at] = static_cast<char>(*rc::gen::inRange(32, 127));
+    const auto state = adapter::DecodeState(text);
+    // RC_ASSERT does not evaluate || from left to right.
+    const bool is_bounded = !state || state->routes.size() <= 3;
+    RC_ASSERT(is_bounded);
+  });
+}
+
+}  // namespace
+
+// Guards against fields that are read as others, and against one bad entry that
+// takes the others with it.
+Test(adapter, declared_state_becomes_typed) {
+  const auto state = adapter::DecodeState(kState);
+  cr_assert(state.has_value());
+  cr_assert_eq(state->version.value, 7);
+  cr_assert_eq(state->routes.size(), 2);
+  const auto& route = state->routes[0];
+  cr_assert_eq(static_cast<int>(route.kind),
+               static_cast<int>(request_kind::kStream));
+  cr_assert_eq(route.answer_limit.count(), 5000);
+  cr_assert_eq(route.objective.count(), 300);
+  cr_assert_eq(route.event_gap_limit.count(), 400);
+  cr_assert_eq(route.max_attempts, 2);
+  cr_assert(route.resumable);
+  cr_assert_eq(route.services.size(), 2);
+  cr_assert_eq(route.services[0].weight, 90);
+  cr_assert_eq(state->routes[1].completion_objective.count(), 18000);
+  cr_assert_eq(state->routes[1].retention.count(), 60000);
+  cr_assert_eq(state->services.size(), 1);
+  cr_assert_eq(state->services[0].slots, 8);
+  cr_assert_eq(state->limits.idle_limit.count(), 15000);
+  cr_assert(state->has_workspaces);
+  cr_assert_eq(state->workspaces[0].rate_per_s, 69);
+}
+
+// Guards against keys that can be read from memory or logs.
+Test(adapter, keys_are_kept_as_hashes) {
+  const auto state = adapter::DecodeState(kState);
+  cr_assert_eq(state->workspaces[0].hashes[0], Sha256Hex("key-one"));
+}
+
+// Guards against a state without version that replaces a good one.
+Test(adapter, unreadable_state_is_refused) {
+  cr_assert_not(adapter::DecodeState("{}").has_value());
+  cr_assert_not(adapter::DecodeState("[]").has_value());
+  cr_assert_not(adapter::DecodeState("{\"version\":-1}").has_value());
+}
+
+// Guards against servers named by foreign or damaged registrations.
+Test(adapter, only_sound_registrations_name_a_server) {
+  const auto sound = adapter::DecodeServer(
+      "i-1",
+      R"({"service":"s1","address":"10.0.0.1:80","zone":"a","slots":8,
+          "state":"draining","born":12,"more":[]})");
+  cr_assert(sound.has_value());
+  cr_assert(sound->leaving);
+  cr_assert_eq(sound->slots, 8);
+  cr_assert_eq(sound->start, 12);
+  for (const auto* bad :
+       {R"({"service":"s1","address":"x","slots":8,"state":"strange"})",
+        R"({"service":"s1","address":7,"slots":8,"state":"ready"})",
+        R"({"service":"s1","address":"x","slots":"8","state":"ready"})",
+        R"({"address":"x","slots":8,"state":"ready"})", "", "\x01\x02"}) {
+    cr_assert_not(adapter::DecodeServer("i-1", bad).has_value());
+  }
+}
+
+// Guards against a key, a forged workspace or the fields of one connection that
+// reach a server.
+Test(adapter, servers_get_neither_keys_nor_forged_fields) {
+  const server_order order{.server = server_id("i-1"),
+                           .workspace = workspace_id("t1"),
+                           .time_left = std::chrono::milliseconds(4200),
+                           .resume_after = 15};
+  const auto sent = adapter::EncodeForServer(Request(), order);
+  cr_assert_eq(sent.target, "/a/b?c=d");
+  cr_assert_eq(sent.headers.Get("X-Key"), "");
+  cr_assert_eq(sent.headers.Get("X-Tenant"), "t1");
+  cr_assert_eq(sent.headers.Get("X-Expect-Instance"), "i-1");
+  cr_assert_eq(sent.headers.Get("X-Deadline-Ms"), "4200");
+  cr_assert_eq(sent.headers.Get("Last-Event-Id"), "15");
+  cr_assert_eq(sent.headers.Get("X-Attempt-Id"), "id-1");
+  cr_assert_eq(sent.headers.Get("Host"), "one.example:80");
+  cr_assert_eq(sent.headers.Get("X-Hop"), "");
+  cr_assert_eq(sent.headers.Get("Transfer-Encoding"), "");
+  for (const auto& field : sent.headers.fields) {
+    cr_assert_eq(field.value.find("key-one"), std::string::npos);
+    cr_assert_neq(field.value, "forged");
+  }
+  // Without a workspace the caller's own claim must not remain.
+  auto open = order;
+  open.workspace = workspace_id();
+  cr_assert_eq(
+      adapter::EncodeForServer(Request(), open).headers.Get("X-Tenant"), "");
+}
+
+// Guards against fields of a caller's request that are misread.
+Test(adapter, callers_requests_become_typed) {
+  const auto caller = adapter::DecodeRequest(Request());
+  cr_assert_eq(caller.host, "one.example");
+  cr_assert_eq(caller.path, "/a/b");
+  cr_assert_eq(caller.attempt.value, "id-1");
+  cr_assert_eq(caller.key_hash, Sha256Hex("key-one"));
+  cr_assert_eq(caller.time_left->count(), 5000);
+  cr_assert_eq(caller.resume_after, 12);
+}
+
+// Guards against calls on jobs that are taken for others.
+Test(adapter, calls_on_jobs_are_told_apart) {
+  http_request request;
+  request.method = "GET";
+  request.target = "/api/lots/j1?after=12";
+  request.headers.Set("X-Wait-Ms", "1000");
+  auto caller = adapter::DecodeRequest(request);
+  cr_assert_eq(static_cast<int>(caller.call),
+               static_cast<int>(caller_call::kJobResults));
+  cr_assert_eq(caller.job, "j1");
+  cr_assert_eq(caller.position, 12);
+  cr_assert_eq(caller.result_wait.count(), 1000);
+  request.method = "DELETE";
+  cr_assert_eq(static_cast<int>(adapter::DecodeRequest(request).call),
+               static_cast<int>(caller_call::kJobEnd));
+  request.method = "GET";
+  request.target = "/api/items/j1?id=i%2D1";
+  caller = adapter::DecodeRequest(request);
+  cr_assert_eq(static_cast<int>(caller.call),
+               static_cast<int>(caller_call::kJobItem));
+  cr_assert_eq(caller.item, "i-1");
+}
+
+// Guards against a request counted as not run although it may have been.
+Test(adapter, only_servers_statements_say_not_run) {
+  cr_assert(adapter::DecodeAnswer({503, {{{"X-Not-Executed", "1"}}}}).not_run);
+  cr_assert(adapter::DecodeAnswer({421, {}}).not_run);
+  cr_assert_not(adapter::DecodeAnswer({503, {}}).not_run);
+  cr_assert_not(adapter::DecodeAnswer({500, {}}).not_run);
+  const auto answer = adapter::DecodeAnswer(
+      {200,
+       {{{"X-Server-Load", "3,1,8"}, {"Keep-Alive", "timeout=5, max=9"}}}});
+  cr_assert_eq(answer.load->running, 3);
+  cr_assert_eq(answer.load->waiting, 1);
+  cr_assert_eq(*answer.idle_s, 5);
+}
+
+// Guards against items that reach a server with another body or other fields.
+Test(adapter, items_are_decoded_and_sent_as_submitted) {
+  const auto items = adapter::DecodeItems(
+      R"({"items":[{"id":"i1","path":"/p/1","headers":{"X-Model":"m"},
+          "body":"q83v","tokens":9}]})");
+  cr_assert(items.has_value());
+  const auto request = adapter::ItemRequest(items.value()[0], "one.example");
+  cr_assert_eq(request.method, "POST");
+  cr_assert_eq(request.target, "/p/1");
+  cr_assert_eq(request.headers.Get("X-Attempt-Id"), "i1");
+  cr_assert_eq(request.headers.Get("X-Model"), "m");
+  cr_assert_eq(request.headers.Get("Host"), "one.example");
+  cr_assert_eq(request.body, "\xab\xcd\xef");
+  cr_assert_not(adapter::DecodeItems(R"({"items":[{"id":5}]})").has_value());
+  cr_assert_not(adapter::DecodeItems("{}").has_value());
+}
+
+// Guards against bytes that base64 does not stand for.
+Test(adapter, base64_is_exact) {
+  cr_assert_eq(*adapter::DecodeBase64(""), "");
+  cr_assert_eq(*adapter::DecodeBase64("YQ=="), "a");
+  cr_assert_eq(*adapter::DecodeBase64("YWI="), "ab");
+  cr_assert_eq(*adapter::DecodeBase64("YWJj"), "abc");
+  cr_assert_not(adapter::DecodeBase64("YWJ").has_value());
+  cr_assert_not(adapter::DecodeBase64("Y*==").has_value());
+}
+
+// Guards against a removed registration that is taken for an empty one.
+Test(adapter, keyed_records_tell_removal) {
+  const auto record = adapter::SplitKeyedRecord(std::string("\x02idtext"));
+  cr_assert_eq(record->key, "id");
+  cr_assert_eq(*record->value, "text");
+  const auto removed = adapter::SplitKeyedRecord(std::string("\x02id"));
+  cr_assert_not(removed->value.has_value());
+  cr_assert_not(adapter::SplitKeyedRecord("\x09id").has_value());
+  cr_assert_not(adapter::SplitKeyedRecord("").has_value());
+}
+
+// Guards against a time to return that callers cannot read.
+Test(adapter, retry_after_has_fractions) {
+  http_headers fields;
+  adapter::SetRetryAfter(fields, std::chrono::milliseconds(1050));
+  cr_assert_eq(fields.Get("Retry-After"), "1.050");
+}
+
+Test(adapter, noise_is_harmless) {
+  cr_assert(NoiseIsHarmless());
+}
+
+Test(adapter, damage_adds_nothing) {
+  cr_assert(DamageAddsNothing());
+}
+
+}  // namespace dogwood::testing
--- /dev/null
+++ b/tests/dispatch_test.cc
@@ -0,0 +1,460 @@
+/** Tests of the placement of requests, by replays of the loads that it answers.
+ */
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <random>
+
+#include "src/dispatch.h"
+
+// Last: macros of Criterion clash with Boost headers that follow it.
+#include <criterion/criterion.h>
+
+namespace dogwood::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr unsigned kSlots = 8;
+
+/** A moment at which a dispatcher started long ago. */
+auto Begin() -> time_point {
+  return time_point() + seconds(1000);
+}
+
+/** `count` servers of one service in data centre "a". */
+auto Servers(unsigned count) -> std::vector<registered_server> {
+  std::vector<registered_server> servers;
+  for (unsigned i = 0; i < count; ++i) {
+    servers.push_back({.id = server_id("s" + std::to_string(i)),
+                       .service = service_id("llm"),
+                       .address = "10.0.0.1:1",
+                       .data_centre = data_centre_id("a"),
+                       .slots = kSlots,
+                       .leaving = false,
+                       .start = 1});
+  }
+  return servers;
+}
+
+/** Regions of the data centres. */
+auto Regions() -> std::map<data_centre_id, region_id> {
+  return {{data_centre_id("a"), region_id("east")},
+          {data_centre_id("b"), region_id("west")}};
+}
+
+/** A dispatcher that is ready at Begin(), with `count` servers. */
+auto Ready(unsigned count) -> dispatcher {
+  dispatcher d(dispatch_policy(), 7);
+  d.SetServers(Servers(count), Regions());
+  d.Start(Begin() - seconds(1));
+  d.TakeHeld(host_id("h"), {}, Begin());
+  return d;
+}
+
+/** An ask of host "h". */
+auto Ask(std::uint64_t ticket, work_class work, time_point now)
+    -> placement_ask {
+  return {.host = host_id("h"),
+          .ticket = ticket_id(ticket),
+          .service = service_id("llm"),
+          .workspace = workspace_id("w"),
+          .work = work,
+          .priority = 0,
+          .takes_token = work == work_class::kOnline,
+          .is_returning = false,
+          .place = {data_centre_id("a"), region_id("east")},
+          .start_by = now + milliseconds(200),
+          .useless_after = now + seconds(5),
+          .avoided = {}};
+}
+
+/** Sends an ask; its answer, if there is one at once. */
+auto Place(dispatcher& d,
+           const placement_ask& ask,
+           time_point now,
+           limit_rate rate = {}) -> std::optional<placement_answer> {
+  d.Ask(ask, rate, now);
+  for (const auto& notice : d.TakeNotices()) {
+    if (notice.ticket == ask.ticket && notice.host == ask.host) {
+      return notice.answer;
+    }
+  }
+  return std::nullopt;
+}
+
+/** Whether an answer grants. */
+auto IsGranted(const std::optional<placement_answer>& answer) -> bool {
+  return answer && answer->verdict == placement_verdict::kGranted;
+}
+
+/** Fills every slot of `count` servers; tickets count from `first`. */
+auto Fill(dispatcher& d, unsigned count, work_class work, std::uint64_t first)
+    -> void {
+  for (unsigned i = 0; i < count * kSlots; ++i) {
+    cr_assert(IsGranted(Place(d, Ask(first + i, work, Begin()), Begin())));
+  }
+}
+
+/** Outcome of a replay of bursts over batch work. */
+struct replay_outcome {
+  int online = 0;       ///< Online requests.
+  int on_time = 0;      ///< Started before their objective.
+  int refused_late = 0; ///< Refused after they had waited 75 ms.
+  double batch_share = 0;  ///< Part of all slot time that batch used.
+};
+
+/** Replays swings of online work: `low` a second for 3.4 s, then `high` for
+ * 2.4 s, each 0.8 s long, over batch work without end. */
+auto ReplaySwings(int low, int high, int rounds) -> replay_outcome {
+  constexpr unsigned kServers = 18;
+  constexpr milliseconds kTick{5};
+  auto d = Ready(kServers);
+  std::mt19937_64 random(5);
+  replay_outcome outcome;
+  std::map<ticket_id, time_point> ends;      // Online runs.
+  std::map<ticket_id, time_point> asked;     // Online asks.
+  std::set<ticket_id> batch;                 // Batch runs.
+  std::uint64_t ticket = 1;
+  unsigned batch_asking = 0;
+  const auto cycle = milliseconds(5800);
+  const auto end = Begin() + rounds * cycle;
+  double used = 0;
+  double slots = 0;
+  for (auto now = Begin(); now < end; now += kTick) {
+    const bool is_high = (now - Begin()) % cycle >= milliseconds(3400);
+    const double rate = is_high ? high : low;
+    for (auto it = ends.begin(); it != ends.end();) {
+      if (now >= it->second) {
+        d.End(host_id("h"), {it->first, run_outcome::kWhole}, now);
+        it = ends.erase(it);
+      } else {
+        ++it;
+      }
+    }
+    d.TakeHeld(host_id("h"), {}, now - seconds(2));  // Keeps the host alive.
+    std::poisson_distribution<int> arrivals(rate * 0.005);
+    for (int i = arrivals(random); i > 0; --i) {
+      const ticket_id id(ticket++);
+      asked[id] = now;
+      ++outcome.online;
+      d.Ask(Ask(id.value, work_class::kOnline, now), {}, now);
+    }
+    for (; batch_asking < 8; ++batch_asking) {
+      d.Ask(Ask(ticket++, work_class::kBatch, now), {}, now);
+    }
+    d.Advance(now);
+    for (const auto& notice : d.TakeNotices()) {
+      const auto found = asked.find(notice.ticket);
+      const bool granted =
+          notice.answer.verdict == placement_verdict::kGranted;
+      if (found == asked.end()) {
+        --batch_asking;
+        if (granted) {
+          batch.insert(notice.ticket);
+        }
+        continue;
+      }
+      const auto waited = now - found->second;
+      if (granted) {
+        outcome.on_time += waited <= milliseconds(200) ? 1 : 0;
+        ends[notice.ticket] = now + milliseconds(800);
+      } else if (waited > milliseconds(75)) {
+        ++outcome.refused_late;
+      }
+      asked.erase(found);
+    }
+    for (const auto& run : d.TakePreemptions()) {
+      batch.erase(run.ticket);
+      d.End(host_id("h"), {run.ticket, run_outcome::kLeft}, now);
+    }
+    used += static_cast<double>(batch.size());
+    slots += kServers * kSlots;
+  }
+  outcome.batch_share = used / slots;
+  return outcome;
+}
+
+/** Property: the requests counted on a server never exceed its slots, whatever
+ * comes, as long as hosts tell the truth. */
+auto SlotsAreNeverExceeded() -> bool {
+  return rc::check("no server gets more than its slots", [] {
+    auto d = Ready(3);
+    const auto steps = *rc::gen::container<std::vector<int>>(
+        200, rc::gen::inRange(0, 100));
+    auto now = Begin();
+    std::uint64_t ticket = 1;
+    std::map<ticket_id, server_id> runs;
+    for (const auto step : steps) {
+      now += milliseconds(step);
+      if (step < 60) {
+        d.Ask(Ask(ticket++, step % 3 == 0 ? work_class::kBatch
+                                          : work_class::kOnline, now),
+              {}, now);
+      } else if (!runs.empty()) {
+        const auto run = std::next(
+            runs.begin(), step % static_cast<int>(runs.size()));
+        d.End(host_id("h"), {run->first, run_outcome::kWhole}, now);
+        runs.erase(run);
+      }
+      std::vector<held_slot> held;
+      for (const auto& [id, server] : runs) {
+        held.push_back({id, server, work_class::kOnline});
+      }
+      d.TakeHeld(host_id("h"), held, now);
+      d.Advance(now);
+      for (const auto& notice : d.TakeNotices()) {
+        if (notice.answer.verdict == placement_verdict::kGranted) {
+          runs[notice.ticket] = notice.answer.server;
+        }
+      }
+      for (const auto& run : d.TakePreemptions()) {
+        d.End(run.host, {run.ticket, run_outcome::kLeft}, now);
+        runs.erase(run.ticket);
+      }
+      std::map<server_id, unsigned> counts;
+      for (const auto& [id, server] : runs) {
+        ++counts[server];
+      }
+      for (const auto& [server, count] : counts) {
+        RC_ASSERT(count <= kSlots);
+      }
+    }
+  });
+}
+
+}  // namespace
+
+// Guards against online work that waits while batch work runs.
+Test(dispatch, online_takes_the_slot_of_a_batch_run) {
+  auto d = Ready(2);
+  Fill(d, 2, work_class::kBatch, 1);
+  const auto answer =
+      Place(d, Ask(100, work_class::kOnline, Begin()), Begin());
+  cr_assert(IsGranted(answer));
+  const auto runs = d.TakePreemptions();
+  cr_assert_eq(runs.size(), 1);
+}
+
+// Guards against batch work that displaces anything.
+Test(dispatch, batch_waits_for_a_free_slot) {
+  auto d = Ready(1);
+  Fill(d, 1, work_class::kOnline, 1);
+  cr_assert_not(Place(d, Ask(100, work_class::kBatch, Begin()), Begin())
+                    .has_value());
+  d.End(host_id("h"), {ticket_id(1), run_outcome::kWhole}, Begin());
+  const auto notices = d.TakeNotices();
+  cr_assert_eq(notices.size(), 1);
+  cr_assert_eq(notices[0].ticket.value, 100);
+}
+
+// Load: far more online work than slots. Guards against a request that waits
+// although no slot can be free before its objective.
+Test(dispatch, hopeless_request_is_refused_at_once) {
+  auto d = Ready(1);
+  Fill(d, 1, work_class::kOnline, 1);
+  auto first = Place(d, Ask(100, work_class::kOnline, Begin()), Begin());
+  cr_assert_not(first.has_value());
+  std::optional<placement_answer> refused;
+  for (std::uint64_t i = 101; !refused && i < 140; ++i) {
+    refused = Place(d, Ask(i, work_class::kOnline, Begin()), Begin());
+  }
+  cr_assert(refused.has_value());
+  cr_assert_eq(static_cast<int>(refused->verdict),
+               static_cast<int>(placement_verdict::kNoRoom));
+  cr_assert_gt(refused->retry_at, Begin());
+}
+
+// Guards against a caller that is refused twice while others, who have not
+// waited yet, are served.
+Test(dispatch, returning_caller_goes_first) {
+  auto d = Ready(1);
+  Fill(d, 1, work_class::kOnline, 1);
+  d.Ask(Ask(100, work_class::kOnline, Begin()), {}, Begin());
+  auto returning = Ask(101, work_class::kOnline, Begin() + milliseconds(1));
+  returning.is_returning = true;
+  d.Ask(returning, {}, Begin() + milliseconds(1));
+  d.TakeNotices();
+  d.End(host_id("h"), {ticket_id(1), run_outcome::kWhole},
+        Begin() + milliseconds(2));
+  const auto notices = d.TakeNotices();
+  cr_assert_eq(notices.size(), 1);
+  cr_assert_eq(notices[0].ticket.value, 101);
+}
+
+// Load: the swings of the smaller site, mean load below the slots. Guards
+// against online requests that miss their objective because of batch work, and
+// against batch work that does not use the lulls.
+Test(dispatch, swings_are_served_over_batch_work) {
+  const auto outcome = ReplaySwings(32, 154, 6);
+  cr_assert_gt(outcome.online, 1500);
+  cr_assert_geq(outcome.on_time, outcome.online * 99 / 100);
+  cr_assert_eq(outcome.refused_late, 0);
+  cr_assert_gt(outcome.batch_share, 0.3);
+}
+
+// Load: swings beyond all slots. Guards against queues that grow until every
+// request is late: those that are taken start on time.
+Test(dispatch, overload_keeps_the_taken_on_time) {
+  const auto outcome = ReplaySwings(60, 300, 6);
+  cr_assert_eq(outcome.refused_late, 0);
+  // 144 slots of 0.8 s serve 180 a second in the highs.
+  const double served = static_cast<double>(outcome.on_time) /
+                        static_cast<double>(outcome.online);
+  cr_assert_gt(served, 0.65);
+}
+
+Test(dispatch, slots_are_never_exceeded) {
+  cr_assert(SlotsAreNeverExceeded());
+}
+
+// Guards against more requests than a workspace's rate and burst, and against a
+// token lost to a request that was not served.
+Test(dispatch, workspace_keeps_to_its_limit) {
+  auto d = Ready(4);
+  const limit_rate rate{.per_s = 2, .burst = 4};
+  int granted = 0;
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    const auto answer =
+        Place(d, Ask(i, work_class::kOnline, Begin()), Begin(), rate);
+    granted += IsGranted(answer) ? 1 : 0;
+  }
+  // A new dispatcher starts with half of the burst.
+  cr_assert_eq(granted, 2);
+  const auto later = Begin() + seconds(10);
+  d.TakeHeld(host_id("h"), {}, later);
+  for (std::uint64_t i = 21; i <= 40; ++i) {
+    const auto answer =
+        Place(d, Ask(i, work_class::kOnline, later), later, rate);
+    granted += IsGranted(answer) ? 1 : 0;
+  }
+  cr_assert_eq(granted, 6);
+}
+
+// Guards against requests sent to a server that leaves, is unreachable, or has
+// failed this request already.
+Test(dispatch, unusable_servers_get_nothing) {
+  auto d = Ready(2);
+  auto servers = Servers(2);
+  servers[0].leaving = true;
+  d.SetServers(servers, Regions());
+  for (std::uint64_t i = 1; i <= kSlots; ++i) {
+    const auto answer =
+        Place(d, Ask(i, work_class::kOnline, Begin()), Begin());
+    cr_assert_eq(answer->server.value, "s1");
+  }
+  auto other = Ready(2);
+  const auto first =
+      Place(other, Ask(1, work_class::kOnline, Begin()), Begin());
+  other.End(host_id("h"), {ticket_id(1), run_outcome::kUnreachable}, Begin());
+  for (std::uint64_t i = 2; i <= kSlots; ++i) {
+    const auto answer =
+        Place(other, Ask(i, work_class::kOnline, Begin()), Begin());
+    cr_assert_neq(answer->server, first->server);
+  }
+}
+
+// Guards against slots that stay taken after their host has died, and against
+// slots given out twice after a change of the dispatcher.
+Test(dispatch, held_slots_follow_the_reports_of_the_hosts) {
+  auto d = Ready(1);
+  Fill(d, 1, work_class::kOnline, 1);
+  cr_assert_eq(d.FreeSlots(service_id("llm"), Begin()), 0);
+  d.Advance(Begin() + seconds(5));
+  cr_assert_eq(d.FreeSlots(service_id("llm"), Begin() + seconds(5)), kSlots);
+
+  auto successor = Ready(1);
+  std::vector<held_slot> held;
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    held.push_back({ticket_id(i), server_id("s0"), work_class::kOnline});
+  }
+  successor.TakeHeld(host_id("other"), held, Begin());
+  cr_assert_eq(successor.FreeSlots(service_id("llm"), Begin()), kSlots - 3);
+}
+
+// Guards against a dispatcher that decides before it has heard of the slots in
+// use, or after another one has taken over.
+Test(dispatch, decides_only_between_warm_up_and_stop) {
+  dispatcher d(dispatch_policy(), 7);
+  d.SetServers(Servers(1), Regions());
+  d.Start(Begin());
+  const auto early =
+      Place(d, Ask(1, work_class::kOnline, Begin()), Begin());
+  cr_assert_eq(static_cast<int>(early->verdict),
+               static_cast<int>(placement_verdict::kNotReady));
+  const auto later = Begin() + seconds(1);
+  cr_assert(IsGranted(Place(d, Ask(2, work_class::kOnline, later), later)));
+  d.Stop();
+  const auto after = Place(d, Ask(3, work_class::kOnline, later), later);
+  cr_assert_eq(static_cast<int>(after->verdict),
+               static_cast<int>(placement_verdict::kNotReady));
+}
+
+// Guards against requests over the billed link while a near server is free.
+Test(dispatch, near_servers_come_first) {
+  auto servers = Servers(2);
+  servers[1].data_centre = data_centre_id("b");
+  dispatcher d(dispatch_policy(), 7);
+  d.SetServers(servers, Regions());
+  d.Start(Begin() - seconds(1));
+  d.TakeHeld(host_id("h"), {}, Begin());
+  for (std::uint64_t i = 1; i <= kSlots; ++i) {
+    const auto answer =
+        Place(d, Ask(i, work_class::kOnline, Begin()), Begin());
+    cr_assert_eq(answer->server.value, "s0");
+  }
+  cr_assert_eq(
+      Place(d, Ask(99, work_class::kOnline, Begin()), Begin())->server.value,
+      "s1");
+}
+
+// Guards against a caller that left and still gets a slot.
+Test(dispatch, withdrawn_ask_gets_no_slot) {
+  auto d = Ready(1);
+  Fill(d, 1, work_class::kOnline, 1);
+  d.Ask(Ask(100, work_class::kOnline, Begin()), {}, Begin());
+  d.Withdraw(host_id("h"), ticket_id(100));
+  cr_assert_eq(d.TakeNotices().size(), 1);
+  d.End(host_id("h"), {ticket_id(1), run_outcome::kWhole}, Begin());
+  cr_assert(d.TakeNotices().empty());
+}
+
+// Guards against a fleet that admits a whole limit at each of its hosts while
+// they have no dispatcher.
+Test(dispatch, hosts_alone_admit_a_part_of_each_limit) {
+  constexpr std::size_t kHosts = 10;
+  const limit_rate rate{.per_s = 40, .burst = 40};
+  int granted = 0;
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    local_placement local(0.5, host);
+    local.SetServers(Servers(20), Regions());
+    local.SetHostCount(kHosts);
+    for (int i = 0; i < 1000; ++i) {
+      const auto now = Begin() + milliseconds(5 * i);
+      const auto answer =
+          local.Ask(Ask(static_cast<std::uint64_t>(i), work_class::kOnline,
+                        now),
+                    rate, now);
+      granted += answer.verdict == placement_verdict::kGranted ? 1 : 0;
+    }
+  }
+  cr_assert_leq(granted, 5 * 40 + 40);
+  cr_assert_gt(granted, 50);
+}
+
+// Guards against a host that, alone, sends everything to one server or to one
+// that others have filled.
+Test(dispatch, hosts_alone_use_the_last_counts) {
+  local_placement local(0.5, 1);
+  local.SetServers(Servers(2), Regions());
+  local.SetCounts({{server_id("s0"), kSlots + 2}}, Begin() + seconds(1));
+  for (std::uint64_t i = 1; i <= 4; ++i) {
+    const auto answer =
+        local.Ask(Ask(i, work_class::kOnline, Begin()), {}, Begin());
+    cr_assert_eq(answer.server.value, "s1");
+    local.NoteBegin(answer.server);
+  }
+}
+
+}  // namespace dogwood::testing
--- /dev/null
+++ b/tests/fleet_test.cc
@@ -0,0 +1,115 @@
+/** Tests of what follows from the members of the fleet. */
+#include <set>
+
+#include "src/fleet.h"
+
+// Last: macros of Criterion clash with Boost headers that follow it.
+#include <criterion/criterion.h>
+
+namespace dogwood::testing {
+namespace {
+
+constexpr std::uint32_t kPerTopic = 12;
+
+/** A member's name in the group. */
+auto Name(std::string ip, std::string data_centre, double share)
+    -> std::string {
+  return FormatMember({.name = {},
+                       .ip = std::move(ip),
+                       .data_centre = data_centre_id(std::move(data_centre)),
+                       .processor_share = share});
+}
+
+/** Two data centres in one region and one in another. */
+auto Regions() -> std::map<data_centre_id, region_id> {
+  return {{data_centre_id("a"), region_id("east")},
+          {data_centre_id("b"), region_id("east")},
+          {data_centre_id("c"), region_id("west")}};
+}
+
+/** A view in which each name owns one partition. */
+auto View(const std::vector<std::string>& names) -> fleet_view {
+  std::vector<partition_owner_row> rows;
+  std::uint32_t number = 0;
+  for (const auto& name : names) {
+    rows.push_back({{"jobs-0", number++}, name});
+  }
+  return BuildView(7, rows, kPerTopic);
+}
+
+}  // namespace
+
+// Guards against a name that is read as another address or data centre.
+Test(fleet, member_names_survive_the_store) {
+  const auto name = Name("10.1.0.21", "ankara-a", 0.12);
+  const auto member = ParseMember(name);
+  cr_assert(member.has_value());
+  cr_assert_eq(member->ip, "10.1.0.21");
+  cr_assert_eq(member->data_centre.value, "ankara-a");
+  cr_assert_float_eq(member->processor_share, 0.12, 1e-9);
+  cr_assert_not(ParseMember("stranger").has_value());
+  cr_assert_not(ParseMember("a|b|c").has_value());
+}
+
+// Guards against two partitions in one place of the store.
+Test(fleet, partitions_are_found_where_they_were_put) {
+  std::set<log_partition> places;
+  for (std::uint32_t i = 0; i < kJobTopics * kPerTopic; ++i) {
+    const auto where = LocatePartition(partition_id(i), kPerTopic);
+    places.insert(where);
+    cr_assert_eq(PartitionAt(where, kPerTopic)->value, i);
+  }
+  cr_assert_eq(places.size(), kJobTopics * kPerTopic);
+  cr_assert_not(PartitionAt({"jobs-0", kPerTopic}, kPerTopic).has_value());
+  cr_assert_not(PartitionAt({"other-0", 0}, kPerTopic).has_value());
+  cr_assert_not(PartitionAt({"jobs-99", 0}, kPerTopic).has_value());
+}
+
+// Guards against owners that differ from the store's, and against a crash on a
+// member that this version cannot read.
+Test(fleet, view_names_the_owners_of_the_store) {
+  const auto one = Name("10.0.0.1", "a", 0.5);
+  const auto two = Name("10.0.0.2", "c", 0.5);
+  const auto view = View({one, two, "stranger", one});
+  cr_assert_eq(view.members.size(), 2);
+  cr_assert_eq(view.OwnerOf(partition_id(0))->name, one);
+  cr_assert_eq(view.OwnerOf(partition_id(1))->name, two);
+  cr_assert_null(view.OwnerOf(partition_id(2)));
+  cr_assert_eq(view.OwnerOf(partition_id(3))->name, one);
+  cr_assert_null(view.OwnerOf(partition_id(100000)));
+}
+
+// Guards against two dispatchers at one view, and against a weak host or one in
+// the smaller region as dispatcher.
+Test(fleet, best_equipped_host_dispatches) {
+  const auto weak = Name("10.0.0.1", "a", 0.12);
+  const auto east = Name("10.0.0.2", "a", 0.5);
+  const auto west = Name("10.0.0.3", "c", 0.5);
+  const auto other = Name("10.0.0.4", "b", 0.12);
+  const auto view = View({weak, west, east, other});
+  cr_assert_eq(DispatcherOf(view, Regions())->name, east);
+  cr_assert_eq(DispatcherOf(View({other, east, west, weak}), Regions())->name,
+               east);
+  cr_assert_null(DispatcherOf(fleet_view(), Regions()));
+}
+
+// Guards against callers sent across the billed link without need, and against
+// callers left with a single address.
+Test(fleet, callers_get_hosts_near_them) {
+  const auto a1 = Name("10.0.0.1", "a", 0.5);
+  const auto a2 = Name("10.0.0.2", "a", 0.5);
+  const auto b1 = Name("10.0.0.3", "b", 0.5);
+  const auto c1 = Name("10.0.0.4", "c", 0.5);
+  const auto view = View({a1, a2, b1, c1});
+  const auto near = [&view](std::string centre, std::string region) {
+    return MembersNear(view, Regions(), data_centre_id(std::move(centre)),
+                       region_id(std::move(region)))
+        .size();
+  };
+  cr_assert_eq(near("a", "east"), 2);
+  cr_assert_eq(near("b", "east"), 3);
+  cr_assert_eq(near("c", "west"), 4);
+  cr_assert_eq(near("", ""), 4);
+}
+
+}  // namespace dogwood::testing
--- /dev/null
+++ b/tests/hostd_test.cc
@@ -0,0 +1,118 @@
+/** Tests of the parts of hostd that need no other process. */
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "src/core.h"
+#include "src/hostd_setting.h"
+#include "src/net.h"
+#include "src/proxy.h"
+#include "src/wait_list.h"
+
+// Last: macros of Criterion clash with Boost headers that follow it.
+#include <criterion/criterion.h>
+
+namespace dogwood::testing {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/** Enters the section, stays for a while and notes the most that were in. */
+auto Visit(async_section& section, int& inside, int& most)
+    -> asio::awaitable<void> {
+  const auto guard = co_await section.Enter();
+  ++inside;
+  most = std::max(most, inside);
+  co_await Sleep(milliseconds(1));
+  --inside;
+}
+
+/** Counts its wake-ups by Notify(). */
+auto WaitOnce(wait_list& list, int& woken) -> asio::awaitable<void> {
+  co_await list.Wait(clock::now() + std::chrono::seconds(20));
+  ++woken;
+}
+
+/** Settings with every required value. */
+auto Settings(std::string_view more) -> std::string {
+  return std::string(R"({"host":"h","data_centre":"a","region":"east",
+    "data_centres":["a=east","b=west"],
+    "front_address":"127.0.0.1:1","ready_address":"127.0.0.1:2",
+    "directory_address":"127.0.0.1:3","link_address":"127.0.0.1:4",
+    "metrics_address":"127.0.0.1:5","store_address":"127.0.0.1:6",
+    "secret":"s")") +
+         std::string(more) + "}";
+}
+
+/** Options of settings; a failure if they are wrong. */
+auto Options(std::string_view json) -> outcome<hostd_options> {
+  auto values =
+      ToOutcome([&] { return ParseSettings(HostdSettings(), json, "test"); });
+  if (!values) {
+    return values.error();
+  }
+  return ReadHostdOptions(values.value());
+}
+
+}  // namespace
+
+// Guards against two coroutines that use one connection of the store at a time,
+// which applied records twice.
+Test(hostd, section_lets_one_in) {
+  asio::io_context io(1);
+  async_section section(io);
+  int inside = 0;
+  int most = 0;
+  for (int i = 0; i < 5; ++i) {
+    asio::co_spawn(io, Visit(section, inside, most), asio::detached);
+  }
+  io.run();
+  cr_assert_eq(most, 1);
+  cr_assert_eq(inside, 0);
+}
+
+// Guards against a waiter that is woken by another one's wait, or never.
+Test(hostd, notify_wakes_all_that_wait) {
+  asio::io_context io(1);
+  wait_list list(io);
+  int woken = 0;
+  asio::co_spawn(io, WaitOnce(list, woken), asio::detached);
+  asio::co_spawn(io, WaitOnce(list, woken), asio::detached);
+  io.poll();
+  cr_assert_eq(woken, 0);
+  list.Notify();
+  io.run();
+  cr_assert_eq(woken, 2);
+}
+
+// Guards against events that are passed on twice, left out or joined.
+Test(hostd, event_fields_are_read) {
+  const auto event =
+      ParseEventFields("id: 12\ndata: a\ndata:b\nother: x\n\n");
+  cr_assert_eq(*event.id, 12);
+  cr_assert_eq(event.data, "a\nb");
+  cr_assert_not(ParseEventFields("id: x1\ndata: a\n\n").id.has_value());
+  cr_assert_not(ParseEventFields("id:\n\n").id.has_value());
+  cr_assert_eq(ParseEventFields("id:7\r\ndata: q\r\n\r\n").data, "q");
+  cr_assert_not(ParseEventFields("id: 1\n\n").has_data);
+}
+
+// Guards against a host that starts with settings it cannot use.
+Test(hostd, settings_are_checked) {
+  const auto sound = Options(Settings(""));
+  cr_assert(sound.has_value());
+  cr_assert_eq(sound->data_centres.size(), 2);
+  cr_assert_eq(sound->link.port(), 4);
+  cr_assert_not(Options(Settings(R"(,"peers":5)")).has_value());
+  cr_assert_not(Options(Settings(R"(,"member_life_ms":5)")).has_value());
+  cr_assert_not(Options(Settings(R"(,"data_centres":["a"])")).has_value());
+  const auto bad = Options(Settings(R"(,"store_address":"nowhere")"));
+  cr_assert_not(bad.has_value());
+  cr_assert_neq(bad.error().message.find("store_address"), std::string::npos);
+}
+
+}  // namespace dogwood::testing
