--- a/src/batch_fold.cc
+++ b/src/batch_fold.cc
@@ -5,8 +5,7 @@
 
 namespace dogwood {
 
-auto batch_job::FindItem(const batch_item_id& item) const
-    -> const batch_item* {
+auto batch_job::FindItem(const batch_item_id& item) const -> const batch_item* {
   const auto found = index.find(item);
   return found == index.end() ? nullptr : &submission.items[found->second];
 }
--- a/src/batch_fold.h
+++ b/src/batch_fold.h
@@ -21,11 +21,11 @@
 
 /** State of one job. */
 struct batch_job {
-  batch_submission submission;              ///< As submitted.
+  batch_submission submission;                 ///< As submitted.
   std::map<batch_item_id, std::size_t> index;  ///< Items by name.
-  std::set<batch_item_id> listed;           ///< Items with a result.
-  std::vector<batch_result> results;        ///< By position.
-  bool ended = false;                       ///< Ended by its caller.
+  std::set<batch_item_id> listed;              ///< Items with a result.
+  std::vector<batch_result> results;           ///< By position.
+  bool ended = false;                          ///< Ended by its caller.
 
   /** Whether no more results will come. */
   auto IsClosed() const -> bool {
--- a/src/batch_queue.cc
+++ b/src/batch_queue.cc
@@ -58,8 +58,7 @@
   return item->failures >= item->max_attempts;
 }
 
-auto batch_queue::Expired(time_point now) const
-    -> std::vector<batch_item_ref> {
+auto batch_queue::Expired(time_point now) const -> std::vector<batch_item_ref> {
   std::vector<batch_item_ref> expired;
   for (const auto& [ref, item] : items_) {
     if (now >= item.expires && !item.running) {
--- a/src/batch_queue.h
+++ b/src/batch_queue.h
@@ -23,20 +23,22 @@
   partition_id partition;  ///< Partition of its job.
   batch_id job;            ///< Job.
   batch_item_id item;      ///< Item.
-  auto operator<=>(const batch_item_ref&) const = default;
+  // clang-tidy 14 takes the comparison with 0 in the default for a pointer.
+  auto operator<=>(const batch_item_ref&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 };
 
 /** An item as the queue knows it. */
 struct queued_item {
-  service_id service;              ///< Where it may run.
+  service_id service;                      ///< Where it may run.
   time_point due = time_point::max();      ///< Objective; max(): unknown.
   time_point expires = time_point::max();  ///< May be given up from then on.
-  time_point not_before;           ///< Pause after a failure.
-  unsigned max_attempts = 1;       ///< Failures that end it.
-  unsigned failures = 0;           ///< Answers that count as failures.
-  std::uint64_t last_event = 0;    ///< Last event that came.
-  std::string output;              ///< Data of the events so far.
-  bool running = false;            ///< Has been handed out.
+  time_point not_before;                   ///< Pause after a failure.
+  unsigned max_attempts = 1;               ///< Failures that end it.
+  unsigned failures = 0;                   ///< Answers that count as failures.
+  std::uint64_t last_event = 0;            ///< Last event that came.
+  std::string output;                      ///< Data of the events so far.
+  bool running = false;                    ///< Has been handed out.
 };
 
 /** Items of all jobs whose partitions this host owns. Not thread-safe. */
@@ -50,8 +52,7 @@
   auto RemovePartition(partition_id partition) -> void;
   /** The next item to run; it counts as running. `run_time` is the expected
    * time of a run. */
-  auto Take(time_point now, duration run_time)
-      -> std::optional<batch_item_ref>;
+  auto Take(time_point now, duration run_time) -> std::optional<batch_item_ref>;
   /** An item that was taken goes back, with what came of it in place. */
   auto Return(const batch_item_ref& ref, time_point not_before) -> void;
   /** Counts an answer that the server failed; true if the item is to be given
--- a/src/batch_record.cc
+++ b/src/batch_record.cc
@@ -119,8 +119,8 @@
     return Unreadable();
   }
   for (const auto& entry : items->get_array()) {
-    auto item = entry.is_object() ? TakeItem(entry.get_object(), rest)
-                                  : std::nullopt;
+    auto item =
+        entry.is_object() ? TakeItem(entry.get_object(), rest) : std::nullopt;
     if (!item) {
       return Unreadable();
     }
@@ -133,14 +133,16 @@
                        std::size_t record_bytes) -> std::vector<std::string> {
   const auto bytes = EncodeSubmission(submission);
   const auto piece = record_bytes - kPartLineBytes;
-  const auto parts = std::max<std::size_t>(1, (bytes.size() + piece - 1) / piece);
+  const auto parts =
+      std::max<std::size_t>(1, (bytes.size() + piece - 1) / piece);
   std::vector<std::string> records;
   for (std::size_t part = 0; part < parts; ++part) {
-    records.push_back(Join({{"kind", "submit"},
-                            {"job", submission.id.value},
-                            {"part", part},
-                            {"parts", parts}},
-                           std::string_view(bytes).substr(part * piece, piece)));
+    records.push_back(
+        Join({{"kind", "submit"},
+              {"job", submission.id.value},
+              {"part", part},
+              {"parts", parts}},
+             std::string_view(bytes).substr(part * piece, piece)));
   }
   return records;
 }
@@ -173,11 +175,10 @@
   if (kind == "result") {
     const auto* done = line.if_contains("done");
     const bool is_done = done != nullptr && done->is_bool() && done->get_bool();
-    return result_record{
-        job,
-        {batch_item_id(std::string(TextField(line, "item"))),
-         is_done ? batch_end::kDone : batch_end::kAbandoned,
-         std::string(bytes)}};
+    return result_record{job,
+                         {batch_item_id(std::string(TextField(line, "item"))),
+                          is_done ? batch_end::kDone : batch_end::kAbandoned,
+                          std::string(bytes)}};
   }
   if (kind == "end") {
     return end_record{job};
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -41,9 +41,9 @@
 
 /** One result; its position in the job never changes. */
 struct batch_result {
-  batch_item_id item;               ///< Which item.
-  batch_end end = batch_end::kDone; ///< How it ended.
-  std::string output;               ///< Data of all events, split by '\n'.
+  batch_item_id item;                ///< Which item.
+  batch_end end = batch_end::kDone;  ///< How it ended.
+  std::string output;                ///< Data of all events, split by '\n'.
 };
 
 }  // namespace dogwood
--- a/src/caller_type.h
+++ b/src/caller_type.h
@@ -29,7 +29,8 @@
   std::string path;                        ///< Path without query.
   attempt_id attempt;                      ///< The caller's name of this try.
   std::string key_hash;  ///< SHA-256 of the key, hex; empty if there is none.
-  std::optional<std::chrono::milliseconds> time_left;  ///< Caller waits so long.
+  std::optional<std::chrono::milliseconds>
+      time_left;                   ///< Caller waits so long.
   std::uint64_t resume_after = 0;  ///< Last event that the caller has; 0: none.
   std::string job;                 ///< Job of the calls on jobs.
   std::string item;                ///< Item of kJobItem.
@@ -57,10 +58,10 @@
 
 /** What the host decides about a request before it sends it to a server. */
 struct server_order {
-  server_id server;                      ///< The only server that may run it.
-  workspace_id workspace;                ///< Empty on open routes.
-  std::chrono::milliseconds time_left{}; ///< The server stops work after it.
-  std::uint64_t resume_after = 0;        ///< Last event received; 0: none.
+  server_id server;                       ///< The only server that may run it.
+  workspace_id workspace;                 ///< Empty on open routes.
+  std::chrono::milliseconds time_left{};  ///< The server stops work after it.
+  std::uint64_t resume_after = 0;         ///< Last event received; 0: none.
 };
 
 }  // namespace dogwood
--- a/src/deployment_query.cc
+++ b/src/deployment_query.cc
@@ -33,9 +33,9 @@
   if (found == routes_by_host_.end()) {
     return nullptr;
   }
-  const auto route = std::ranges::find_if(
-      found->second,
-      [path](const auto* r) { return path.starts_with(r->prefix); });
+  const auto route = std::ranges::find_if(found->second, [path](const auto* r) {
+    return path.starts_with(r->prefix);
+  });
   return route == found->second.end() ? nullptr : *route;
 }
 
--- a/src/deployment_type.h
+++ b/src/deployment_type.h
@@ -33,13 +33,13 @@
 
 /** One route, chosen by host name and longest path prefix. */
 struct route_rule {
-  route_id id;                                 ///< Name.
-  std::string host;                            ///< Host name that callers use.
-  std::string prefix;                          ///< Begins and ends with '/'.
-  request_kind kind = request_kind::kStream;   ///< What may be repeated.
-  std::chrono::milliseconds answer_limit{};    ///< Longest time to an answer.
-  std::chrono::milliseconds objective{};       ///< Time for the full benefit.
-  std::chrono::milliseconds event_gap_limit{}; ///< Longest pause on time.
+  route_id id;                                  ///< Name.
+  std::string host;                             ///< Host name that callers use.
+  std::string prefix;                           ///< Begins and ends with '/'.
+  request_kind kind = request_kind::kStream;    ///< What may be repeated.
+  std::chrono::milliseconds answer_limit{};     ///< Longest time to an answer.
+  std::chrono::milliseconds objective{};        ///< Time for the full benefit.
+  std::chrono::milliseconds event_gap_limit{};  ///< Longest pause on time.
   std::chrono::milliseconds completion_objective{};  ///< Of a batch job.
   std::chrono::milliseconds retention{};  ///< Items may be abandoned after it.
   unsigned priority = 0;                  ///< 0 is the highest.
@@ -51,9 +51,9 @@
 
 /** One service. */
 struct service_rule {
-  service_id id;                ///< Name.
-  unsigned max_connections = 0; ///< Of a server, from all callers; 0: any.
-  unsigned slots = 0;           ///< Requests a server runs at once; 0: unknown.
+  service_id id;                 ///< Name.
+  unsigned max_connections = 0;  ///< Of a server, from all callers; 0: any.
+  unsigned slots = 0;  ///< Requests a server runs at once; 0: unknown.
 };
 
 /** One workspace. */
@@ -66,10 +66,10 @@
 
 /** Limits on what callers send. */
 struct caller_limits {
-  std::size_t header_bytes = 16UL << 10;            ///< Longest head.
-  std::size_t body_bytes = 4UL << 20;               ///< Longest body.
-  std::chrono::milliseconds header_limit{5000};     ///< To send the head.
-  std::chrono::milliseconds idle_limit{60000};      ///< Between requests.
+  std::size_t header_bytes = 16UL << 10;         ///< Longest head.
+  std::size_t body_bytes = 4UL << 20;            ///< Longest body.
+  std::chrono::milliseconds header_limit{5000};  ///< To send the head.
+  std::chrono::milliseconds idle_limit{60000};   ///< Between requests.
 };
 
 /** A whole declared state. */
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -1,4 +1,5 @@
-/** Public header of library dispatch: placement of requests on backend servers. */
+/** Public header of library dispatch: placement of requests on backend servers.
+ */
 #ifndef SRC_DISPATCH_H_
 #define SRC_DISPATCH_H_
 
--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -79,12 +79,12 @@
     time_point granted_at;  ///< When it was granted.
   };
   struct server_row {
-    registered_server info;           ///< As registered.
-    bool listed = false;              ///< In the last list.
-    std::uint32_t used = 0;           ///< Slots that do not yield.
-    std::set<slot_key> batch;         ///< Batch runs that do not yield.
-    time_point paused_until;          ///< Gets nothing before then.
-    duration last_pause{};            ///< Doubles while it cannot be reached.
+    registered_server info;    ///< As registered.
+    bool listed = false;       ///< In the last list.
+    std::uint32_t used = 0;    ///< Slots that do not yield.
+    std::set<slot_key> batch;  ///< Batch runs that do not yield.
+    time_point paused_until;   ///< Gets nothing before then.
+    duration last_pause{};     ///< Doubles while it cannot be reached.
   };
   struct bucket {
     double level = 0;      ///< Tokens.
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -149,14 +149,13 @@
   if (ask.work == work_class::kBatch) {
     row.batch.insert(key);
   }
-  notices_.push_back(
-      {ask.host,
-       ask.ticket,
-       {.verdict = placement_verdict::kGranted,
-        .server = row.info.id,
-        .waiting = static_cast<std::uint32_t>(online_.size()),
-        .free = FreeSlots(ask.service, now),
-        .retry_at = now}});
+  notices_.push_back({ask.host,
+                      ask.ticket,
+                      {.verdict = placement_verdict::kGranted,
+                       .server = row.info.id,
+                       .waiting = static_cast<std::uint32_t>(online_.size()),
+                       .free = FreeSlots(ask.service, now),
+                       .retry_at = now}});
 }
 
 auto dispatcher::Yield(const slot_key& key) -> void {
@@ -199,14 +198,13 @@
   if (verdict != placement_verdict::kOverLimit) {
     ReturnToken(ask);
   }
-  notices_.push_back(
-      {ask.host,
-       ask.ticket,
-       {.verdict = verdict,
-        .server = {},
-        .waiting = static_cast<std::uint32_t>(online_.size()),
-        .free = FreeSlots(ask.service, now),
-        .retry_at = ReturnTime(now)}});
+  notices_.push_back({ask.host,
+                      ask.ticket,
+                      {.verdict = verdict,
+                       .server = {},
+                       .waiting = static_cast<std::uint32_t>(online_.size()),
+                       .free = FreeSlots(ask.service, now),
+                       .retry_at = ReturnTime(now)}});
 }
 
 auto dispatcher::TakeToken(const placement_ask& ask,
@@ -250,8 +248,8 @@
   if (runs == 0) {
     return duration::max();
   }
-  const auto seconds = run_seconds_ * static_cast<double>(ahead + 1) /
-                       static_cast<double>(runs);
+  const auto seconds =
+      run_seconds_ * static_cast<double>(ahead + 1) / static_cast<double>(runs);
   return std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(seconds));
 }
@@ -264,9 +262,8 @@
   queue.insert(place, std::move(ask));
 }
 
-auto dispatcher::Ask(placement_ask ask,
-                     const limit_rate& rate,
-                     time_point now) -> void {
+auto dispatcher::Ask(placement_ask ask, const limit_rate& rate, time_point now)
+    -> void {
   if (!IsReady(now)) {
     // ReturnToken() must not add a token that was never taken.
     ask.takes_token = false;
@@ -337,9 +334,8 @@
   if (row != servers_.end()) {
     auto& server = row->second;
     if (end.outcome == run_outcome::kUnreachable) {
-      server.last_pause = std::clamp<duration>(2 * server.last_pause,
-                                               policy_.first_pause,
-                                               policy_.longest_pause);
+      server.last_pause = std::clamp<duration>(
+          2 * server.last_pause, policy_.first_pause, policy_.longest_pause);
       server.paused_until = now + server.last_pause;
     } else if (end.outcome == run_outcome::kFull) {
       server.paused_until =
--- a/src/dispatch_local.cc
+++ b/src/dispatch_local.cc
@@ -64,8 +64,7 @@
   }
 }
 
-auto local_placement::Pause(const server_id& server, time_point until)
-    -> void {
+auto local_placement::Pause(const server_id& server, time_point until) -> void {
   const auto found = rows_.find(server);
   if (found != rows_.end()) {
     found->second.paused_until = until;
@@ -83,8 +82,7 @@
   if (b.filled_at == time_point()) {
     b.filled_at = now;
   }
-  const auto seconds =
-      std::chrono::duration<double>(now - b.filled_at).count();
+  const auto seconds = std::chrono::duration<double>(now - b.filled_at).count();
   b.level = std::min(b.level + rate.per_s * part * seconds,
                      std::max(1.0, rate.burst * part));
   b.filled_at = now;
--- a/src/dispatch_type.h
+++ b/src/dispatch_type.h
@@ -29,18 +29,18 @@
 
 /** A host's ask for a slot. */
 struct placement_ask {
-  host_id host;                            ///< Who asks.
-  ticket_id ticket;                        ///< Unique among its asks.
-  service_id service;                      ///< Where the request may run.
-  workspace_id workspace;                  ///< Whose it is; empty: nobody's.
-  work_class work = work_class::kOnline;   ///< Who waits.
-  unsigned priority = 0;                   ///< 0 is the highest.
-  bool takes_token = false;                ///< Counts to the workspace's limit.
-  bool is_returning = false;               ///< Was refused before.
-  site_place place;                        ///< Of the host.
-  time_point start_by;                     ///< Later starts miss the objective.
-  time_point useless_after;                ///< Later starts help nobody.
-  std::vector<server_id> avoided;          ///< Not to be chosen again.
+  host_id host;                           ///< Who asks.
+  ticket_id ticket;                       ///< Unique among its asks.
+  service_id service;                     ///< Where the request may run.
+  workspace_id workspace;                 ///< Whose it is; empty: nobody's.
+  work_class work = work_class::kOnline;  ///< Who waits.
+  unsigned priority = 0;                  ///< 0 is the highest.
+  bool takes_token = false;               ///< Counts to the workspace's limit.
+  bool is_returning = false;              ///< Was refused before.
+  site_place place;                       ///< Of the host.
+  time_point start_by;                    ///< Later starts miss the objective.
+  time_point useless_after;               ///< Later starts help nobody.
+  std::vector<server_id> avoided;         ///< Not to be chosen again.
 };
 
 /** What becomes of an ask. */
@@ -55,7 +55,7 @@
 /** Answer to an ask. */
 struct placement_answer {
   placement_verdict verdict = placement_verdict::kNotReady;  ///< Outcome.
-  server_id server;           ///< With kGranted.
+  server_id server;                                          ///< With kGranted.
   std::uint32_t waiting = 0;  ///< Asks ahead when it was decided, for logs.
   std::uint32_t free = 0;     ///< Free slots then, for logs.
   time_point retry_at;        ///< When a refused caller may return.
@@ -81,8 +81,8 @@
 
 /** The end of a run. */
 struct run_end_report {
-  ticket_id ticket;                            ///< Which run.
-  run_outcome outcome = run_outcome::kWhole;   ///< How it ended.
+  ticket_id ticket;                           ///< Which run.
+  run_outcome outcome = run_outcome::kWhole;  ///< How it ended.
 };
 
 /** A slot that a host says it uses. */
--- a/src/fleet_func.cc
+++ b/src/fleet_func.cc
@@ -45,9 +45,9 @@
 
 auto LocatePartition(partition_id partition, std::uint32_t per_topic)
     -> log_partition {
-  return {std::string(kTopicPrefix) +
-              std::to_string(partition.value / per_topic),
-          partition.value % per_topic};
+  return {
+      std::string(kTopicPrefix) + std::to_string(partition.value / per_topic),
+      partition.value % per_topic};
 }
 
 auto PartitionAt(const log_partition& where, std::uint32_t per_topic)
@@ -55,24 +55,22 @@
   if (!where.topic.starts_with(kTopicPrefix) || where.number >= per_topic) {
     return std::nullopt;
   }
-  const auto topic = ParseNumber(
-      std::string_view(where.topic).substr(kTopicPrefix.size()));
+  const auto topic =
+      ParseNumber(std::string_view(where.topic).substr(kTopicPrefix.size()));
   if (!topic || *topic >= kJobTopics) {
     return std::nullopt;
   }
   return partition_id(*topic * per_topic + where.number);
 }
 
-auto PartitionOf(const batch_id& job, std::uint32_t per_topic)
-    -> partition_id {
-  return partition_id(static_cast<std::uint32_t>(
-      StableHash(job.value) % (kJobTopics * per_topic)));
+auto PartitionOf(const batch_id& job, std::uint32_t per_topic) -> partition_id {
+  return partition_id(static_cast<std::uint32_t>(StableHash(job.value) %
+                                                 (kJobTopics * per_topic)));
 }
 
 auto FormatMember(const fleet_member& member) -> std::string {
-  const auto share =
-      static_cast<std::uint32_t>(std::lround(member.processor_share *
-                                             kShareScale));
+  const auto share = static_cast<std::uint32_t>(
+      std::lround(member.processor_share * kShareScale));
   return member.ip + kSeparator + member.data_centre.value + kSeparator +
          std::to_string(share);
 }
@@ -111,8 +109,8 @@
                      static_cast<std::uint32_t>(view.members.size()));
   for (const auto& row : rows) {
     const auto partition = PartitionAt(row.partition, per_topic);
-    const auto member = std::ranges::find(view.members, row.member,
-                                          &fleet_member::name);
+    const auto member =
+        std::ranges::find(view.members, row.member, &fleet_member::name);
     if (partition && member != view.members.end()) {
       view.owners[partition->value] =
           static_cast<std::uint32_t>(member - view.members.begin());
--- a/src/fleet_type.h
+++ b/src/fleet_type.h
@@ -21,10 +21,10 @@
 
 /** Members and what they own at one generation of the group. */
 struct fleet_view {
-  std::uint64_t generation = 0;        ///< Rises with each change.
-  std::vector<fleet_member> members;   ///< By name.
-  std::vector<std::uint32_t> owners;   ///< Index into `members` by partition;
-                                       ///< members.size() if nobody's.
+  std::uint64_t generation = 0;       ///< Rises with each change.
+  std::vector<fleet_member> members;  ///< By name.
+  std::vector<std::uint32_t> owners;  ///< Index into `members` by partition;
+                                      ///< members.size() if nobody's.
 
   /** Member that owns a partition, nullptr if nobody does. */
   auto OwnerOf(partition_id partition) const -> const fleet_member* {
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -62,12 +62,12 @@
   fleet_view view;             ///< Newest members.
   time_point view_confirmed;   ///< When the store last confirmed the view.
   time_point member_until;  ///< The store keeps what this host owns until then.
-  std::set<partition_id> owned;           ///< Partitions of this host.
+  std::set<partition_id> owned;              ///< Partitions of this host.
   std::map<service_id, answer_times> times;  ///< By service.
   /** Longest time that callers of a route have left when they arrive. */
   std::map<route_id, std::chrono::milliseconds> longest_time_left;
-  store_health store;                        ///< The store as seen from here.
-  bool draining = false;                     ///< SIGTERM has come.
+  store_health store;     ///< The store as seen from here.
+  bool draining = false;  ///< SIGTERM has come.
 
   std::unique_ptr<placement_service> placement;  ///< Slots of servers.
   std::unique_ptr<batch_service> batch;          ///< Batch jobs.
--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -201,8 +201,8 @@
   const auto where = LocatePartition(id, host_.options.partitions_per_topic);
   while (partition->is_owned) {
     const auto from = partition->fold.next();
-    auto page = co_await partition->client.Read(
-        where, from, milliseconds(0), clock::now() + kStoreLimit);
+    auto page = co_await partition->client.Read(where, from, milliseconds(0),
+                                                clock::now() + kStoreLimit);
     if (!page) {
       Log(log_level::kWarning, log_category::kJob,
           {"partition " + std::to_string(id.value) + ": " +
@@ -283,10 +283,9 @@
     queued_item queued;
     if (route != nullptr) {
       queued.service = PickService(*route, host_.Draw());
-      queued.due = SteadyAfter(job.submission.submitted,
-                               route->completion_objective);
-      queued.expires =
-          SteadyAfter(job.submission.submitted, route->retention);
+      queued.due =
+          SteadyAfter(job.submission.submitted, route->completion_objective);
+      queued.expires = SteadyAfter(job.submission.submitted, route->retention);
       queued.max_attempts = route->max_attempts;
     }
     queue_.Add({id, job.submission.id, item.id}, std::move(queued));
@@ -305,8 +304,8 @@
         }
         queued->service = PickService(*route, host_.Draw());
         queued->max_attempts = route->max_attempts;
-        queued->due = SteadyAfter(job.submission.submitted,
-                                  route->completion_objective);
+        queued->due =
+            SteadyAfter(job.submission.submitted, route->completion_objective);
         queued->expires =
             SteadyAfter(job.submission.submitted, route->retention);
       }
@@ -334,10 +333,10 @@
       ++it;
     }
   }
-  partition.fold.Forget(unix_ms(
-      UnixNow().value -
-      static_cast<std::uint64_t>(
-          (host_.options.result_keep + kForgetMargin).count())));
+  partition.fold.Forget(
+      unix_ms(UnixNow().value -
+              static_cast<std::uint64_t>(
+                  (host_.options.result_keep + kForgetMargin).count())));
   partition.changed.Notify();
 }
 
@@ -391,8 +390,8 @@
   }
   const auto where = LocatePartition(id, host_.options.partitions_per_topic);
   const std::optional<log_offset> at = partition->fold.next();
-  auto appended = co_await partition->client.Append(
-      where, records, at, clock::now() + kStoreLimit);
+  auto appended = co_await partition->client.Append(where, records, at,
+                                                    clock::now() + kStoreLimit);
   if (appended && appended->first == *at) {
     ApplyRecords(id, *partition, records);
     Settle(*partition);
@@ -531,8 +530,7 @@
     record->opens = job;
     Write(id, partition, record);
   }
-  const auto deadline =
-      clock::now() + std::chrono::microseconds(call.wait_us);
+  const auto deadline = clock::now() + std::chrono::microseconds(call.wait_us);
   const bool is_accepted = co_await AwaitSettled(partition, record, deadline);
   if (is_accepted) {
     co_return JsonResponse(202, "{}");
@@ -550,8 +548,7 @@
                             const wire::batch_callT& call)
     -> asio::awaitable<http_response> {
   const batch_id id(call.job);
-  const auto deadline =
-      clock::now() + std::chrono::microseconds(call.wait_us);
+  const auto deadline = clock::now() + std::chrono::microseconds(call.wait_us);
   while (true) {
     const auto* job = partition->fold.Find(id);
     if (job == nullptr || !partition->is_owned) {
@@ -581,8 +578,7 @@
   record->records = {EndRecord(job)};
   record->ends = job;
   Write(id, partition, record);
-  const auto deadline =
-      clock::now() + std::chrono::microseconds(call.wait_us);
+  const auto deadline = clock::now() + std::chrono::microseconds(call.wait_us);
   const bool is_ended = co_await AwaitSettled(partition, record, deadline);
   co_return is_ended ? JsonResponse(200, "{}")
                      : FailureAnswer(error_code::kDeadlineExceeded,
@@ -632,19 +628,18 @@
   }
   const auto now = clock::now();
   const auto ticket = host_.placement->NewTicket();
-  placement_ask ask{
-      .host = {},
-      .ticket = ticket,
-      .service = queued->service,
-      .workspace = job->submission.workspace,
-      .work = work_class::kBatch,
-      .priority = 0,
-      .takes_token = false,
-      .is_returning = false,
-      .place = {host_.options.data_centre, host_.options.region},
-      .start_by = queued->due,
-      .useless_after = now + kAskLife,
-      .avoided = {}};
+  placement_ask ask{.host = {},
+                    .ticket = ticket,
+                    .service = queued->service,
+                    .workspace = job->submission.workspace,
+                    .work = work_class::kBatch,
+                    .priority = 0,
+                    .takes_token = false,
+                    .is_returning = false,
+                    .place = {host_.options.data_centre, host_.options.region},
+                    .start_by = queued->due,
+                    .useless_after = now + kAskLife,
+                    .avoided = {}};
   ++asking_;
   auto placed = co_await host_.placement->Place(std::move(ask));
   --asking_;
@@ -746,8 +741,7 @@
   queued->last_event = progress.last_event;
   queued->output = std::move(output);
   const bool is_preempted = result.outcome == run_outcome::kLeft;
-  queue_.Return(ref, is_preempted ? clock::now()
-                                  : clock::now() + kUnrunPause);
+  queue_.Return(ref, is_preempted ? clock::now() : clock::now() + kUnrunPause);
 }
 
 auto batch_service::List(const batch_item_ref& ref,
@@ -762,8 +756,7 @@
              {{"job", ref.job.value}, {"item", ref.item.value}});
   }
   auto record = std::make_shared<pending_record>();
-  record->records = {
-      ResultRecord(ref.job, {ref.item, end, std::move(output)})};
+  record->records = {ResultRecord(ref.job, {ref.item, end, std::move(output)})};
   record->lists = ref;
   Write(ref.partition, found->second, std::move(record));
 }
@@ -820,8 +813,8 @@
     co_return FailureAnswer(error_code::kUnavailable,
                             "the owner has no address");
   }
-  const auto deadline = clock::now() + std::chrono::microseconds(call.wait_us) +
-                        kReadLimit;
+  const auto deadline =
+      clock::now() + std::chrono::microseconds(call.wait_us) + kReadLimit;
   const bool is_read =
       static_cast<batch_call_kind>(call.call) != batch_call_kind::kSubmit &&
       static_cast<batch_call_kind>(call.call) != batch_call_kind::kEnd;
@@ -830,11 +823,10 @@
   const auto* answer = reply ? reply->Ashttp_reply() : nullptr;
   if (answer == nullptr) {
     const bool is_unsent = !reply && reply.error().ran == ran_state::kNo;
-    co_return FailureAnswer(is_read || is_unsent
-                                ? error_code::kUnavailable
-                                : error_code::kDeadlineExceeded,
-                            reply ? "unexpected answer of the owner"
-                                  : reply.error().message);
+    co_return FailureAnswer(
+        is_read || is_unsent ? error_code::kUnavailable
+                             : error_code::kDeadlineExceeded,
+        reply ? "unexpected answer of the owner" : reply.error().message);
   }
   http_response response;
   response.status = answer->status;
@@ -878,18 +870,18 @@
   // Reads come twice a second from every caller; only refused ones are told.
   const bool is_read = caller.call == caller_call::kJobResults ||
                        caller.call == caller_call::kJobItem;
-  LogEvent(is_read && status < 400 ? log_level::kDebug : log_level::kInfo,
-           log_category::kJob, "batch_call",
-           {{"job", job},
-            {"call", kind},
-            {"workspace", workspace.value},
-            {"partition", partition},
-            {"owner", owner == nullptr ? "" : owner->name},
-            {"generation", host.view.generation},
-            {"status", status},
-            {"ms", std::chrono::duration_cast<milliseconds>(clock::now() -
-                                                            arrived)
-                       .count()}});
+  LogEvent(
+      is_read && status < 400 ? log_level::kDebug : log_level::kInfo,
+      log_category::kJob, "batch_call",
+      {{"job", job},
+       {"call", kind},
+       {"workspace", workspace.value},
+       {"partition", partition},
+       {"owner", owner == nullptr ? "" : owner->name},
+       {"generation", host.view.generation},
+       {"status", status},
+       {"ms", std::chrono::duration_cast<milliseconds>(clock::now() - arrived)
+                  .count()}});
   host.metrics.CountAnswer(status);
   if (status == 503) {
     adapter::SetRetryAfter(response.headers, milliseconds(300));
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -65,25 +65,25 @@
  private:
   /** A record on its way into the log. */
   struct pending_record {
-    std::vector<std::string> records;  ///< Appended together.
-    std::optional<batch_id> opens;     ///< Job that it submits.
-    std::optional<batch_id> ends;      ///< Job that it ends.
+    std::vector<std::string> records;     ///< Appended together.
+    std::optional<batch_id> opens;        ///< Job that it submits.
+    std::optional<batch_id> ends;         ///< Job that it ends.
     std::optional<batch_item_ref> lists;  ///< Item whose result it is.
-    bool may_be_in_log = false;  ///< An append with it had no answer.
-    bool is_settled = false;     ///< It is in the log, or needless by now.
+    bool may_be_in_log = false;           ///< An append with it had no answer.
+    bool is_settled = false;  ///< It is in the log, or needless by now.
   };
   /** One partition of this host. */
   struct owned_partition {
     owned_partition(boost::asio::io_context& io,
                     boost::asio::ip::tcp::endpoint store)
         : client(store), store_calls(io), changed(io) {}
-    batch_partition fold;            ///< As read from the log.
-    bool is_loaded = false;          ///< The log has been read to its end.
-    bool is_owned = true;            ///< False once another host owns it.
-    bool is_writing = false;         ///< WriteLoop() runs.
-    unsigned load_version = 0;       ///< Counts the calls of Load().
-    adapter::store_client client;    ///< For this partition's calls.
-    async_section store_calls;       ///< Around calls that change `fold`.
+    batch_partition fold;          ///< As read from the log.
+    bool is_loaded = false;        ///< The log has been read to its end.
+    bool is_owned = true;          ///< False once another host owns it.
+    bool is_writing = false;       ///< WriteLoop() runs.
+    unsigned load_version = 0;     ///< Counts the calls of Load().
+    adapter::store_client client;  ///< For this partition's calls.
+    async_section store_calls;     ///< Around calls that change `fold`.
     std::list<std::shared_ptr<pending_record>> pending;  ///< In order.
     wait_list changed;  ///< Notified of each change.
   };
@@ -125,12 +125,14 @@
   auto Verify(partition_id id,
               partition_ptr partition,
               const wire::batch_callT& call) -> boost::asio::awaitable<bool>;
-  auto Submit(partition_id id, partition_ptr partition,
+  auto Submit(partition_id id,
+              partition_ptr partition,
               const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
   auto Results(partition_ptr partition, const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
-  auto End(partition_id id, partition_ptr partition,
+  auto End(partition_id id,
+           partition_ptr partition,
            const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
 
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -140,22 +140,22 @@
  private:
   auto Place() -> asio::awaitable<placement_answer> {
     const auto& usual = host_.times[service_];
-    const auto first = milliseconds(
-        static_cast<std::int64_t>(usual.first_event_s * 1000));
+    const auto first =
+        milliseconds(static_cast<std::int64_t>(usual.first_event_s * 1000));
     ticket_ = host_.placement->NewTicket();
-    placement_ask ask{.host = {},
-                      .ticket = ticket_,
-                      .service = service_,
-                      .workspace = workspace_,
-                      .work = work_class::kOnline,
-                      .priority = route_.priority,
-                      .takes_token = !has_token_,
-                      .is_returning = is_returning_ || attempts_ > 0,
-                      .place = {host_.options.data_centre,
-                                host_.options.region},
-                      .start_by = arrived_ + route_.objective - first,
-                      .useless_after = deadline_ - first,
-                      .avoided = avoided_};
+    placement_ask ask{
+        .host = {},
+        .ticket = ticket_,
+        .service = service_,
+        .workspace = workspace_,
+        .work = work_class::kOnline,
+        .priority = route_.priority,
+        .takes_token = !has_token_,
+        .is_returning = is_returning_ || attempts_ > 0,
+        .place = {host_.options.data_centre, host_.options.region},
+        .start_by = arrived_ + route_.objective - first,
+        .useless_after = deadline_ - first,
+        .avoided = avoided_};
     watch_.OnGone([this] { host_.placement->Withdraw(ticket_); });
     auto answer = co_await host_.placement->Place(std::move(ask));
     watch_.OnGone({});
@@ -189,8 +189,7 @@
     last_server_ = server.id;
     attempt_handle handle;
     watch_.OnGone([&handle] { handle.Abort(); });
-    auto result =
-        co_await RunAttempt(host_, order, progress_, handle, sink_);
+    auto result = co_await RunAttempt(host_, order, progress_, handle, sink_);
     watch_.OnGone({});
     host_.placement->End(ticket_, result.outcome);
     if (result.may_have_run) {
@@ -199,8 +198,7 @@
     } else {
       ++unrun_;
     }
-    if (result.first_event != time_point() &&
-        first_event_ == time_point()) {
+    if (result.first_event != time_point() && first_event_ == time_point()) {
       first_event_ = result.first_event;
       host_.metrics.NoteFirstToken(route_.id.value, first_event_ - arrived_);
     }
@@ -239,9 +237,9 @@
     host_.metrics.CountRetry();
     avoided_.push_back(server.id);
     Log(log_level::kInfo, log_category::kRoute,
-        {"request " + caller_.attempt.value + " goes on elsewhere after event " +
-             std::to_string(progress_.last_event) + ": " +
-             result.error.message,
+        {"request " + caller_.attempt.value +
+             " goes on elsewhere after event " +
+             std::to_string(progress_.last_event) + ": " + result.error.message,
          result.error.step, server.id.value});
     co_return false;
   }
@@ -313,9 +311,8 @@
         {"outcome", std::move(what)},
         {"status", status},
         {"ms", millis(now - arrived_)},
-        {"first_event_ms", first_event_ == time_point()
-                               ? -1
-                               : millis(first_event_ - arrived_)},
+        {"first_event_ms",
+         first_event_ == time_point() ? -1 : millis(first_event_ - arrived_)},
         {"time_left_ms", millis(deadline_ - now)},
         {"attempts", attempts_},
         {"not_run", unrun_},
@@ -358,9 +355,8 @@
                  milliseconds retry_after = milliseconds(0))
     -> asio::awaitable<void> {
   host.metrics.CountFailure(error.step, NameOf(error.code));
-  const auto version = host.deployment == nullptr
-                           ? 0
-                           : host.deployment->state().version.value;
+  const auto version =
+      host.deployment == nullptr ? 0 : host.deployment->state().version.value;
   LogEvent(log_level::kInfo, log_category::kRoute, "request_refused",
            {{"request", caller.attempt.value},
             {"host_name", caller.host},
@@ -394,10 +390,11 @@
   const auto caller = adapter::DecodeRequest(exchange.Request());
   const auto deployment = host.deployment;
   if (deployment == nullptr) {
-    co_await RefuseEarly(host, exchange, caller,
-                         Refusal(error_code::kUnavailable,
-                                 "no declared state is known yet", "find route"),
-                         kUnreadyReturn);
+    co_await RefuseEarly(
+        host, exchange, caller,
+        Refusal(error_code::kUnavailable, "no declared state is known yet",
+                "find route"),
+        kUnreadyReturn);
     co_return;
   }
   const bool is_job_call = caller.call != caller_call::kServe;
@@ -410,8 +407,8 @@
     co_return;
   }
   workspace_id workspace;
-  const bool needs_key = deployment->state().has_workspaces &&
-                         (route == nullptr || !route->open);
+  const bool needs_key =
+      deployment->state().has_workspaces && (route == nullptr || !route->open);
   if (needs_key) {
     const auto* owner = deployment->FindKey(caller.key_hash);
     if (owner == nullptr) {
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -53,11 +53,10 @@
         ready(host.io,
               http_limits(),
               [&host](http_exchange& e) { return HandleReady(host, e); }),
-        directory(host.io,
-                  http_limits(),
-                  [&host](http_exchange& e) {
-                    return HandleDirectory(host, e);
-                  }),
+        directory(
+            host.io,
+            http_limits(),
+            [&host](http_exchange& e) { return HandleDirectory(host, e); }),
         metrics(host.io, http_limits(), [&host](http_exchange& e) {
           return HandleMetrics(host, e);
         }) {}
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -80,8 +80,7 @@
       .priority = request.priority,
       .takes_token = request.takes_token,
       .is_returning = request.returning,
-      .place = {data_centre_id(request.data_centre),
-                region_id(request.region)},
+      .place = {data_centre_id(request.data_centre), region_id(request.region)},
       .start_by = now + microseconds(request.start_by_us),
       .useless_after = now + microseconds(request.useless_after_us),
       .avoided = {}};
@@ -148,8 +147,7 @@
   co_return *answer;
 }
 
-auto placement_service::AskLocal(const placement_ask& ask)
-    -> placement_answer {
+auto placement_service::AskLocal(const placement_ask& ask) -> placement_answer {
   return local_.Ask(ask, RateOf(ask.workspace), clock::now());
 }
 
@@ -234,8 +232,8 @@
     if (link != nullptr) {
       auto call = [](std::shared_ptr<link_client> to,
                      wire_message message) -> asio::awaitable<void> {
-        auto sent = co_await to->Call(std::move(message),
-                                      clock::now() + kEndLimit);
+        auto sent =
+            co_await to->Call(std::move(message), clock::now() + kEndLimit);
         if (!sent) {
           Log(log_level::kWarning, log_category::kRoute,
               {"preemption not delivered: " + sent.error().message, "preempt",
@@ -311,8 +309,7 @@
   }
   // A lost message is made good by the next report of held slots.
   auto message = MakeMessage(std::move(request));
-  auto sent =
-      co_await link->Call(std::move(message), clock::now() + kEndLimit);
+  auto sent = co_await link->Call(std::move(message), clock::now() + kEndLimit);
   if (!sent) {
     Log(log_level::kDebug, log_category::kRoute,
         {"ends of runs not delivered: " + sent.error().message, "end runs",
@@ -320,8 +317,8 @@
   }
 }
 
-auto placement_service::OnPreempt(ticket_id ticket,
-                                  std::function<void()> abort) -> void {
+auto placement_service::OnPreempt(ticket_id ticket, std::function<void()> abort)
+    -> void {
   const auto found = held_.find(ticket);
   if (found != held_.end()) {
     found->second.preempt = std::move(abort);
@@ -355,12 +352,13 @@
   is_dispatcher_ = is_self;
   const auto name = chosen == nullptr ? std::string() : chosen->name;
   if (candidate_.name != name) {
-    candidate_ = {name, is_self || chosen == nullptr ? std::string()
-                                                     : host_.LinkOf(*chosen),
-                  time_point()};
+    candidate_ = {
+        name,
+        is_self || chosen == nullptr ? std::string() : host_.LinkOf(*chosen),
+        time_point()};
     Log(log_level::kInfo, log_category::kRoute,
-        {"dispatcher by generation " +
-             std::to_string(host_.view.generation) + " of the members",
+        {"dispatcher by generation " + std::to_string(host_.view.generation) +
+             " of the members",
          "choose dispatcher", name});
   }
 }
@@ -445,8 +443,8 @@
     co_await Sleep(kReportPeriod);
     if (had_dispatcher && !HasDispatcher()) {
       Log(log_level::kWarning, log_category::kRoute,
-          {"dispatcher does not answer; placing requests alone",
-           "report slots", active_.name});
+          {"dispatcher does not answer; placing requests alone", "report slots",
+           active_.name});
     }
   }
 }
@@ -464,15 +462,13 @@
   co_return MakeMessage(std::move(reply));
 }
 
-auto placement_service::HandleEnds(const wire::ends_requestT& request)
-    -> void {
+auto placement_service::HandleEnds(const wire::ends_requestT& request) -> void {
   const auto now = clock::now();
   const host_id host(request.host);
   for (const auto& end : request.ends) {
-    dispatcher_.End(host,
-                    {ticket_id(end->ticket),
-                     static_cast<run_outcome>(end->outcome)},
-                    now);
+    dispatcher_.End(
+        host, {ticket_id(end->ticket), static_cast<run_outcome>(end->outcome)},
+        now);
   }
   for (const auto ticket : request.withdrawn) {
     dispatcher_.Withdraw(host, ticket_id(ticket));
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -37,10 +37,8 @@
 constexpr std::size_t kMostAnswerBytes = 16UL << 20;
 
 /** Length of time of `seconds` times `factor`, within bounds. */
-auto Limit(double seconds,
-           double factor,
-           milliseconds least,
-           milliseconds most) -> milliseconds {
+auto Limit(double seconds, double factor, milliseconds least, milliseconds most)
+    -> milliseconds {
   const auto wanted =
       milliseconds(static_cast<std::int64_t>(seconds * factor * 1000));
   return std::clamp(wanted, least, most);
@@ -48,8 +46,8 @@
 
 /** Moves a usual time towards the newest. */
 auto Smooth(double& usual, duration newest) -> void {
-  usual += kTimeWeight *
-           (std::chrono::duration<double>(newest).count() - usual);
+  usual +=
+      kTimeWeight * (std::chrono::duration<double>(newest).count() - usual);
 }
 
 /** State of one attempt. */
@@ -76,7 +74,11 @@
   /** Notes a failure. */
   auto Fail(const failure& error, run_outcome outcome) -> void {
     result_.error = error;
-    result_.outcome = handle_.aborted ? run_outcome::kLeft : outcome;
+    result_.outcome = outcome;
+    if (handle_.aborted) {
+      result_.outcome = run_outcome::kLeft;
+      result_.error.message = "ended by this host";
+    }
   }
 
   /** A failure that this host found. */
@@ -94,10 +96,10 @@
       return order_.deadline;
     }
     const auto& usual = host_.times[order_.service];
-    auto limit = has_events ? Limit(usual.event_gap_s, kGapFactor, kLeastGap,
-                                    kMostGap)
-                            : Limit(usual.first_event_s, kFirstEventFactor,
-                                    kLeastFirstEvent, kMostFirstEvent);
+    auto limit = has_events
+                     ? Limit(usual.event_gap_s, kGapFactor, kLeastGap, kMostGap)
+                     : Limit(usual.first_event_s, kFirstEventFactor,
+                             kLeastFirstEvent, kMostFirstEvent);
     if (order_.is_batch) {
       limit *= kBatchPatience;
     }
@@ -119,13 +121,16 @@
       co_return false;
     }
     handle_.connection = std::move(opened.value());
+    if (handle_.aborted) {
+      Fail(Found("", "connect"), run_outcome::kLeft);
+    }
     co_return !handle_.aborted;
   }
 
   /** Sends the request. */
   auto Send() -> asio::awaitable<bool> {
-    const auto left = std::chrono::duration_cast<milliseconds>(
-        order_.deadline - clock::now());
+    const auto left = std::chrono::duration_cast<milliseconds>(order_.deadline -
+                                                               clock::now());
     const server_order to{.server = order_.server.id,
                           .workspace = order_.workspace,
                           .time_left = std::max(left, milliseconds(1)),
@@ -189,9 +194,9 @@
 
   /** Keeps the connection for other requests if it can be kept. */
   auto Keep() -> void {
-    const auto life =
-        answer_.idle_s ? milliseconds(*answer_.idle_s * 1000) - kIdleMargin
-                       : kUnknownIdle;
+    const auto life = answer_.idle_s
+                          ? milliseconds(*answer_.idle_s * 1000) - kIdleMargin
+                          : kUnknownIdle;
     host_.pool.Put(handle_.connection, clock::now(), life);
   }
 
@@ -204,8 +209,8 @@
     Keep();
     if (answer_.not_run) {
       result_.may_have_run = false;
-      result_.outcome = head.status == 503 ? run_outcome::kFull
-                                           : run_outcome::kNotRun;
+      result_.outcome =
+          head.status == 503 ? run_outcome::kFull : run_outcome::kNotRun;
       result_.error = Found("server did not run the request: status " +
                                 std::to_string(head.status),
                             "read head");
@@ -227,8 +232,8 @@
   }
 
   /** Passes on the events that are new; false at the first that is missing. */
-  auto TakeEvents(const std::vector<std::string>& events,
-                  std::string& passed) -> bool {
+  auto TakeEvents(const std::vector<std::string>& events, std::string& passed)
+      -> bool {
     for (const auto& event : events) {
       const auto fields = ParseEventFields(event);
       if (fields.id && *fields.id <= progress_.last_event) {
--- a/src/hostd_relay.h
+++ b/src/hostd_relay.h
@@ -35,7 +35,8 @@
   virtual auto TakeHead(const http_head& head)
       -> boost::asio::awaitable<bool> = 0;
   /** Whole events, as sent. False: nobody wants more. */
-  virtual auto TakeEvents(std::string events) -> boost::asio::awaitable<bool> = 0;
+  virtual auto TakeEvents(std::string events)
+      -> boost::asio::awaitable<bool> = 0;
 };
 
 /** What an attempt is given. */
@@ -54,11 +55,11 @@
 /** What came of an attempt. */
 struct attempt_result {
   run_outcome outcome = run_outcome::kWhole;  ///< For the placement.
-  bool may_have_run = false;    ///< The server may have begun.
-  bool is_whole = false;        ///< The answer came to its end.
+  bool may_have_run = false;                  ///< The server may have begun.
+  bool is_whole = false;                      ///< The answer came to its end.
   std::optional<http_response> answer;  ///< Whole answer that is no stream.
-  failure error;                ///< If nothing whole came.
-  time_point first_event;       ///< When the first event came.
+  failure error;                        ///< If nothing whole came.
+  time_point first_event;               ///< When the first event came.
 };
 
 /** Lets others end an attempt. */
--- a/src/hostd_setting.h
+++ b/src/hostd_setting.h
@@ -21,14 +21,14 @@
   data_centre_id data_centre;                        ///< Where it is.
   region_id region;                                  ///< Where it is.
   std::map<data_centre_id, region_id> data_centres;  ///< All data centres.
-  boost::asio::ip::tcp::endpoint front;      ///< Callers' requests.
-  boost::asio::ip::tcp::endpoint ready;      ///< Readiness.
-  boost::asio::ip::tcp::endpoint directory;  ///< Callers' questions for
-                                             ///< addresses.
-  boost::asio::ip::tcp::endpoint link;       ///< Links of other hosts.
-  boost::asio::ip::tcp::endpoint metrics;    ///< Metrics.
-  boost::asio::ip::tcp::endpoint store;      ///< The platform's store.
-  std::vector<std::string> peers;            ///< Links of some hosts.
+  boost::asio::ip::tcp::endpoint front;              ///< Callers' requests.
+  boost::asio::ip::tcp::endpoint ready;              ///< Readiness.
+  boost::asio::ip::tcp::endpoint directory;          ///< Callers' questions for
+                                                     ///< addresses.
+  boost::asio::ip::tcp::endpoint link;               ///< Links of other hosts.
+  boost::asio::ip::tcp::endpoint metrics;            ///< Metrics.
+  boost::asio::ip::tcp::endpoint store;              ///< The platform's store.
+  std::vector<std::string> peers;                    ///< Links of some hosts.
   std::string secret;                        ///< Shared secret of the links.
   std::string log_levels;                    ///< See StartLog().
   double processor_share = 0;                ///< Cores that the host has.
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -44,9 +44,8 @@
 
 /** Microseconds in `d`. */
 auto Micros(duration d) -> std::uint64_t {
-  return static_cast<std::uint64_t>(
-      std::max<std::int64_t>(
-          0, std::chrono::duration_cast<std::chrono::microseconds>(d).count()));
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(
+      0, std::chrono::duration_cast<std::chrono::microseconds>(d).count()));
 }
 
 /** Notes whether the store answered; tells when that changes. */
@@ -309,9 +308,8 @@
   std::uint64_t generation = 0;
   while (!host.draining) {
     const auto sent = clock::now();
-    auto share =
-        co_await client.Join(self, topics, host.options.member_life, generation,
-                             sent + kCallLimit);
+    auto share = co_await client.Join(self, topics, host.options.member_life,
+                                      generation, sent + kCallLimit);
     NoteCall(host, share);
     if (!share) {
       co_await Sleep(kFailurePause);
@@ -413,9 +411,8 @@
       continue;
     }
     wire::view_requestT request;
-    request.state_version = host.deployment == nullptr
-                                ? 0
-                                : host.deployment->state().version.value;
+    request.state_version =
+        host.deployment == nullptr ? 0 : host.deployment->state().version.value;
     auto message = MakeMessage(std::move(request));
     auto reply = co_await link->Call(std::move(message), now + kPeerLimit);
     const auto* view = reply ? reply->Asview_reply() : nullptr;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -43,9 +43,9 @@
   beast::flat_buffer buffer;  ///< Bytes read ahead.
   std::string peer;           ///< "ip:port".
   std::optional<http::response_parser<http::buffer_body>> parser;  ///< Answer.
-  bool is_head = false; ///< The request was a HEAD.
-  bool whole = false;   ///< The answer has been read to its end.
-  bool failed = false;  ///< An operation failed.
+  bool is_head = false;  ///< The request was a HEAD.
+  bool whole = false;    ///< The answer has been read to its end.
+  bool failed = false;   ///< An operation failed.
 
   /** Marks the connection as failed and describes why. */
   auto Fail(const beast::error_code& ec, std::string step, ran_state ran)
@@ -216,8 +216,8 @@
   if (!connection) {
     co_return connection.error();
   }
-  auto response = co_await Exchange(*connection.value(), request, deadline,
-                                    max_body);
+  auto response =
+      co_await Exchange(*connection.value(), request, deadline, max_body);
   co_return response;
 }
 
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -284,8 +284,7 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
-    const auto read_ec =
-        co_await ReadRequest(stream, buffer, parser, limits);
+    const auto read_ec = co_await ReadRequest(stream, buffer, parser, limits);
     if (read_ec) {
       co_await RefuseRequest(stream, read_ec, peer, idle);
       break;
--- a/src/log_func.cc
+++ b/src/log_func.cc
@@ -141,9 +141,8 @@
     }
     if (dropped > 0) {
       WriteLine(log_level::kWarning,
-                "\"event\":\"log_lines_dropped\",\"host\":\"" +
-                    State().host + "\",\"count\":" +
-                    std::to_string(dropped) + "}");
+                "\"event\":\"log_lines_dropped\",\"host\":\"" + State().host +
+                    "\",\"count\":" + std::to_string(dropped) + "}");
     }
   }
 
@@ -176,8 +175,8 @@
   std::mutex write_mutex_;  // After mutex_ in lock order, never held with it.
   std::condition_variable filled_;
   std::deque<std::pair<log_level, std::string>> lines_;
-  double rate_ = 0;     // Lines a second.
-  double budget_ = 0;   // Lines that may be taken now.
+  double rate_ = 0;    // Lines a second.
+  double budget_ = 0;  // Lines that may be taken now.
   std::uint64_t dropped_ = 0;
   std::chrono::steady_clock::time_point filled_at_;
   bool has_writer_ = false;
@@ -235,10 +234,9 @@
 }
 
 auto Log(log_level level, log_category category, const log_line& line) -> void {
-  LogEvent(level, category, "message",
-           {{"step", line.step},
-            {"peer", line.peer},
-            {"message", line.message}});
+  LogEvent(
+      level, category, "message",
+      {{"step", line.step}, {"peer", line.peer}, {"message", line.message}});
 }
 
 auto StartLogWriter(double lines_per_s) -> void {
--- a/src/store_type.h
+++ b/src/store_type.h
@@ -16,7 +16,9 @@
 struct log_partition {
   std::string topic;         ///< Name of the topic.
   std::uint32_t number = 0;  ///< From 0.
-  auto operator<=>(const log_partition&) const = default;
+  // clang-tidy 14 takes the comparison with 0 in the default for a pointer.
+  auto operator<=>(const log_partition&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 };
 
 /** Answer of an append. */
@@ -52,8 +54,8 @@
 
 /** What a member holds after joining. */
 struct group_share {
-  std::uint64_t generation = 0;          ///< Rises with each change.
-  std::vector<log_partition> partitions; ///< Held by the member.
+  std::uint64_t generation = 0;           ///< Rises with each change.
+  std::vector<log_partition> partitions;  ///< Held by the member.
 };
 
 /** Owner of one partition of a group. */
--- a/src/wait_list.h
+++ b/src/wait_list.h
@@ -22,8 +22,7 @@
 
   /** Waits for the next Notify(), at most until `deadline`. */
   auto Wait(time_point deadline) -> boost::asio::awaitable<void> {
-    auto timer =
-        std::make_shared<boost::asio::steady_timer>(io_, deadline);
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_, deadline);
     waiting_.push_back(timer);
     co_await timer->async_wait(
         boost::asio::as_tuple(boost::asio::use_awaitable));
--- a/tests/batch_test.cc
+++ b/tests/batch_test.cc
@@ -56,8 +56,8 @@
     const auto submitted = Submission("j", 6, 20);
     ApplyAll(fold, SubmissionRecords(submitted, kRecordBytes));
     std::vector<std::string> seen;
-    const auto steps = *rc::gen::container<std::vector<int>>(
-        40, rc::gen::inRange(0, 12));
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 12));
     int count = 0;
     for (const auto step : steps) {
       if (step == 10) {
@@ -65,9 +65,9 @@
       } else if (step == 11) {
         fold.Apply("no record");
       } else {
-        fold.Apply(ResultRecord(
-            batch_id("j"), Result("j-" + std::to_string(step),
-                                  "run " + std::to_string(count++))));
+        fold.Apply(ResultRecord(batch_id("j"),
+                                Result("j-" + std::to_string(step),
+                                       "run " + std::to_string(count++))));
       }
       const auto* job = fold.Find(batch_id("j"));
       RC_ASSERT(job != nullptr);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -99,9 +99,9 @@
 
 /** Outcome of a replay of bursts over batch work. */
 struct replay_outcome {
-  int online = 0;       ///< Online requests.
-  int on_time = 0;      ///< Started before their objective.
-  int refused_late = 0; ///< Refused after they had waited 75 ms.
+  int online = 0;          ///< Online requests.
+  int on_time = 0;         ///< Started before their objective.
+  int refused_late = 0;    ///< Refused after they had waited 75 ms.
   double batch_share = 0;  ///< Part of all slot time that batch used.
 };
 
@@ -113,9 +113,9 @@
   auto d = Ready(kServers);
   std::mt19937_64 random(5);
   replay_outcome outcome;
-  std::map<ticket_id, time_point> ends;      // Online runs.
-  std::map<ticket_id, time_point> asked;     // Online asks.
-  std::set<ticket_id> batch;                 // Batch runs.
+  std::map<ticket_id, time_point> ends;   // Online runs.
+  std::map<ticket_id, time_point> asked;  // Online asks.
+  std::set<ticket_id> batch;              // Batch runs.
   std::uint64_t ticket = 1;
   unsigned batch_asking = 0;
   const auto cycle = milliseconds(5800);
@@ -147,8 +147,7 @@
     d.Advance(now);
     for (const auto& notice : d.TakeNotices()) {
       const auto found = asked.find(notice.ticket);
-      const bool granted =
-          notice.answer.verdict == placement_verdict::kGranted;
+      const bool granted = notice.answer.verdict == placement_verdict::kGranted;
       if (found == asked.end()) {
         --batch_asking;
         if (granted) {
@@ -181,20 +180,21 @@
 auto SlotsAreNeverExceeded() -> bool {
   return rc::check("no server gets more than its slots", [] {
     auto d = Ready(3);
-    const auto steps = *rc::gen::container<std::vector<int>>(
-        200, rc::gen::inRange(0, 100));
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 100));
     auto now = Begin();
     std::uint64_t ticket = 1;
     std::map<ticket_id, server_id> runs;
     for (const auto step : steps) {
       now += milliseconds(step);
       if (step < 60) {
-        d.Ask(Ask(ticket++, step % 3 == 0 ? work_class::kBatch
-                                          : work_class::kOnline, now),
-              {}, now);
+        d.Ask(
+            Ask(ticket++,
+                step % 3 == 0 ? work_class::kBatch : work_class::kOnline, now),
+            {}, now);
       } else if (!runs.empty()) {
-        const auto run = std::next(
-            runs.begin(), step % static_cast<int>(runs.size()));
+        const auto run =
+            std::next(runs.begin(), step % static_cast<int>(runs.size()));
         d.End(host_id("h"), {run->first, run_outcome::kWhole}, now);
         runs.erase(run);
       }
@@ -230,8 +230,7 @@
 Test(dispatch, online_takes_the_slot_of_a_batch_run) {
   auto d = Ready(2);
   Fill(d, 2, work_class::kBatch, 1);
-  const auto answer =
-      Place(d, Ask(100, work_class::kOnline, Begin()), Begin());
+  const auto answer = Place(d, Ask(100, work_class::kOnline, Begin()), Begin());
   cr_assert(IsGranted(answer));
   const auto runs = d.TakePreemptions();
   cr_assert_eq(runs.size(), 1);
@@ -241,8 +240,8 @@
 Test(dispatch, batch_waits_for_a_free_slot) {
   auto d = Ready(1);
   Fill(d, 1, work_class::kOnline, 1);
-  cr_assert_not(Place(d, Ask(100, work_class::kBatch, Begin()), Begin())
-                    .has_value());
+  cr_assert_not(
+      Place(d, Ask(100, work_class::kBatch, Begin()), Begin()).has_value());
   d.End(host_id("h"), {ticket_id(1), run_outcome::kWhole}, Begin());
   const auto notices = d.TakeNotices();
   cr_assert_eq(notices.size(), 1);
@@ -340,8 +339,7 @@
   servers[0].leaving = true;
   d.SetServers(servers, Regions());
   for (std::uint64_t i = 1; i <= kSlots; ++i) {
-    const auto answer =
-        Place(d, Ask(i, work_class::kOnline, Begin()), Begin());
+    const auto answer = Place(d, Ask(i, work_class::kOnline, Begin()), Begin());
     cr_assert_eq(answer->server.value, "s1");
   }
   auto other = Ready(2);
@@ -379,8 +377,7 @@
   dispatcher d(dispatch_policy(), 7);
   d.SetServers(Servers(1), Regions());
   d.Start(Begin());
-  const auto early =
-      Place(d, Ask(1, work_class::kOnline, Begin()), Begin());
+  const auto early = Place(d, Ask(1, work_class::kOnline, Begin()), Begin());
   cr_assert_eq(static_cast<int>(early->verdict),
                static_cast<int>(placement_verdict::kNotReady));
   const auto later = Begin() + seconds(1);
@@ -400,8 +397,7 @@
   d.Start(Begin() - seconds(1));
   d.TakeHeld(host_id("h"), {}, Begin());
   for (std::uint64_t i = 1; i <= kSlots; ++i) {
-    const auto answer =
-        Place(d, Ask(i, work_class::kOnline, Begin()), Begin());
+    const auto answer = Place(d, Ask(i, work_class::kOnline, Begin()), Begin());
     cr_assert_eq(answer->server.value, "s0");
   }
   cr_assert_eq(
@@ -432,10 +428,9 @@
     local.SetHostCount(kHosts);
     for (int i = 0; i < 1000; ++i) {
       const auto now = Begin() + milliseconds(5 * i);
-      const auto answer =
-          local.Ask(Ask(static_cast<std::uint64_t>(i), work_class::kOnline,
-                        now),
-                    rate, now);
+      const auto answer = local.Ask(
+          Ask(static_cast<std::uint64_t>(i), work_class::kOnline, now), rate,
+          now);
       granted += answer.verdict == placement_verdict::kGranted ? 1 : 0;
     }
   }
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -214,6 +214,7 @@
     def __init__(self, store, name, service, ip, port, zone, slots=8):
         self.store, self.name, self.service = store, name, service
         self.ip, self.port, self.zone, self.slots = ip, port, zone, slots
+        self.told_port = port  # Where callers are told to connect.
         self.seen = []  # (attempt id, headers, path, ran)
         self.running = 0
         self.queue_limit = 8
@@ -231,7 +232,7 @@
 
     async def register(self, state):
         await self.store.put(SERVER_TOPIC, self.name, {
-            "service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone,
+            "service": self.service, "address": f"{self.ip}:{self.told_port}", "zone": self.zone,
             "version": "v1", "slots": self.slots, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1})
 
     async def crash(self):
--- a/tests/hostd_test.cc
+++ b/tests/hostd_test.cc
@@ -91,8 +91,7 @@
 
 // Guards against events that are passed on twice, left out or joined.
 Test(hostd, event_fields_are_read) {
-  const auto event =
-      ParseEventFields("id: 12\ndata: a\ndata:b\nother: x\n\n");
+  const auto event = ParseEventFields("id: 12\ndata: a\ndata:b\nother: x\n\n");
   cr_assert_eq(*event.id, 12);
   cr_assert_eq(event.data, "a\nb");
   cr_assert_not(ParseEventFields("id: x1\ndata: a\n\n").id.has_value());
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,308 @@
+#!/usr/bin/python3
+"""Randomized soak: real hostd processes on loopback, with faults injected from
+outside, several at a time, while callers use them. It checks what callers and
+servers see; what it asserts is listed in docs/invariants.md.
+
+    tests/soak.py --seed 1 --seconds 20 --hosts 4
+    tests/soak.py --fresh 10        # ten seeds drawn now
+    tests/soak.py --kept            # seeds that have failed before
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import sys
+import time
+
+import site_helper as sh
+
+# Seeds that failed once, with the cause, kept as regression cases.
+KEPT_SEEDS = {
+    # seed: cause
+}
+PROXY_PORT = 7301
+JOB_ITEMS = 4
+RECOVERY_S = 45
+REFUSALS = (408, 421, 429, 503)  # They promise that nothing ran or will run.
+BROKEN = (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError)
+
+
+class Proxy:
+    """Passes connections on, and misbehaves as told."""
+
+    def __init__(self, ip, port, target):
+        self.ip, self.port, self.target = ip, port, target
+        self.mode, self.delay_s = "pass", 0.0  # pass, silent, one_way
+        self.open = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
+
+    def reset(self):
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    async def stop(self):
+        self.server.close()
+        self.reset()
+
+    async def serve(self, reader, writer):
+        self.open.add(writer)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+            self.open.add(far_writer)
+            await asyncio.gather(self.pump(reader, far_writer, False), self.pump(far_reader, writer, True))
+        except (OSError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self.open.discard(writer)
+
+    async def pump(self, reader, writer, is_answer):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                await asyncio.sleep(self.delay_s)
+                if self.mode == "silent" or (self.mode == "one_way" and is_answer):
+                    continue
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        self.open.discard(writer)
+
+
+class SoakFleet(sh.Fleet):
+    """A fleet whose calls of the store and the servers go through proxies."""
+
+    def __init__(self, seed, hosts, engines):
+        # Seeds that run side by side have networks of their own.
+        super().__init__(f"soak-{seed}", hosts, engines, net=80 + seed % 100)
+        self.store_proxies = [
+            Proxy(self.store_ip, PROXY_PORT + h.index, (self.store_ip, sh.STORE)) for h in self.hosts]
+        self.engine_proxies = [Proxy(e.ip, PROXY_PORT, (e.ip, sh.ENGINE)) for e in self.engines]
+        for engine in self.engines:
+            engine.told_port = PROXY_PORT
+
+    def store_address(self, host):
+        return f"{self.store_ip}:{PROXY_PORT + host.index}"
+
+    async def __aenter__(self):
+        for proxy in self.store_proxies + self.engine_proxies:
+            await proxy.start()
+        return await super().__aenter__()
+
+    async def __aexit__(self, *error):
+        await super().__aexit__(*error)
+        for proxy in self.store_proxies + self.engine_proxies:
+            await proxy.stop()
+
+
+class Soak:
+    def __init__(self, fleet, seed, seconds):
+        self.fleet, self.random, self.end = fleet, random.Random(seed), time.monotonic() + seconds
+        self.asked, self.jobs, self.counts = {}, {}, {}
+        self.busy = set()  # Hosts that a fault is ending or pausing.
+
+    def count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    # Callers.
+
+    async def caller(self):
+        while time.monotonic() < self.end:
+            kind = self.random.choice(["stream", "once", "call/plain", "read/plain"])
+            attempt, host = self.fleet.new_id(), self.random.choice(self.fleet.hosts)
+            status = None
+            with contextlib.suppress(*BROKEN):
+                answer = await self.fleet.ask(host, kind, attempt, limit=10)
+                status = answer.status
+                self.check_answer(kind, attempt, answer)
+            self.asked[attempt] = (kind, status)
+            self.count(f"{kind.split('/')[0]} {status}")
+            await asyncio.sleep(self.random.uniform(0, 0.1))
+
+    def check_answer(self, kind, attempt, answer):
+        if answer.status != 200:
+            return
+        if "plain" in kind:
+            sh.check(not answer.is_whole or answer.body == b"echo hello", f"{attempt}: {answer}")
+            return
+        expected = [(e, sh.stand_in.event_data(attempt, e))
+                    for e in range(1, sh.stand_in.event_count(attempt) + 1)]
+        events = answer.events()
+        sh.check(events == expected[: len(events)], f"{attempt}: events {events}")
+        sh.check(not answer.is_whole or len(events) == len(expected), f"{attempt}: ends as whole too early")
+
+    async def job_caller(self):
+        while time.monotonic() < self.end:
+            job, statuses = self.fleet.new_id("job"), []
+            for _ in range(2):
+                with contextlib.suppress(*BROKEN):
+                    answer = await self.fleet.submit(self.random.choice(self.fleet.hosts), job, JOB_ITEMS)
+                    statuses.append(answer.status)
+                    if answer.status == 202:
+                        break
+                    continue
+                statuses.append(None)
+            self.jobs[job] = statuses
+            self.count(f"job {statuses[-1]}")
+            await asyncio.sleep(self.random.uniform(0.2, 0.8))
+
+    # Faults. Each runs for a while and then undoes itself.
+
+    async def trouble(self):
+        while time.monotonic() < self.end:
+            fault = self.random.choice([self.harm_proxy, self.harm_proxy, self.kill, self.pause, self.stop,
+                                        self.store_down, self.lose_appends, self.crash_engine, self.drain_engine,
+                                        self.change_state, self.harm_engine])
+            self.count(fault.__name__)
+            await fault(self.random.uniform(0.3, 3))
+            await asyncio.sleep(self.random.uniform(0, 0.5))
+
+    async def harm_proxy(self, seconds):
+        proxy = self.random.choice(self.fleet.store_proxies + self.fleet.engine_proxies)
+        how = self.random.choice(["silent", "one_way", "reset", "delay"])
+        if how == "reset":
+            proxy.reset()
+            return
+        proxy.mode, proxy.delay_s = ("pass", 0.2) if how == "delay" else (how, 0)
+        await asyncio.sleep(seconds)
+        proxy.mode, proxy.delay_s = "pass", 0
+        if self.random.random() < 0.5:
+            proxy.reset()  # Else what was held up stays silent for good.
+
+    @contextlib.contextmanager
+    def one_host(self):
+        free = [h for h in self.fleet.hosts if h.index not in self.busy]
+        host = self.random.choice(free) if len(free) > 1 else None
+        if host is not None:
+            self.busy.add(host.index)
+        try:
+            yield host
+        finally:
+            if host is not None:
+                self.busy.discard(host.index)
+
+    async def end_host(self, how, seconds):
+        with self.one_host() as host:
+            if host is not None:
+                sh.check(host.process.returncode is None, f"host {host.index} has ended by itself")
+                await host.end(how)
+                await asyncio.sleep(seconds / 3)
+                await host.start()
+
+    async def kill(self, seconds):
+        await self.end_host(signal.SIGKILL, seconds)
+
+    async def stop(self, seconds):
+        await self.end_host(signal.SIGTERM, seconds)
+
+    async def pause(self, seconds):
+        with self.one_host() as host:
+            if host is not None:
+                host.process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(seconds)
+                host.process.send_signal(signal.SIGCONT)
+
+    async def store_down(self, seconds):
+        self.fleet.store.is_down = True
+        await asyncio.sleep(seconds)
+        self.fleet.store.is_down = False
+
+    async def lose_appends(self, seconds):
+        self.fleet.store.lose_appends += self.random.randrange(1, 6)
+
+    async def crash_engine(self, seconds):
+        engine = self.random.choice(self.fleet.engines)
+        await engine.crash()
+        await asyncio.sleep(seconds)
+        await engine.start()
+
+    async def drain_engine(self, seconds):
+        engine = self.random.choice(self.fleet.engines)
+        await engine.register("draining")
+        await asyncio.sleep(seconds)
+        await engine.register("ready")
+
+    async def harm_engine(self, seconds):
+        engine = self.random.choice(self.fleet.engines)
+        fault = self.random.choice(["cut_after", "silent_after"])
+        setattr(engine, fault, self.random.randrange(0, 4))
+        await asyncio.sleep(seconds)
+        setattr(engine, fault, None)
+
+    async def change_state(self, seconds):
+        self.version = getattr(self, "version", 1) + self.random.randrange(1, 4)
+        await self.fleet.store.put(sh.stand_in.STATE_TOPIC, "config", sh.state(self.version))
+
+    # Checks.
+
+    def check_servers(self):
+        for engine in self.fleet.engines:
+            for attempt, headers, path, _ in engine.seen:
+                sh.check("x-key" not in headers, f"the key reached a server with {attempt}")
+                sh.check(headers.get("x-tenant") == "alpha", f"foreign workspace with {attempt}")
+        runs = {}
+        for engine in self.fleet.engines:
+            for attempt, *_ in engine.seen:
+                runs[attempt] = runs.get(attempt, 0) + 1
+        for attempt, (kind, status) in self.asked.items():
+            if kind in ("once", "call/plain"):
+                sh.check(runs.get(attempt, 0) <= 1, f"{attempt} ({kind}) ran {runs.get(attempt)} times")
+                if status in REFUSALS:
+                    sh.check(runs.get(attempt, 0) == 0, f"{attempt} ({kind}) answered {status} and ran")
+        for job, statuses in self.jobs.items():
+            if all(s in REFUSALS for s in statuses):
+                ran = [a for a in runs if a.startswith(job + "-")]
+                sh.check(not ran, f"items of refused job {job} ran: {ran}")
+
+    async def check_jobs(self):
+        accepted = [job for job, statuses in self.jobs.items() if 202 in statuses]
+        for job in accepted:
+            for item, state, output in await self.fleet.all_results(job, JOB_ITEMS, RECOVERY_S):
+                sh.check(state == "done", f"{item} was given up")
+                sh.check(output == sh.stand_in.whole_output(item), f"output of {item}: {output!r}")
+        return len(accepted)
+
+    async def run(self):
+        tasks = [self.caller() for _ in range(6)] + [self.job_caller() for _ in range(2)]
+        await asyncio.gather(*tasks, *(self.trouble() for _ in range(3)))
+        await self.fleet.settled(len(self.fleet.hosts))
+        accepted = await self.check_jobs()
+        self.check_servers()
+        sh.check(accepted > 0 and any(status == 200 for _, status in self.asked.values()), "nothing was served")
+
+
+async def run_seed(seed, seconds, hosts):
+    async with SoakFleet(seed, hosts, 3) as fleet:
+        soak = Soak(fleet, seed, seconds)
+        await soak.run()
+        print(f"seed {seed}: {len(soak.asked)} requests, {len(soak.jobs)} jobs, {json.dumps(soak.counts)}")
+
+
+def main():
+    options = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    options.add_argument("--seed", type=int, default=1)
+    options.add_argument("--seconds", type=float, default=15)
+    options.add_argument("--hosts", type=int, default=4)
+    options.add_argument("--fresh", type=int, default=0, help="play so many seeds drawn now")
+    options.add_argument("--kept", action="store_true", help="play the seeds that failed before")
+    given = options.parse_args()
+    seeds = [given.seed]
+    if given.fresh:
+        seeds = [random.SystemRandom().randrange(1 << 30) for _ in range(given.fresh)]
+    if given.kept:
+        seeds = list(KEPT_SEEDS)
+    failed = []
+    for seed in seeds:
+        try:
+            asyncio.run(run_seed(seed, given.seconds, given.hosts))
+        except AssertionError as error:
+            print(f"seed {seed} FAILED: {error}")
+            failed.append(seed)
+    print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed")
+    sys.exit(1 if failed else 0)
+
+
+main()
