Check names of the platform and the settings page by tests; lint

Cause: the linter found widening products and a move without effect; nothing kept the platform's names out of src/ and docs/settings.md in step.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -35,4 +35,16 @@
                          RUN_SERIAL TRUE ENVIRONMENT
                          "DOGWOOD_BUILD=${CMAKE_BINARY_DIR}")
   endforeach()
+  # The long soak is run by hand: tests/soak.py --fresh 50.
+  add_test(NAME soak_short
+           COMMAND ${CMAKE_SOURCE_DIR}/tests/soak.py --seed 20261204
+                   --seconds 10)
+  set_tests_properties(soak_short PROPERTIES LABELS failure TIMEOUT 300
+                       RUN_SERIAL TRUE ENVIRONMENT
+                       "DOGWOOD_BUILD=${CMAKE_BINARY_DIR}")
+  add_test(NAME platform_names
+           COMMAND ${CMAKE_SOURCE_DIR}/tests/platform_names.py)
+  add_test(NAME settings_doc COMMAND ${CMAKE_SOURCE_DIR}/tests/settings_doc.py)
+  set_tests_properties(settings_doc PROPERTIES ENVIRONMENT
+                       "DOGWOOD_BUILD=${CMAKE_BINARY_DIR}")
 endif()
--- a/src/fleet_func.cc
+++ b/src/fleet_func.cc
@@ -22,6 +22,11 @@
  * whose only host dies has nowhere to go. */
 constexpr std::size_t kLeastAddresses = 2;
 
+/** Partitions of all topics. */
+auto PartitionCount(std::uint32_t per_topic) -> std::size_t {
+  return std::size_t{kJobTopics} * per_topic;
+}
+
 /** Whole number that is the whole of `text`. */
 auto ParseNumber(std::string_view text) -> std::optional<std::uint32_t> {
   std::uint32_t number = 0;
@@ -105,7 +110,7 @@
       view.members.push_back(std::move(*member));
     }
   }
-  view.owners.assign(kJobTopics * per_topic,
+  view.owners.assign(PartitionCount(per_topic),
                      static_cast<std::uint32_t>(view.members.size()));
   for (const auto& row : rows) {
     const auto partition = PartitionAt(row.partition, per_topic);
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -413,7 +413,7 @@
     wire::view_requestT request;
     request.state_version =
         host.deployment == nullptr ? 0 : host.deployment->state().version.value;
-    auto message = MakeMessage(std::move(request));
+    auto message = MakeMessage(request);
     auto reply = co_await link->Call(std::move(message), now + kPeerLimit);
     const auto* view = reply ? reply->Asview_reply() : nullptr;
     if (view == nullptr) {
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -59,7 +59,7 @@
     places.insert(where);
     cr_assert_eq(PartitionAt(where, kPerTopic)->value, i);
   }
-  cr_assert_eq(places.size(), kJobTopics * kPerTopic);
+  cr_assert_eq(places.size(), std::size_t{kJobTopics} * kPerTopic);
   cr_assert_not(PartitionAt({"jobs-0", kPerTopic}, kPerTopic).has_value());
   cr_assert_not(PartitionAt({"other-0", 0}, kPerTopic).has_value());
   cr_assert_not(PartitionAt({"jobs-99", 0}, kPerTopic).has_value());
