Admit one request of a workspace at the start of a host

Before the members were known a host also took each limit for half its own, five times too much on ten hosts. Ruled out: slots (none was used then) and the dispatcher's warm-up alone. Change: a host's own bucket begins with one token, and 64 hosts are assumed until the members are known. Test: hosts_that_start_admit_one_request_of_a_workspace fails before.

--- a/src/dispatch_local.cc
+++ b/src/dispatch_local.cc
@@ -11,11 +11,16 @@
 constexpr std::uint32_t kQueuedPlaces = 2;
 /** A refused caller returns after this. */
 constexpr std::chrono::milliseconds kReturn{800};
+/** Hosts that are assumed to share each limit before the members are known. */
+constexpr std::size_t kUnknownHosts = 64;
+/** Requests of a workspace that a host admits at once after its start, when no
+ * dispatcher is known. All hosts together stay within the slack of a limit. */
+constexpr double kFirstTokens = 1;
 
 }  // namespace
 
 local_placement::local_placement(double share, std::uint64_t seed)
-    : share_(share), random_(seed) {}
+    : share_(share), random_(seed), hosts_(kUnknownHosts) {}
 
 auto local_placement::SetServers(std::vector<registered_server> servers,
                                  std::map<data_centre_id, region_id> regions)
@@ -80,7 +85,7 @@
   const auto part = share_ / static_cast<double>(hosts_);
   auto& b = buckets_[ask.workspace];
   if (b.filled_at == time_point()) {
-    b.filled_at = now;
+    b = {kFirstTokens, now};
   }
   const auto seconds = std::chrono::duration<double>(now - b.filled_at).count();
   b.level = std::min(b.level + rate.per_s * part * seconds,
--- a/src/dispatch_local.h
+++ b/src/dispatch_local.h
@@ -22,7 +22,8 @@
   /** Replaces the servers and where each data centre is. */
   auto SetServers(std::vector<registered_server> servers,
                   std::map<data_centre_id, region_id> regions) -> void;
-  /** Number of hosts that share each limit. */
+  /** Number of hosts that share each limit; many are assumed until it is known.
+   */
   auto SetHostCount(std::size_t hosts) -> void;
   /** Takes the dispatcher's last counts. They grow old, so they are used until
    * `until` only. */
@@ -61,7 +62,7 @@
 
   double share_;
   std::mt19937_64 random_;
-  std::size_t hosts_ = 1;
+  std::size_t hosts_;
   std::map<server_id, row> rows_;
   std::map<data_centre_id, region_id> regions_;
   std::map<workspace_id, bucket> buckets_;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -438,6 +438,26 @@
   cr_assert_gt(granted, 50);
 }
 
+// Load: all hosts start anew while callers press. Guards against hosts that
+// take each limit for theirs alone until they know the members, and against a
+// first request of a workspace that is refused.
+Test(dispatch, hosts_that_start_admit_one_request_of_a_workspace) {
+  const limit_rate rate{.per_s = 40, .burst = 40};
+  local_placement local(0.5, 1);
+  local.SetServers(Servers(20), Regions());
+  int granted = 0;
+  for (int i = 0; i < 200; ++i) {
+    const auto now = Begin() + milliseconds(5 * i);
+    const auto answer =
+        local.Ask(Ask(static_cast<std::uint64_t>(i), work_class::kOnline, now),
+                  rate, now);
+    const bool is_granted = answer.verdict == placement_verdict::kGranted;
+    cr_assert(i > 0 || is_granted);
+    granted += is_granted ? 1 : 0;
+  }
+  cr_assert_leq(granted, 2);
+}
+
 // Guards against a host that, alone, sends everything to one server or to one
 // that others have filled.
 Test(dispatch, hosts_alone_use_the_last_counts) {
