Look for a dispatcher more often while there is none

Cause: after the restart of all hosts each waited for its next report, every 250 ms, to learn that the dispatcher was ready; until then it admitted a part of each limit. Change: reports go out each 80 ms while a host has no dispatcher.

--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -25,6 +25,8 @@
  * answered one for kGoodLife is not asked. */
 constexpr milliseconds kReportPeriod{250};
 constexpr milliseconds kReportLimit{350};
+/** The same while this host has no dispatcher. */
+constexpr milliseconds kSeekPeriod{80};
 constexpr milliseconds kGoodLife{700};
 /** Ends of runs that come within this time go out as one message. */
 constexpr milliseconds kEndDelay{1};
@@ -440,7 +442,7 @@
     if (!active_.name.empty() && active_.name != candidate_.name) {
       asio::co_spawn(host_.io, ReportHeld(active_), asio::detached);
     }
-    co_await Sleep(kReportPeriod);
+    co_await Sleep(had_dispatcher ? kReportPeriod : kSeekPeriod);
     if (had_dispatcher && !HasDispatcher()) {
       Log(log_level::kWarning, log_category::kRoute,
           {"dispatcher does not answer; placing requests alone", "report slots",
