Test that accepted jobs outlive all hosts

Cause: the loss of all processes at once had no test of our own. Change: site_stop kills all hosts and starts them again.

--- a/tests/site_stop.py
+++ b/tests/site_stop.py
@@ -48,8 +48,27 @@
             sh.check(answer.status == 200, f"after the pause: {answer}")
 
 
+async def all_killed():
+    """Jobs that were accepted outlive all hosts; requests are served again."""
+    async with sh.Fleet("all_killed", hosts=3, engines=3) as fleet:
+        for i in range(4):
+            answer = await fleet.submit(fleet.hosts[i % 3], f"job{i}", 6)
+            sh.check(answer.status == 202, f"job {i}: {answer}")
+        await asyncio.gather(*(host.end() for host in fleet.hosts))
+        for host in fleet.hosts:
+            await host.start()
+        await fleet.settled(3)
+        for host in fleet.hosts:
+            async def served():
+                return (await fleet.ask(host, "stream", key="key-of-beta")).status == 200
+            await sh.until(served, f"host {host.index} serves again", 5)
+        for i in range(4):
+            await fleet.all_results(f"job{i}", 6)
+
+
 async def test():
     await planned_stop()
+    await all_killed()
     await lost_dispatcher()
 
 
