Split hostd_batch.cc; keep one UnixNow and one wait for requests

Change: hostd_batch (calls), hostd_batch_log (partitions), hostd_batch_run (items), code moved unchanged; http_server::Finish; wall_clock.h; the stand-in wakes waiters without a lock.

--- a/src/batchd_base.cc
+++ b/src/batchd_base.cc
@@ -111,12 +111,6 @@
   return replica.IsOwner(owned_kind::kPartition, std::to_string(p.value), now);
 }
 
-auto UnixNow() -> unix_ms {
-  const auto since = std::chrono::system_clock::now().time_since_epoch();
-  return unix_ms(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(since).count()));
-}
-
 auto NotRun(error_code code, std::string message, std::string step) -> failure {
   return {.code = code,
           .message = std::move(message),
--- a/src/batchd_base.h
+++ b/src/batchd_base.h
@@ -18,6 +18,7 @@
 #include "src/net.h"
 #include "src/platform.h"
 #include "src/replica_base.h"
+#include "src/wall_clock.h"
 
 namespace dogwood {
 
@@ -95,9 +96,6 @@
   std::shared_ptr<const dispatch_rules> rules_;
 };
 
-/** Now, as records carry it. */
-auto UnixNow() -> unix_ms;
-
 /** A failure with ran=no. */
 auto NotRun(error_code code, std::string message, std::string step) -> failure;
 
--- a/src/entryd_main.cc
+++ b/src/entryd_main.cc
@@ -21,8 +21,6 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 /** Added to address_keep_ms for answers that are on their way. */
 constexpr std::chrono::seconds kAddressMargin{1};
-/** Period of checks whether requests are still active. */
-constexpr std::chrono::milliseconds kDrainTick{20};
 /** No request may have been active for this long at the end: a request that
  * is being read counts as active only once it is whole. */
 constexpr std::chrono::milliseconds kQuietTime{200};
@@ -41,21 +39,6 @@
   co_return MakeMessage(state.grants->Answer(*request));
 }
 
-/** Waits until no request is active, at most until `deadline`. */
-auto FinishRequests(const http_server& server, time_point deadline)
-    -> asio::awaitable<void> {
-  auto quiet_since = clock::now();
-  while (clock::now() < deadline) {
-    if (server.ActiveRequests() > 0) {
-      quiet_since = clock::now();
-    }
-    if (clock::now() - quiet_since >= kQuietTime) {
-      co_return;
-    }
-    co_await Sleep(kDrainTick);
-  }
-}
-
 /** Waits for a signal, then stops without cutting a request: callers keep
  * addresses for a while, so the daemon serves on until the last of its own
  * answers has expired. */
@@ -68,7 +51,7 @@
   server.BeginDrain();
   co_await Sleep(state.options.address_keep + kAddressMargin);
   server.StopListening();
-  co_await FinishRequests(server, clock::now() + state.options.drain_limit);
+  co_await server.Finish(clock::now() + state.options.drain_limit);
   Log(log_level::kInfo, log_category::kCore,
       {"stopped with " + std::to_string(server.ActiveRequests()) +
            " active requests",
--- /dev/null
+++ b/src/hostd_batch_log.cc
@@ -0,0 +1,298 @@
+/** Partitions of batch jobs: reading, writing, taking over. */
+#include "src/hostd_batch.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "src/hostd_base.h"
+#include "src/wall_clock.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Longest call of the store. */
+constexpr milliseconds kStoreLimit{1500};
+/** Pause after a failed call of the store. */
+constexpr milliseconds kStorePause{150};
+/** A partition is read again so long after a takeover, and so long after that:
+ * together more than a membership lives. */
+constexpr milliseconds kFirstReread{800};
+constexpr milliseconds kLastReread{1500};
+/** Jobs are forgotten this long after their results may be. */
+constexpr std::chrono::seconds kForgetMargin{15};
+
+}  // namespace
+
+auto batch_service::OwnershipChanged() -> void {
+  for (auto it = partitions_.begin(); it != partitions_.end();) {
+    if (host_.owned.contains(it->first)) {
+      // Another host may have owned it between the two views.
+      if (it->second->is_loaded) {
+        it->second->is_loaded = false;
+        asio::co_spawn(host_.io, Load(it->first, it->second), asio::detached);
+      }
+      ++it;
+      continue;
+    }
+    it->second->is_owned = false;
+    it->second->changed.Notify();
+    std::vector<batch_item_ref> aborted;
+    for (const auto& [ref, handle] : runs_) {
+      if (ref.partition == it->first) {
+        aborted.push_back(ref);
+      }
+    }
+    queue_.RemovePartition(it->first);
+    std::ranges::for_each(aborted, [this](const auto& r) { AbortItem(r); });
+    it = partitions_.erase(it);
+  }
+  for (const auto id : host_.owned) {
+    if (partitions_.contains(id)) {
+      continue;
+    }
+    auto partition =
+        std::make_shared<owned_partition>(host_.io, host_.options.store);
+    partitions_[id] = partition;
+    asio::co_spawn(host_.io, Load(id, partition), asio::detached);
+  }
+}
+
+auto batch_service::Load(partition_id id, partition_ptr partition)
+    -> asio::awaitable<void> {
+  const auto version = ++partition->load_version;
+  while (partition->is_owned && !partition->is_loaded) {
+    const bool is_read = co_await CatchUp(id, partition);
+    if (!partition->is_owned) {
+      co_return;  // Lost during the read; its items are another host's.
+    }
+    if (is_read) {
+      partition->is_loaded = true;
+      if (!partition->fold.Jobs().empty()) {
+        LogEvent(log_level::kInfo, log_category::kJob, "partition_loaded",
+                 {{"partition", id.value},
+                  {"offset", partition->fold.next().value},
+                  {"jobs", partition->fold.Jobs().size()}});
+      }
+      for (const auto& [job, state] : partition->fold.Jobs()) {
+        DropItems(id, state);
+        QueueItems(id, state);
+      }
+      partition->changed.Notify();
+    } else {
+      co_await Sleep(kStorePause);
+    }
+  }
+  // The owner before may have written until it heard of the change.
+  for (const auto pause : {kFirstReread, kLastReread}) {
+    co_await Sleep(pause);
+    if (!partition->is_owned || partition->load_version != version) {
+      co_return;
+    }
+    static_cast<void>(co_await CatchUp(id, partition));
+  }
+}
+
+auto batch_service::CatchUp(partition_id id, partition_ptr partition)
+    -> asio::awaitable<bool> {
+  const auto section = co_await partition->store_calls.Enter();
+  const bool is_read = co_await ReadToEnd(id, partition);
+  co_return is_read;
+}
+
+auto batch_service::ReadToEnd(partition_id id, partition_ptr partition)
+    -> asio::awaitable<bool> {
+  const auto where = LocatePartition(id, host_.options.partitions_per_topic);
+  while (partition->is_owned) {
+    const auto from = partition->fold.next();
+    auto page = co_await partition->client.Read(where, from, milliseconds(0),
+                                                clock::now() + kStoreLimit);
+    if (!page) {
+      Log(log_level::kWarning, log_category::kJob,
+          {"partition " + std::to_string(id.value) + ": " +
+               page.error().message,
+           page.error().step, "store"});
+      co_return false;
+    }
+    if (page->first > from) {
+      // Retention has passed; what is gone was older than any open job.
+      partition->fold.Reset(page->first);
+      continue;
+    }
+    ApplyRecords(id, *partition, page->records);
+    if (partition->fold.next() >= page->end) {
+      co_return true;
+    }
+  }
+  co_return false;
+}
+
+auto batch_service::ApplyRecords(partition_id id,
+                                 owned_partition& partition,
+                                 const std::vector<std::string>& records)
+    -> void {
+  for (const auto& record : records) {
+    TakeChange(id, partition, partition.fold.Apply(record));
+  }
+  if (!records.empty()) {
+    partition.changed.Notify();
+  }
+}
+
+auto batch_service::TakeChange(partition_id id,
+                               owned_partition& partition,
+                               const batch_change& change) -> void {
+  if (!partition.is_owned || !partition.is_loaded) {
+    return;  // Load() queues the items of all jobs at its end.
+  }
+  if (change.opened) {
+    QueueItems(id, *partition.fold.Find(*change.opened));
+  }
+  if (change.listed) {
+    const batch_item_ref ref{id, change.listed->first, change.listed->second};
+    queue_.Remove(ref);
+    AbortItem(ref);
+  }
+  if (change.ended) {
+    DropItems(id, *partition.fold.Find(*change.ended));
+  }
+}
+
+auto batch_service::Settle(owned_partition& partition) -> void {
+  for (auto it = partition.pending.begin(); it != partition.pending.end();) {
+    auto& record = **it;
+    bool is_in_log = false;
+    if (record.opens) {
+      is_in_log = partition.fold.Find(*record.opens) != nullptr;
+    } else if (record.ends) {
+      const auto* job = partition.fold.Find(*record.ends);
+      is_in_log = job == nullptr || job->ended;
+    } else if (record.lists) {
+      const auto* job = partition.fold.Find(record.lists->job);
+      is_in_log = job == nullptr || job->listed.contains(record.lists->item);
+    }
+    if (is_in_log) {
+      record.is_settled = true;
+      it = partition.pending.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  partition.fold.Forget(
+      unix_ms(UnixNow().value -
+              static_cast<std::uint64_t>(
+                  (host_.options.result_keep + kForgetMargin).count())));
+  partition.changed.Notify();
+}
+
+auto batch_service::Write(partition_id id,
+                          partition_ptr partition,
+                          std::shared_ptr<pending_record> record) -> void {
+  partition->pending.push_back(std::move(record));
+  if (!partition->is_writing) {
+    partition->is_writing = true;
+    asio::co_spawn(host_.io, WriteLoop(id, partition), asio::detached);
+  }
+}
+
+auto batch_service::WriteLoop(partition_id id, partition_ptr partition)
+    -> asio::awaitable<void> {
+  while (partition->is_owned && !partition->pending.empty()) {
+    const bool is_appended = co_await AppendOnce(id, partition);
+    if (!is_appended) {
+      co_await Sleep(kStorePause);
+    }
+  }
+  partition->is_writing = false;
+}
+
+auto batch_service::AppendOnce(partition_id id, partition_ptr partition)
+    -> asio::awaitable<bool> {
+  const auto section = co_await partition->store_calls.Enter();
+  Settle(*partition);
+  if (partition->pending.empty()) {
+    co_return true;
+  }
+  if (clock::now() >= host_.member_until && !host_.draining) {
+    // Another host may own the partition by now.
+    co_return false;
+  }
+  std::vector<std::string> records;
+  std::vector<std::shared_ptr<pending_record>> sent;
+  std::size_t bytes = 0;
+  for (const auto& record : partition->pending) {
+    std::size_t size = 0;
+    for (const auto& part : record->records) {
+      size += part.size();
+    }
+    if (!records.empty() && bytes + size > host_.options.append_bytes / 2) {
+      break;
+    }
+    bytes += size;
+    records.insert(records.end(), record->records.begin(),
+                   record->records.end());
+    sent.push_back(record);
+  }
+  const auto where = LocatePartition(id, host_.options.partitions_per_topic);
+  const std::optional<log_offset> at = partition->fold.next();
+  auto appended = co_await partition->client.Append(where, records, at,
+                                                    clock::now() + kStoreLimit);
+  if (appended && appended->first == *at) {
+    ApplyRecords(id, *partition, records);
+    Settle(*partition);
+    co_return true;
+  }
+  if (!appended && appended.error().code != error_code::kConflict) {
+    Log(log_level::kWarning, log_category::kJob,
+        {"partition " + std::to_string(id.value) + ": " +
+             appended.error().message,
+         appended.error().step, "store"});
+    if (appended.error().ran == ran_state::kMaybe) {
+      for (const auto& record : sent) {
+        record->may_be_in_log = true;
+      }
+    }
+    co_return false;
+  }
+  // Another host has written, or an append of this one whose answer was lost.
+  const bool is_read = co_await ReadToEnd(id, partition);
+  Settle(*partition);
+  co_return is_read;
+}
+
+auto batch_service::List(const batch_item_ref& ref,
+                         batch_end end,
+                         std::string output) -> void {
+  const auto found = partitions_.find(ref.partition);
+  if (found == partitions_.end()) {
+    return;
+  }
+  if (end == batch_end::kAbandoned) {
+    LogEvent(log_level::kWarning, log_category::kJob, "item_abandoned",
+             {{"job", ref.job.value}, {"item", ref.item.value}});
+  }
+  auto record = std::make_shared<pending_record>();
+  record->records = {ResultRecord(ref.job, {ref.item, end, std::move(output)})};
+  record->lists = ref;
+  Write(ref.partition, found->second, std::move(record));
+}
+
+auto batch_service::HandOver(time_point deadline) -> asio::awaitable<void> {
+  for (const auto& [ref, handle] : runs_) {
+    handle->Abort();
+  }
+  // A copy: ownership may change during the waits.
+  const auto partitions = partitions_;
+  for (const auto& [id, kept] : partitions) {
+    while (!kept->pending.empty() && clock::now() < deadline) {
+      co_await kept->changed.Wait(deadline);
+    }
+  }
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/hostd_batch_run.cc
@@ -0,0 +1,312 @@
+/** Runs of batch items. */
+#include "src/hostd_batch.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "src/hostd_base.h"
+#include "src/hostd_placement.h"
+#include "src/proxy.h"
+#include "src/wall_clock.h"
+
+namespace dogwood {
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Period of the search for items to run. */
+constexpr milliseconds kDispatchPeriod{50};
+/** Items that ask for a slot at a time; the dispatcher's queue needs no more
+ * to fill every slot that frees. */
+constexpr std::size_t kMostAsking = 8;
+/** Longest wait of one ask for a slot. */
+constexpr milliseconds kAskLife{3000};
+/** Pause of an item after its server failed it, and after one that did not run
+ * it. */
+constexpr milliseconds kFailedPause{300};
+constexpr milliseconds kUnrunPause{50};
+/** Longest run of an item. */
+constexpr std::chrono::seconds kLongestRun{40};
+/** Time of a whole run that is assumed before any was measured. */
+constexpr double kFirstRunSeconds = 4;
+/** Weight of the newest run in the smoothed time of a run. */
+constexpr double kRunWeight = 0.05;
+
+/** Steady time at which `length` has passed since the wall time `since`. */
+auto SteadyAfter(unix_ms since, milliseconds length) -> time_point {
+  const auto passed = milliseconds(static_cast<std::int64_t>(UnixNow().value) -
+                                   static_cast<std::int64_t>(since.value));
+  return clock::now() + (length - std::max(passed, milliseconds(0)));
+}
+
+/** Collects the data of an item's events. */
+class item_sink : public answer_sink {
+ public:
+  explicit item_sink(std::string& output) : output_(output) {}
+
+  auto TakeHead(const http_head&) -> asio::awaitable<bool> override {
+    co_return true;
+  }
+
+  auto TakeEvents(std::string events) -> asio::awaitable<bool> override {
+    sse_parser parser;
+    auto whole = ToOutcome([&] { return parser.Feed(events); });
+    for (const auto& event : whole.value()) {
+      const auto fields = ParseEventFields(event);
+      if (fields.has_data) {
+        if (has_data_ || !output_.empty()) {
+          output_ += '\n';
+        }
+        has_data_ = true;
+        output_ += fields.data;
+      }
+    }
+    co_return true;
+  }
+
+ private:
+  std::string& output_;
+  bool has_data_ = false;
+};
+
+}  // namespace
+
+batch_service::batch_service(host_state& host)
+    : host_(host), run_seconds_(kFirstRunSeconds) {}
+
+batch_service::~batch_service() = default;
+
+auto batch_service::Start() -> void {
+  asio::co_spawn(host_.io, RunDispatch(), asio::detached);
+}
+
+auto batch_service::DropItems(partition_id id, const batch_job& job) -> void {
+  for (const auto& item : job.submission.items) {
+    if (job.ended || job.listed.contains(item.id)) {
+      const batch_item_ref ref{id, job.submission.id, item.id};
+      queue_.Remove(ref);
+      AbortItem(ref);
+    }
+  }
+}
+
+auto batch_service::RouteOf(const batch_submission& submission) const
+    -> const route_rule* {
+  return host_.deployment == nullptr
+             ? nullptr
+             : host_.deployment->FindRoute(submission.host, submission.path);
+}
+
+auto batch_service::QueueItems(partition_id id, const batch_job& job) -> void {
+  if (job.IsClosed()) {
+    return;
+  }
+  const auto* route = RouteOf(job.submission);
+  for (const auto& item : job.submission.items) {
+    if (job.listed.contains(item.id)) {
+      continue;
+    }
+    queued_item queued;
+    if (route != nullptr) {
+      queued.service = PickService(*route, host_.Draw());
+      queued.due =
+          SteadyAfter(job.submission.submitted, route->completion_objective);
+      queued.expires = SteadyAfter(job.submission.submitted, route->retention);
+      queued.max_attempts = route->max_attempts;
+    }
+    queue_.Add({id, job.submission.id, item.id}, std::move(queued));
+  }
+}
+
+auto batch_service::StateChanged() -> void {
+  // Routes may have moved to other services or have new limits.
+  for (const auto& [id, partition] : partitions_) {
+    for (const auto& [job_id, job] : partition->fold.Jobs()) {
+      const auto* route = RouteOf(job.submission);
+      for (const auto& item : job.submission.items) {
+        auto* queued = queue_.Find({id, job_id, item.id});
+        if (queued == nullptr || route == nullptr) {
+          continue;
+        }
+        queued->service = PickService(*route, host_.Draw());
+        queued->max_attempts = route->max_attempts;
+        queued->due =
+            SteadyAfter(job.submission.submitted, route->completion_objective);
+        queued->expires =
+            SteadyAfter(job.submission.submitted, route->retention);
+      }
+    }
+  }
+}
+
+auto batch_service::RunDispatch() -> asio::awaitable<void> {
+  while (true) {
+    const auto now = clock::now();
+    for (const auto& ref : queue_.Expired(now)) {
+      queue_.Find(ref)->running = true;
+      List(ref, batch_end::kAbandoned, "");
+    }
+    const auto expected =
+        milliseconds(static_cast<std::int64_t>(run_seconds_ * 1000));
+    while (asking_ < kMostAsking && !host_.draining) {
+      const auto ref = queue_.Take(clock::now(), expected);
+      if (!ref) {
+        break;
+      }
+      asio::co_spawn(host_.io, RunItem(*ref), asio::detached);
+    }
+    co_await Sleep(kDispatchPeriod);
+  }
+}
+
+auto batch_service::FindJob(const batch_item_ref& ref) -> const batch_job* {
+  const auto found = partitions_.find(ref.partition);
+  return found == partitions_.end() ? nullptr
+                                    : found->second->fold.Find(ref.job);
+}
+
+auto batch_service::RunItem(batch_item_ref ref) -> asio::awaitable<void> {
+  const auto* queued = queue_.Find(ref);
+  const auto* job = FindJob(ref);
+  if (queued == nullptr || job == nullptr) {
+    queue_.Remove(ref);
+    co_return;
+  }
+  if (host_.deployment == nullptr) {
+    queue_.Return(ref, clock::now() + kFailedPause);
+    co_return;
+  }
+  if (RouteOf(job->submission) == nullptr) {
+    List(ref, batch_end::kAbandoned, "");
+    co_return;
+  }
+  const auto now = clock::now();
+  const auto ticket = host_.placement->NewTicket();
+  placement_ask ask{.host = {},
+                    .ticket = ticket,
+                    .service = queued->service,
+                    .workspace = job->submission.workspace,
+                    .work = work_class::kBatch,
+                    .priority = 0,
+                    .takes_token = false,
+                    .is_returning = false,
+                    .place = {host_.options.data_centre, host_.options.region},
+                    .start_by = queued->due,
+                    .useless_after = now + kAskLife,
+                    .avoided = {}};
+  ++asking_;
+  auto placed = co_await host_.placement->Place(std::move(ask));
+  --asking_;
+  if (placed.verdict != placement_verdict::kGranted) {
+    queue_.Return(ref, clock::now() + kUnrunPause);
+    co_return;
+  }
+  const auto* found = host_.placement->FindServer(placed.server);
+  if (found == nullptr || found->leaving || queue_.Find(ref) == nullptr ||
+      host_.draining) {
+    host_.placement->End(ticket, run_outcome::kUnused);
+    queue_.Return(ref, clock::now());
+    co_return;
+  }
+  // A copy: the registrations may change while the server answers.
+  const auto server = *found;
+  co_await RunPlaced(ref, ticket, server);
+}
+
+auto batch_service::RunPlaced(const batch_item_ref& ref,
+                              ticket_id ticket,
+                              const registered_server& server)
+    -> asio::awaitable<void> {
+  auto* queued = queue_.Find(ref);
+  const auto* job = FindJob(ref);
+  const auto* item = job == nullptr ? nullptr : job->FindItem(ref.item);
+  if (item == nullptr) {
+    host_.placement->End(ticket, run_outcome::kUnused);
+    queue_.Remove(ref);
+    co_return;
+  }
+  const auto request = adapter::ItemRequest(*item, job->submission.host);
+  const auto started = clock::now();
+  const attempt_order order{
+      .request = &request,
+      .attempt = attempt_id(ref.item.value),
+      .server = server,
+      .workspace = job->submission.workspace,
+      .service = queued->service,
+      .deadline = std::min(started + kLongestRun, queued->expires),
+      .may_move = false,
+      .is_batch = true,
+      .is_repeatable = true};
+  stream_progress progress{.last_event = queued->last_event, .has_head = true};
+  std::string output = queued->output;
+  const bool is_first_run = queued->last_event == 0;
+  item_sink sink(output);
+  attempt_handle handle;
+  runs_[ref] = &handle;
+  ++running_;
+  host_.placement->OnPreempt(ticket, [&handle] { handle.Abort(); });
+  auto result = co_await RunAttempt(host_, order, progress, handle, sink);
+  --running_;
+  runs_.erase(ref);
+  host_.placement->End(ticket, result.outcome);
+  if (result.is_whole && is_first_run) {
+    const auto seconds =
+        std::chrono::duration<double>(clock::now() - started).count();
+    run_seconds_ += kRunWeight * (seconds - run_seconds_);
+  }
+  TakeRun(ref, result, progress, std::move(output), server.id);
+}
+
+auto batch_service::TakeRun(const batch_item_ref& ref,
+                            const attempt_result& result,
+                            stream_progress progress,
+                            std::string output,
+                            const server_id& server) -> void {
+  auto* queued = queue_.Find(ref);
+  if (queued == nullptr) {
+    return;  // Listed, ended or moved to another host meanwhile.
+  }
+  const auto status = result.answer ? result.answer->status : 0;
+  LogEvent(log_level::kInfo, log_category::kJob, "item_run_end",
+           {{"job", ref.job.value},
+            {"item", ref.item.value},
+            {"server", server.value},
+            {"whole", result.is_whole},
+            {"status", status},
+            {"from_event", queued->last_event},
+            {"last_event", progress.last_event},
+            {"outcome", result.is_whole ? "answered" : result.error.message}});
+  if (result.is_whole && !result.answer) {
+    List(ref, batch_end::kDone, std::move(output));
+    return;
+  }
+  if (status == 422) {
+    List(ref, batch_end::kAbandoned, "");
+    return;
+  }
+  if (status == 500) {
+    if (queue_.CountFailure(ref)) {
+      List(ref, batch_end::kAbandoned, "");
+    } else {
+      queue_.Return(ref, clock::now() + kFailedPause);
+    }
+    return;
+  }
+  queued->last_event = progress.last_event;
+  queued->output = std::move(output);
+  const bool is_preempted = result.outcome == run_outcome::kLeft;
+  queue_.Return(ref, is_preempted ? clock::now() : clock::now() + kUnrunPause);
+}
+
+auto batch_service::AbortItem(const batch_item_ref& ref) -> void {
+  const auto found = runs_.find(ref);
+  if (found != runs_.end()) {
+    found->second->Abort();
+  }
+}
+
+}  // namespace dogwood
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -40,9 +40,6 @@
 /** For records of batch jobs under way at SIGTERM. */
 constexpr milliseconds kHandOverLimit{600};
 constexpr milliseconds kDrainTick{20};
-/** No request may have been active for this long at the end: a request that is
- * being read counts as active only once it is whole. */
-constexpr milliseconds kQuietTime{300};
 
 /** The servers that listen. */
 struct host_servers {
@@ -132,21 +129,6 @@
                     .peer = host.self.name};
 }
 
-/** Waits until no request is active, at most until `deadline`. */
-auto FinishRequests(const http_server& server, time_point deadline)
-    -> asio::awaitable<void> {
-  auto quiet_since = clock::now();
-  while (clock::now() < deadline) {
-    if (server.ActiveRequests() > 0) {
-      quiet_since = clock::now();
-    }
-    if (clock::now() - quiet_since >= kQuietTime) {
-      co_return;
-    }
-    co_await Sleep(kDrainTick);
-  }
-}
-
 /** Waits for SIGTERM, then stops without cutting a request. */
 auto StopOnSignal(host_state& host, host_servers& servers)
     -> asio::awaitable<void> {
@@ -164,7 +146,7 @@
     co_await Sleep(kDrainTick);
   }
   servers.front.StopListening();
-  co_await FinishRequests(servers.front, end);
+  co_await servers.front.Finish(end);
   Log(log_level::kInfo, log_category::kCore,
       {"stopped with " + std::to_string(servers.front.ActiveRequests()) +
            " active requests",
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -41,6 +41,11 @@
 constexpr std::chrono::milliseconds kAcceptPause{50};
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+/** Period of Finish()'s checks. */
+constexpr std::chrono::milliseconds kFinishTick{20};
+/** No request may have been active for this long at the end: a request that is
+ * being read counts as active only once it is whole. */
+constexpr std::chrono::milliseconds kQuietTime{200};
 /** Bytes of a request that are read at first. */
 constexpr std::size_t kFirstReadBytes = 4096;
 
@@ -362,6 +367,19 @@
   });
 }
 
+auto http_server::Finish(time_point deadline) const -> asio::awaitable<void> {
+  auto quiet_since = clock::now();
+  while (clock::now() < deadline) {
+    if (ActiveRequests() > 0) {
+      quiet_since = clock::now();
+    }
+    if (clock::now() - quiet_since >= kQuietTime) {
+      co_return;
+    }
+    co_await Sleep(kFinishTick);
+  }
+}
+
 auto http_server::ActiveRequests() const -> std::size_t {
   return state_->active;
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -12,6 +12,7 @@
 
 #include "src/error_type.h"
 #include "src/http_type.h"
+#include "src/unit_type.h"
 
 namespace dogwood {
 
@@ -67,6 +68,8 @@
   auto BeginDrain() -> void;
   /** Stops accepting. */
   auto StopListening() -> void;
+  /** Waits until no request is being answered, at most until `deadline`. */
+  auto Finish(time_point deadline) const -> boost::asio::awaitable<void>;
   /** Number of requests being answered. */
   auto ActiveRequests() const -> std::size_t;
 
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import random
 import struct
@@ -79,13 +80,29 @@
     writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
 
 
+class Change:
+    """Wakes all that wait for a change. asyncio.Condition is not used: a wait
+    that is cancelled while others hold its lock can keep the lock for good."""
+
+    def __init__(self):
+        self.event = asyncio.Event()
+
+    def notify(self):
+        self.event.set()
+        self.event = asyncio.Event()
+
+    async def wait(self, seconds=None):
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(self.event.wait(), seconds)
+
+
 class Store:
     """Logs, keyed topics and groups, in memory."""
 
     def __init__(self, parts=12):
         self.parts = parts
         self.logs = {}
-        self.changed = asyncio.Condition()
+        self.changed = Change()
         self.groups = {}
         self.is_down = False
         self.refused_members = set()  # Their joins are not answered.
@@ -98,9 +115,8 @@
         return self.logs.setdefault((topic, int(part)), [])
 
     async def append(self, topic, part, records):
-        async with self.changed:
-            self.log(topic, part).extend(records)
-            self.changed.notify_all()
+        self.log(topic, part).extend(records)
+        self.changed.notify()
 
     async def put(self, topic, key, value):
         """Writes a keyed record; None drops the key."""
@@ -140,12 +156,8 @@
         if "waitMs" not in query or query["waitMs"] == "0":
             await asyncio.sleep(self.read_delay_s)
         start, until = int(query["from"]), time.monotonic() + int(query.get("waitMs", 0)) / 1000
-        async with self.changed:
-            while len(log) <= start and time.monotonic() < until:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), until - time.monotonic())
-                except asyncio.TimeoutError:
-                    break
+        while len(log) <= start and time.monotonic() < until:
+            await self.changed.wait(until - time.monotonic())
         data = struct.pack(">QQ", len(log), 0)
         for record in log[start:]:
             data += struct.pack(">I", len(record)) + record
@@ -219,7 +231,7 @@
         self.running = 0
         self.queue_limit = 8
         self.waiting = 0
-        self.free = asyncio.Condition()
+        self.free = Change()
         self.cut_after = None  # Ends streams after this many events.
         self.silent_after = None  # Sends nothing after this many events.
         self.tokens = random.Random(name)
@@ -250,19 +262,17 @@
             return True
         self.waiting += 1
         try:
-            async with self.free:
-                while self.running >= self.slots:
-                    await self.free.wait()
-                self.running += 1
+            while self.running >= self.slots:
+                await self.free.wait()
+            self.running += 1
         finally:
             self.waiting -= 1
         self.seen.append((attempt, headers, path, time.monotonic()))
         try:
             return await self.run(attempt, path, headers, body, reader, writer)
         finally:
-            async with self.free:
-                self.running -= 1
-                self.free.notify()
+            self.running -= 1
+            self.free.notify()
 
     async def run(self, attempt, path, headers, body, reader, writer):
         seal = f"seal-{self.name}"
