--- a/src/fleet_func.cc
+++ b/src/fleet_func.cc
@@ -70,7 +70,7 @@
 
 auto PartitionOf(const batch_id& job, std::uint32_t per_topic) -> partition_id {
   return partition_id(static_cast<std::uint32_t>(StableHash(job.value) %
-                                                 (kJobTopics * per_topic)));
+                                                 PartitionCount(per_topic)));
 }
 
 auto FormatMember(const fleet_member& member) -> std::string {
