--- a/src/batch_queue.cc
+++ b/src/batch_queue.cc
@@ -73,9 +73,4 @@
   return found == items_.end() ? nullptr : &found->second;
 }
 
-auto batch_queue::RunningCount() const -> std::size_t {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      items_, [](const auto& entry) { return entry.second.running; }));
-}
-
 }  // namespace dogwood
--- a/src/batch_queue.h
+++ b/src/batch_queue.h
@@ -63,7 +63,6 @@
   /** Nullptr if it is not there. */
   auto Find(const batch_item_ref& ref) -> queued_item*;
   auto Size() const -> std::size_t { return items_.size(); }
-  auto RunningCount() const -> std::size_t;
 
  private:
   std::map<batch_item_ref, queued_item> items_;
--- a/src/dispatch_local.cc
+++ b/src/dispatch_local.cc
@@ -152,12 +152,4 @@
   return found == rows_.end() ? nullptr : &found->second.info;
 }
 
-auto local_placement::Servers() const -> std::vector<registered_server> {
-  std::vector<registered_server> servers;
-  for (const auto& [id, r] : rows_) {
-    servers.push_back(r.info);
-  }
-  return servers;
-}
-
 }  // namespace dogwood
--- a/src/dispatch_local.h
+++ b/src/dispatch_local.h
@@ -41,8 +41,6 @@
 
   /** A registered server, nullptr if it is not known. */
   auto Find(const server_id& server) const -> const registered_server*;
-  /** Listed servers. */
-  auto Servers() const -> std::vector<registered_server>;
 
  private:
   struct row {
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -37,8 +37,6 @@
 struct answer_times {
   double first_event_s = 0.15;  ///< To the first event of a stream.
   double event_gap_s = 0.04;    ///< Between events.
-  double run_s = 1;             ///< Of a whole stream.
-  double batch_run_s = 4;       ///< Of a whole batch item.
 };
 
 /** State that every part of the process shares. */
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -239,8 +239,7 @@
       .service = queued->service,
       .deadline = std::min(started + kLongestRun, queued->expires),
       .may_move = false,
-      .is_batch = true,
-      .is_repeatable = true};
+      .is_batch = true};
   stream_progress progress{.last_event = queued->last_event, .has_head = true};
   std::string output = queued->output;
   const bool is_first_run = queued->last_event == 0;
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -184,8 +184,7 @@
         .service = service_,
         .deadline = deadline_,
         .may_move = IsRepeatable() && attempts_ + 1 < route_.max_attempts,
-        .is_batch = false,
-        .is_repeatable = IsRepeatable()};
+        .is_batch = false};
     last_server_ = server.id;
     attempt_handle handle;
     watch_.OnGone([&handle] { handle.Abort(); });
--- a/src/hostd_relay.h
+++ b/src/hostd_relay.h
@@ -49,7 +49,6 @@
   time_point deadline;                    ///< Of the whole request.
   bool may_move = false;  ///< Another server may go on: silence ends this one.
   bool is_batch = false;  ///< Runs for nobody who waits.
-  bool is_repeatable = false;  ///< May use a connection that was idle.
 };
 
 /** What came of an attempt. */
--- a/tests/site_helper.py
+++ b/tests/site_helper.py
@@ -265,10 +265,6 @@
         """How often servers began to run a request."""
         return sum(seen[0] == attempt for engine in self.engines for seen in engine.seen)
 
-    def owner(self, job_owner_of=None):
-        """Members by the store's group."""
-        return self.store.groups["dogwood-hosts"]
-
 
 async def until(question, what, limit=START_LIMIT_S):
     """Waits until an async question is answered yes."""
