Log exceptions that leave coroutines; share the daemons' main

Ruled out: catching in each coroutine; the handler of co_spawn sees all of them. Change: coroutines that nobody waits for log the exception; those that run for ever end the process, which the platform starts again.

--- a/cmake/batch.cmake
+++ b/cmake/batch.cmake
@@ -12,5 +12,5 @@
                 LIBS dogwood_admission dogwood_job dogwood_platform
                      dogwood_proxy dogwood_replica dogwood_setting)
 dogwood_binary(dogwood_batchd SOURCES src/batchd_main.cc
-               LIBS dogwood_batchd_lib)
+               LIBS dogwood_batchd_lib dogwood_daemon)
 dogwood_test(batchd dogwood_batchd_lib)
--- a/cmake/control.cmake
+++ b/cmake/control.cmake
@@ -10,7 +10,7 @@
                      dogwood_http dogwood_config dogwood_replica
                      dogwood_platform)
 dogwood_binary(dogwood_controld SOURCES src/controld_main.cc
-               LIBS dogwood_control)
+               LIBS dogwood_control dogwood_daemon)
 dogwood_test(freshness dogwood_freshness)
 if(TARGET freshness_test)
   target_sources(freshness_test PRIVATE tests/freshness_world.cc)
--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -2,6 +2,7 @@
                 LIBS Boost::json easylogging OpenSSL::Crypto Threads::Threads)
 dogwood_library(setting SOURCES setting_func.cc LIBS dogwood_core)
 dogwood_library(net SOURCES net_func.cc LIBS dogwood_core)
+dogwood_library(daemon SOURCES daemon_func.cc LIBS dogwood_net dogwood_setting)
 dogwood_library(wire SOURCES link_codec.cc link_server.cc link_client.cc
                         link_table.cc
                 LIBS dogwood_net PkgConfig::FLATBUFFERS)
--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -8,7 +8,8 @@
   entryd_address.cc entryd_http.cc
   LIBS dogwood_setting dogwood_http dogwood_wire dogwood_limit dogwood_route
        dogwood_proxy dogwood_platform dogwood_replica)
-dogwood_binary(dogwood_entryd SOURCES src/entryd_main.cc LIBS dogwood_entry)
+dogwood_binary(dogwood_entryd SOURCES src/entryd_main.cc
+               LIBS dogwood_entry dogwood_daemon)
 dogwood_test(route dogwood_route)
 dogwood_test(proxy dogwood_proxy)
 dogwood_test(entryd_owner dogwood_replica)
--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -18,7 +18,8 @@
                 LIBS dogwood_platform_adapter dogwood_deployment
                      dogwood_dispatch dogwood_fleet dogwood_entry dogwood_wire
                      dogwood_setting)
-dogwood_binary(dogwood_hostd SOURCES src/hostd_main.cc LIBS dogwood_hostd_lib)
+dogwood_binary(dogwood_hostd SOURCES src/hostd_main.cc
+               LIBS dogwood_hostd_lib dogwood_daemon)
 dogwood_test(deployment dogwood_deployment)
 dogwood_test(dispatch dogwood_dispatch)
 dogwood_test(batch dogwood_batch)
--- a/src/batchd_dispatch.cc
+++ b/src/batchd_dispatch.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <chrono>
@@ -296,7 +295,7 @@
       work.run = std::move(*run);
       work.server = server;
       asio::co_spawn(asio::make_strand(d.io), Run(d, std::move(work)),
-                     asio::detached);
+                     LogException);
     }
   }
 }
@@ -346,7 +345,7 @@
   for (const auto& item : items) {
     if (auto to = d.flights.Find(slot.partition(), item)) {
       asio::co_spawn(asio::make_strand(d.io), Abort(d, std::move(*to)),
-                     asio::detached);
+                     LogException);
     }
   }
 }
--- a/src/batchd_execute.cc
+++ b/src/batchd_execute.cc
@@ -1,6 +1,5 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -259,7 +258,7 @@
     co_return Ended(run_outcome::kLost, "the run is not known here");
   }
   if (is_new) {
-    asio::co_spawn(asio::make_strand(d.io), Execute(d, entry), asio::detached);
+    asio::co_spawn(asio::make_strand(d.io), Execute(d, entry), LogException);
   }
   const wake_signal signal(co_await asio::this_coro::executor);
   signal.timer().expires_after(ask.is_first ? duration(kFirstAnswerWait)
--- a/src/batchd_main.cc
+++ b/src/batchd_main.cc
@@ -1,15 +1,8 @@
 /** dogwood_batchd: owns partitions of the batch jobs, sends their items to
  * backend servers, and admits batch on some of these servers. */
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <csignal>
-#include <exception>
-#include <iostream>
 #include <memory>
 
 #include "src/batchd_base.h"
@@ -19,6 +12,7 @@
 #include "src/batchd_serve.h"
 #include "src/batchd_watch.h"
 #include "src/core.h"
+#include "src/daemon.h"
 
 namespace dogwood {
 namespace {
@@ -27,28 +21,15 @@
 
 constexpr std::chrono::milliseconds kStopPoll{50};
 
-/** Ends the process if a coroutine that runs for ever fails: a daemon without
- * one of them would go on with part of its work undone. */
-auto EndOnFailure(std::exception_ptr error) -> void {
-  if (error) {
-    try {
-      std::rethrow_exception(error);
-    } catch (const std::exception& e) {
-      Log(log_level::kError, log_category::kCore, {e.what(), "run", ""});
-    }
-    std::abort();
-  }
-}
-
 /** Starts a coroutine on a strand of its own. */
 auto Start(batchd& d, asio::awaitable<void> work) -> void {
-  asio::co_spawn(asio::make_strand(d.io), std::move(work), EndOnFailure);
+  asio::co_spawn(asio::make_strand(d.io), std::move(work), EndOnException);
 }
 
 /** Starts everything that runs for ever. */
 auto StartAll(batchd& d) -> void {
-  Start(d, RunReplica(d.replica, d.controld, "batchd", d.settings.pull_period,
-                      [&d] { d.RefreshRules(); }));
+  Start(d, RunReplica(d.replica, d.controld, "batchd",
+                      d.settings.pull_period, [&d] { d.RefreshRules(); }));
   Start(d, PollHosts(d));
   Start(d, PollLoads(d));
   Start(d, SweepRuns(d));
@@ -81,22 +62,14 @@
 
 /** On the first signal drains and ends; a second one ends at once. */
 auto WaitForStop(batchd& d) -> asio::awaitable<void> {
-  auto executor = co_await asio::this_coro::executor;
-  asio::signal_set signals(executor, SIGTERM, SIGINT);
-  co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
-  Log(log_level::kInfo, log_category::kCore, {"stopping", "stop", ""});
-  signals.async_wait([&d](const boost::system::error_code& e, int) {
-    if (!e) {
-      d.io.stop();
-    }
-  });
+  co_await AwaitStopSignal(d.io, second_signal::kStops);
   d.stopping = true;
   co_await Drain(d);
   d.io.stop();
 }
 
 /** Runs the daemon until it is stopped. */
-auto RunDaemon(const batchd_settings& settings) -> int {
+auto Serve(const batchd_settings& settings) -> int {
   asio::io_context io(static_cast<int>(settings.worker_threads));
   batchd d(io, settings);
   link_server links(
@@ -125,30 +98,11 @@
   return 0;
 }
 
-/** The process. */
-auto Main(int argc, const char* const* argv) -> int {
-  int exit_code = 0;
-  const auto* values = SettingsFromCommandLine(
-      BatchdSettingTable(), "dogwood_batchd", argc, argv, exit_code);
-  if (values == nullptr) {
-    return exit_code;
-  }
-  auto settings = ToBatchdSettings(*values);
-  if (!settings) {
-    std::cerr << settings.error().message << "\n";
-    return 2;
-  }
-  if (!StartLog(settings->host.value, "batchd", settings->log_levels)) {
-    std::cerr << "log_levels: \"" << settings->log_levels
-              << "\" is not a list of levels\n";
-    return 2;
-  }
-  return RunDaemon(settings.value());
-}
-
 }  // namespace
 }  // namespace dogwood
 
 auto main(int argc, char** argv) -> int {
-  return dogwood::Main(argc, argv);
+  return dogwood::RunDaemon(
+      {dogwood::BatchdSettingTable(), "dogwood_batchd", "batchd"}, argc, argv,
+      dogwood::ToBatchdSettings, dogwood::Serve);
 }
--- a/src/batchd_watch.cc
+++ b/src/batchd_watch.cc
@@ -1,7 +1,6 @@
 #include "src/batchd_watch.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/json.hpp>
 #include <chrono>
@@ -124,7 +123,7 @@
       if (d.replica.IsOwner(owned_kind::kServer, server.id.value, now,
                             server.region)) {
         asio::co_spawn(asio::make_strand(d.io), PollLoad(d, server),
-                       asio::detached);
+                       LogException);
       }
     }
     co_await Sleep(d.settings.load_poll);
--- a/src/ctl_main.cc
+++ b/src/ctl_main.cc
@@ -1,6 +1,5 @@
 /** dogwoodctl: the operators' command line tool. */
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -43,7 +42,7 @@
   asio::co_spawn(
       asio::make_strand(io),
       FetchInto(endpoint.value(), request, clock::now() + timeout, answer),
-      asio::detached);
+      LogException);
   io.run();
   if (!answer) {
     return failure{.code = error_code::kInternal,
--- a/src/entryd_fleet.cc
+++ b/src/entryd_fleet.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
@@ -162,7 +161,7 @@
     for (auto& server : ServersToPoll(state, turn)) {
       asio::co_spawn(asio::make_strand(state.io),
                      PollLoad(state, std::move(server), deadline),
-                     asio::detached);
+                     LogException);
     }
     co_await Sleep(state.options.load_poll);
   }
@@ -177,7 +176,7 @@
     MarkChanged(server);
     if (!send_is_due_) {
       send_is_due_ = true;
-      asio::co_spawn(strand_, SendLater(), asio::detached);
+      asio::co_spawn(strand_, SendLater(), LogException);
     }
   });
 }
@@ -200,7 +199,7 @@
   for (auto& [address, to] : admitters_) {
     if (!to.sending && !to.changed.empty()) {
       to.sending = true;
-      asio::co_spawn(strand_, Send(address), asio::detached);
+      asio::co_spawn(strand_, Send(address), LogException);
     }
   }
 }
@@ -232,7 +231,7 @@
 }
 
 auto online_reporter::Start() -> void {
-  asio::co_spawn(strand_, Run(), asio::detached);
+  asio::co_spawn(strand_, Run(), EndOnException);
 }
 
 auto online_reporter::Run() -> asio::awaitable<void> {
--- a/src/entryd_limit.cc
+++ b/src/entryd_limit.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -159,7 +158,7 @@
 }
 
 auto grant_exchange::Start() -> void {
-  asio::co_spawn(strand_, Run(), asio::detached);
+  asio::co_spawn(strand_, Run(), EndOnException);
 }
 
 auto grant_exchange::Run() -> asio::awaitable<void> {
@@ -210,7 +209,7 @@
       Take(Answer(request), address, now);
       continue;
     }
-    asio::co_spawn(strand_, Ask(address, std::move(request)), asio::detached);
+    asio::co_spawn(strand_, Ask(address, std::move(request)), LogException);
   }
 }
 
--- a/src/entryd_main.cc
+++ b/src/entryd_main.cc
@@ -1,13 +1,9 @@
 /** dogwood_entryd: callers' requests and their way to backend servers. */
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
+#include "src/daemon.h"
 #include "src/entryd_base.h"
 #include "src/entryd_fleet.h"
 #include "src/entryd_http.h"
@@ -18,7 +14,6 @@
 
 namespace asio = boost::asio;
 
-constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 /** Added to address_keep_ms for answers that are on their way. */
 constexpr std::chrono::seconds kAddressMargin{1};
 /** No request may have been active for this long at the end: a request that
@@ -44,9 +39,7 @@
  * answers has expired. */
 auto StopOnSignal(entry_state& state, http_server& server)
     -> asio::awaitable<void> {
-  asio::signal_set signals(state.io, SIGTERM, SIGINT);
-  co_await signals.async_wait(kAwait);
-  Log(log_level::kInfo, log_category::kCore, {"draining", "stop", ""});
+  co_await AwaitStopSignal(state.io, second_signal::kIgnored);
   state.draining = true;
   server.BeginDrain();
   co_await Sleep(state.options.address_keep + kAddressMargin);
@@ -66,9 +59,9 @@
   asio::co_spawn(asio::make_strand(io),
                  RunReplica(state.replica, controld, "entryd",
                             state.options.pull_period, on_change),
-                 asio::detached);
-  asio::co_spawn(asio::make_strand(io), PollHosts(state), asio::detached);
-  asio::co_spawn(asio::make_strand(io), PollLoads(state), asio::detached);
+                 EndOnException);
+  asio::co_spawn(asio::make_strand(io), PollHosts(state), EndOnException);
+  asio::co_spawn(asio::make_strand(io), PollLoads(state), EndOnException);
   state.grants->Start();
   state.reports->Start();
 }
@@ -91,7 +84,7 @@
   }
   StartLoops(state, controld);
   asio::co_spawn(asio::make_strand(io), StopOnSignal(state, server),
-                 asio::detached);
+                 EndOnException);
   Log(log_level::kInfo, log_category::kCore,
       {"serving callers", "start", state.options.entry_address});
   RunWorkers(io, static_cast<unsigned>(state.options.worker_threads));
@@ -105,20 +98,7 @@
 }  // namespace dogwood
 
 auto main(int argc, char** argv) -> int {
-  int exit_code = 0;
-  const auto* values = dogwood::SettingsFromCommandLine(
-      dogwood::EntrySettings(), "dogwood_entryd", argc, argv, exit_code);
-  if (values == nullptr) {
-    return exit_code;
-  }
-  auto options = dogwood::ReadEntryOptions(*values);
-  if (!options) {
-    std::cerr << options.error().message << "\n";
-    return 2;
-  }
-  if (!dogwood::StartLog(options->host.value, "entryd", options->log_levels)) {
-    std::cerr << "setting \"log_levels\" cannot be read\n";
-    return 2;
-  }
-  return dogwood::Serve(std::move(options.value()));
+  return dogwood::RunDaemon(
+      {dogwood::EntrySettings(), "dogwood_entryd", "entryd"}, argc, argv,
+      dogwood::ReadEntryOptions, dogwood::Serve);
 }
--- a/src/entryd_proxy.cc
+++ b/src/entryd_proxy.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "src/entryd_base.h"
@@ -110,7 +109,7 @@
   if (plan.route.kind == offer_kind::kModel) {
     asio::co_spawn(asio::make_strand(state.io),
                    SendCancel(opened.connection->address(), plan.request_id),
-                   asio::detached);
+                   LogException);
   }
 }
 
--- a/src/entryd_watch.cc
+++ b/src/entryd_watch.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
@@ -18,7 +17,7 @@
   // The closure keeps the watch alive while its coroutine runs.
   asio::co_spawn(
       timer_.get_executor(),
-      [self = shared_from_this()] { return self->Run(); }, asio::detached);
+      [self = shared_from_this()] { return self->Run(); }, LogException);
 }
 
 auto request_watch::Stop() -> void {
--- a/src/hostd_batch_log.cc
+++ b/src/hostd_batch_log.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "src/hostd_base.h"
@@ -35,7 +34,7 @@
       // Another host may have owned it between the two views.
       if (it->second->is_loaded) {
         it->second->is_loaded = false;
-        asio::co_spawn(host_.io, Load(it->first, it->second), asio::detached);
+        asio::co_spawn(host_.io, Load(it->first, it->second), LogException);
       }
       ++it;
       continue;
@@ -59,7 +58,7 @@
     auto partition =
         std::make_shared<owned_partition>(host_.io, host_.options.store);
     partitions_[id] = partition;
-    asio::co_spawn(host_.io, Load(id, partition), asio::detached);
+    asio::co_spawn(host_.io, Load(id, partition), LogException);
   }
 }
 
@@ -196,7 +195,7 @@
   partition->pending.push_back(std::move(record));
   if (!partition->is_writing) {
     partition->is_writing = true;
-    asio::co_spawn(host_.io, WriteLoop(id, partition), asio::detached);
+    asio::co_spawn(host_.io, WriteLoop(id, partition), EndOnException);
   }
 }
 
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "src/hostd_base.h"
@@ -81,7 +80,7 @@
 batch_service::~batch_service() = default;
 
 auto batch_service::Start() -> void {
-  asio::co_spawn(host_.io, RunDispatch(), asio::detached);
+  asio::co_spawn(host_.io, RunDispatch(), EndOnException);
 }
 
 auto batch_service::DropItems(partition_id id, const batch_job& job) -> void {
@@ -157,7 +156,7 @@
       if (!ref) {
         break;
       }
-      asio::co_spawn(host_.io, RunItem(*ref), asio::detached);
+      asio::co_spawn(host_.io, RunItem(*ref), LogException);
     }
     co_await Sleep(kDispatchPeriod);
   }
--- a/src/hostd_caller.cc
+++ b/src/hostd_caller.cc
@@ -1,7 +1,6 @@
 #include "src/hostd_caller.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 #include <vector>
 
@@ -29,7 +28,7 @@
 }
 
 auto caller_watch::Start() -> void {
-  boost::asio::co_spawn(host_.io, Run(), boost::asio::detached);
+  boost::asio::co_spawn(host_.io, Run(), EndOnException);
 }
 
 auto caller_watch::Run() -> boost::asio::awaitable<void> {
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -3,7 +3,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
@@ -11,6 +10,7 @@
 #include <iostream>
 #include <vector>
 
+#include "src/daemon.h"
 #include "src/hostd_base.h"
 #include "src/hostd_batch.h"
 #include "src/hostd_caller.h"
@@ -132,12 +132,10 @@
 /** Waits for SIGTERM, then stops without cutting a request. */
 auto StopOnSignal(host_state& host, host_servers& servers)
     -> asio::awaitable<void> {
-  asio::signal_set signals(host.io, SIGTERM, SIGINT);
-  co_await signals.async_wait(kAwait);
+  co_await AwaitStopSignal(host.io, second_signal::kIgnored);
   const auto end = clock::now() + host.options.drain_limit - kKillMargin;
   const auto listen_until =
       clock::now() + kKeepFactor * host.options.address_keep + kKeepMargin;
-  Log(log_level::kInfo, log_category::kCore, {"draining", "stop", ""});
   host.draining = true;
   servers.front.BeginDrain();
   co_await host.batch->HandOver(clock::now() + kHandOverLimit);
@@ -164,7 +162,8 @@
              : 0;
 }
 
-/** Takes what may change while the process runs: peers and log levels. */
+/** Takes what may change while the process runs: peers, the time that
+ * addresses are kept, and the limit of a planned stop. */
 auto Reload(host_state& host, const std::string& path) -> void {
   auto values = ToOutcome([&] { return ReadSettings(HostdSettings(), path); });
   if (!values) {
@@ -240,9 +239,9 @@
   host.placement->Start();
   host.batch->Start();
   host.callers->Start();
-  asio::co_spawn(io, StopOnSignal(host, servers), asio::detached);
-  asio::co_spawn(io, ReloadOnSignal(host, settings_path), asio::detached);
-  asio::co_spawn(io, KeepHouse(host, servers, settings_path), asio::detached);
+  asio::co_spawn(io, StopOnSignal(host, servers), EndOnException);
+  asio::co_spawn(io, ReloadOnSignal(host, settings_path), EndOnException);
+  asio::co_spawn(io, KeepHouse(host, servers, settings_path), EndOnException);
   Log(log_level::kInfo, log_category::kCore,
       {"serving callers", "start", FormatEndpoint(host.options.front)});
   io.run();
@@ -261,28 +260,17 @@
   if (argc == 1 && path != nullptr) {
     arguments.insert(arguments.end(), {"--settings", path});
   }
-  int exit_code = 0;
-  const auto* values = dogwood::SettingsFromCommandLine(
-      dogwood::HostdSettings(), "dogwood_hostd",
-      static_cast<int>(arguments.size()), arguments.data(), exit_code);
-  if (values == nullptr) {
-    return exit_code;
-  }
-  auto options = dogwood::ReadHostdOptions(*values);
-  if (!options) {
-    std::cerr << options.error().message << "\n";
-    return 2;
-  }
-  if (!dogwood::StartLog(options->host.value, "hostd", options->log_levels)) {
-    std::cerr << "setting \"log_levels\" cannot be read\n";
-    return 2;
-  }
-  dogwood::StartLogWriter(dogwood::kLogLinesPerSecond);
   std::string settings_path;
   for (std::size_t i = 0; i + 1 < arguments.size(); ++i) {
     if (std::string_view(arguments[i]) == "--settings") {
       settings_path = arguments[i + 1];
     }
   }
-  return dogwood::Serve(std::move(options.value()), settings_path);
+  return dogwood::RunDaemon(
+      {dogwood::HostdSettings(), "dogwood_hostd", "hostd"},
+      static_cast<int>(arguments.size()), arguments.data(),
+      dogwood::ReadHostdOptions, [&](dogwood::hostd_options options) {
+        dogwood::StartLogWriter(dogwood::kLogLinesPerSecond);
+        return dogwood::Serve(std::move(options), settings_path);
+      });
 }
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <set>
 
@@ -103,8 +102,8 @@
 placement_service::~placement_service() = default;
 
 auto placement_service::Start() -> void {
-  asio::co_spawn(host_.io, RunTicker(), asio::detached);
-  asio::co_spawn(host_.io, RunReports(), asio::detached);
+  asio::co_spawn(host_.io, RunTicker(), EndOnException);
+  asio::co_spawn(host_.io, RunReports(), EndOnException);
 }
 
 auto placement_service::NewTicket() -> ticket_id {
@@ -243,7 +242,7 @@
         }
       };
       asio::co_spawn(host_.io, call(link, MakeMessage(std::move(request))),
-                     asio::detached);
+                     LogException);
     }
   }
 }
@@ -257,7 +256,7 @@
   withdrawn_.push_back(ticket);
   if (!flushing_) {
     flushing_ = true;
-    asio::co_spawn(host_.io, FlushEnds(), asio::detached);
+    asio::co_spawn(host_.io, FlushEnds(), LogException);
   }
 }
 
@@ -284,7 +283,7 @@
   ends_.push_back(end);
   if (!flushing_) {
     flushing_ = true;
-    asio::co_spawn(host_.io, FlushEnds(), asio::detached);
+    asio::co_spawn(host_.io, FlushEnds(), LogException);
   }
 }
 
@@ -437,10 +436,10 @@
   while (true) {
     const bool had_dispatcher = HasDispatcher();
     if (!candidate_.name.empty()) {
-      asio::co_spawn(host_.io, ReportHeld(candidate_), asio::detached);
+      asio::co_spawn(host_.io, ReportHeld(candidate_), LogException);
     }
     if (!active_.name.empty() && active_.name != candidate_.name) {
-      asio::co_spawn(host_.io, ReportHeld(active_), asio::detached);
+      asio::co_spawn(host_.io, ReportHeld(active_), LogException);
     }
     co_await Sleep(had_dispatcher ? kReportPeriod : kSeekPeriod);
     if (had_dispatcher && !HasDispatcher()) {
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "platform/adapter.h"
@@ -429,10 +428,10 @@
 }  // namespace
 
 auto StartWatching(host_state& host) -> void {
-  asio::co_spawn(host.io, FollowState(host), asio::detached);
-  asio::co_spawn(host.io, FollowServers(host), asio::detached);
-  asio::co_spawn(host.io, KeepMembership(host), asio::detached);
-  asio::co_spawn(host.io, AskPeers(host), asio::detached);
+  asio::co_spawn(host.io, FollowState(host), EndOnException);
+  asio::co_spawn(host.io, FollowServers(host), EndOnException);
+  asio::co_spawn(host.io, KeepMembership(host), EndOnException);
+  asio::co_spawn(host.io, AskPeers(host), EndOnException);
 }
 
 auto LeaveFleet(host_state& host) -> asio::awaitable<void> {
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -4,7 +4,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -318,7 +317,7 @@
       co_await Sleep(kAcceptPause);
       continue;
     }
-    asio::co_spawn(strand, Serve(state, std::move(socket)), asio::detached);
+    asio::co_spawn(strand, Serve(state, std::move(socket)), LogException);
   }
 }
 
@@ -347,7 +346,7 @@
   auto opened = OpenAcceptor(state_->acceptor, endpoint, "listen for HTTP");
   if (opened) {
     asio::co_spawn(state_->acceptor.get_executor(), AcceptLoop(state_),
-                   asio::detached);
+                   EndOnException);
   }
   return opened;
 }
--- a/src/link_client.cc
+++ b/src/link_client.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -12,6 +11,7 @@
 
 #include "src/core.h"
 #include "src/link_codec.h"
+#include "src/net.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
@@ -141,7 +141,7 @@
       auto opening = [self = shared_from_this(), conn = current] {
         return self->Open(conn);
       };
-      asio::co_spawn(strand, std::move(opening), asio::detached);
+      asio::co_spawn(strand, std::move(opening), LogException);
     }
     return current;
   }
--- a/src/link_codec.cc
+++ b/src/link_codec.cc
@@ -3,7 +3,6 @@
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +10,7 @@
 #include <utility>
 
 #include "src/core.h"
+#include "src/net.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
@@ -166,7 +166,7 @@
     asio::co_spawn(
         socket_.get_executor(),
         [self = shared_from_this()] { return self->WriteLoop(); },
-        asio::detached);
+        LogException);
   }
 }
 
--- a/src/link_server.cc
+++ b/src/link_server.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -84,7 +83,7 @@
     asio::co_spawn(
         executor,
         Answer(io, handler, channel, peer.value(), std::move(frame.value())),
-        asio::detached);
+        LogException);
   }
   channel->Close();
   if (on_closed) {
@@ -109,7 +108,7 @@
           return Serve(state->io, state->self, state->handler, state->on_closed,
                        channel);
         },
-        asio::detached);
+        LogException);
   }
 }
 
@@ -129,7 +128,7 @@
   auto opened = OpenAcceptor(state_->acceptor, endpoint, "listen for links");
   if (opened) {
     asio::co_spawn(state_->acceptor.get_executor(), AcceptLoop(state_),
-                   asio::detached);
+                   EndOnException);
   }
   return opened;
 }
--- a/src/load_run.cc
+++ b/src/load_run.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -201,7 +200,7 @@
   for (const auto& arrival : arrivals) {
     co_await SleepUntil(At(s, arrival.at));
     asio::co_spawn(asio::make_strand(s.io), SendOnline(s, arrival),
-                   asio::detached);
+                   LogException);
   }
 }
 
@@ -330,7 +329,7 @@
   for (const auto& batch : s.plan.batches) {
     for (unsigned i = 0; i < batch.jobs; ++i) {
       asio::co_spawn(asio::make_strand(s.io), RunJob(s, batch, i, figure++),
-                     asio::detached);
+                     LogException);
     }
   }
 }
@@ -344,8 +343,8 @@
   s.start = clock::now();
   s.end = At(s, s.plan.length + s.plan.settle);
   StartJobs(s);
-  asio::co_spawn(asio::make_strand(s.io), SendArrivals(s), asio::detached);
-  asio::co_spawn(asio::make_strand(s.io), RefreshAddresses(s), asio::detached);
+  asio::co_spawn(asio::make_strand(s.io), SendArrivals(s), LogException);
+  asio::co_spawn(asio::make_strand(s.io), RefreshAddresses(s), LogException);
 }
 
 /** Whether every request and job has ended. */
@@ -388,7 +387,7 @@
     s.judges.emplace_back(w.limit_per_s, w.limit_burst);
   }
   bool begun = false;
-  asio::co_spawn(asio::make_strand(s.io), Begin(s, begun), asio::detached);
+  asio::co_spawn(asio::make_strand(s.io), Begin(s, begun), LogException);
   while (!begun && s.io.run_one() > 0) {
   }
   if (!begun) {
@@ -397,7 +396,7 @@
                    .step = "ask for addresses",
                    .peer = plan.addresses.front()};
   }
-  asio::co_spawn(asio::make_strand(s.io), StopWhenDone(s), asio::detached);
+  asio::co_spawn(asio::make_strand(s.io), StopWhenDone(s), EndOnException);
   s.io.run();
   return std::move(s.figures);
 }
--- a/src/net.h
+++ b/src/net.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <exception>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,15 @@
 
 namespace dogwood {
 
+/** Completion handler of a coroutine that runs for ever: if an exception leaves
+ * it, logs that and ends the process, which would go on with part of its work
+ * undone. */
+auto EndOnException(std::exception_ptr error) -> void;
+
+/** Completion handler of a coroutine that nobody waits for: logs an exception
+ * that leaves it. */
+auto LogException(std::exception_ptr error) -> void;
+
 /** Waits on the coroutine's executor. */
 auto Sleep(duration length) -> boost::asio::awaitable<void>;
 
--- a/src/net_func.cc
+++ b/src/net_func.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
+#include <cstdlib>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -14,6 +15,31 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+auto LogException(std::exception_ptr error) -> void {
+  if (!error) {
+    return;
+  }
+  try {
+    std::rethrow_exception(error);
+  } catch (const std::exception& e) {
+    Log(log_level::kError, log_category::kCore,
+        {std::string("an exception ended a coroutine: ") + e.what(), "run",
+         ""});
+  } catch (...) {
+    Log(log_level::kError, log_category::kCore,
+        {"an exception of unknown type ended a coroutine", "run", ""});
+  }
+}
+
+auto EndOnException(std::exception_ptr error) -> void {
+  if (!error) {
+    return;
+  }
+  LogException(std::move(error));
+  FlushLog();
+  std::abort();
+}
+
 auto Sleep(duration length) -> asio::awaitable<void> {
   asio::steady_timer timer(co_await asio::this_coro::executor, length);
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -1,7 +1,6 @@
 /** Stand-in for a model engine with continuous batching. */
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -524,7 +523,7 @@
   }
   engine_state s(ReadOptions(given));
   asio::io_context io(1);
-  asio::co_spawn(io, RunSteps(s), asio::detached);
+  asio::co_spawn(io, RunSteps(s), EndOnException);
   return RunServer(
       io, "fake_engine", given["port"].as<std::uint16_t>(),
       [&s](http_exchange& exchange) { return Handle(s, exchange); });
