Make explain a command of dogwoodctl; reload log levels

Cause: the way from an id to its cause was a script of its own, and SIGHUP said that it takes log levels but did not. Measured: ctl test.

--- a/src/ctl_command.cc
+++ b/src/ctl_command.cc
@@ -2,8 +2,11 @@
 
 #include <array>
 #include <boost/json.hpp>
+#include <fstream>
+#include <iostream>
 #include <utility>
 
+#include "src/ctl_explain.h"
 #include "src/ctl_session.h"
 #include "src/text_func.h"
 
@@ -421,6 +424,32 @@
   return json::value(body.value());
 }
 
+/** Prints the course of a request, job or item from log files. */
+auto RunExplain(ctl_session&, const ctl_input& input) -> ctl_result {
+  std::vector<json::object> lines;
+  for (std::size_t i = 1; i < input.arguments.size(); ++i) {
+    const auto& path = input.arguments[i];
+    if (path == "-") {
+      ReadLogLines(std::cin, lines);
+      continue;
+    }
+    std::ifstream file(path);
+    if (!file) {
+      return UsageFailure("file \"" + path + "\" cannot be read");
+    }
+    ReadLogLines(file, lines);
+  }
+  const auto& id = input.arguments.front();
+  auto rows = ExplainLog(std::move(lines), id);
+  if (rows.empty()) {
+    return failure{.code = error_code::kNotFound,
+                   .message = "no line of log names " + id,
+                   .step = "explain",
+                   .peer = ""};
+  }
+  return json::value(std::move(rows));
+}
+
 auto RunCompletionBash(ctl_session&, const ctl_input&) -> ctl_result {
   return json::value(BashCompletion());
 }
@@ -484,6 +513,10 @@
     ctl_command{"job results", "ID", kJobOptions,
                 "Prints the results of a batch job as JSON lines.",
                 RunJobResults},
+    ctl_command{"explain", "ID FILE...", "",
+                "Shows the course of a request, job or item from log files "
+                "(-: standard input).",
+                RunExplain},
     ctl_command{"completion bash", "", "",
                 "Prints the completion script for bash.", RunCompletionBash},
 };
--- /dev/null
+++ b/src/ctl_explain.cc
@@ -0,0 +1,136 @@
+#include "src/ctl_explain.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <istream>
+#include <map>
+#include <string_view>
+#include <utility>
+
+namespace dogwood {
+namespace json = boost::json;
+namespace {
+
+/** Events that change what a host believes about everything it decides. */
+constexpr std::array<std::string_view, 2> kContextEvents{"state_applied",
+                                                         "members_changed"};
+/** Steps of general log lines that do so. */
+constexpr std::array<std::string_view, 5> kContextSteps{
+    "choose dispatcher", "report slots", "call store", "start", "stop"};
+/** Events that tell the outcome. */
+constexpr std::array<std::string_view, 3> kDecidingEvents{
+    "request_end", "request_refused", "item_abandoned"};
+/** Fields that stand in columns of their own, or say the same on all lines. */
+constexpr std::array<std::string_view, 7> kColumnFields{
+    "time", "unix_ms", "event", "level", "category", "host", "daemon"};
+constexpr std::string_view kTimeField = "unix_ms";
+
+template <std::size_t n>
+auto Contains(const std::array<std::string_view, n>& names,
+              std::string_view name) -> bool {
+  return std::ranges::find(names, name) != names.end();
+}
+
+/** Text of a field, empty if it is absent or no text. */
+auto TextOf(const json::object& line, std::string_view name)
+    -> std::string_view {
+  const auto* value = line.if_contains(name);
+  return value != nullptr && value->is_string()
+             ? std::string_view(value->get_string())
+             : std::string_view();
+}
+
+/** When a line was written, in Unix milliseconds. */
+auto TimeOf(const json::object& line) -> std::int64_t {
+  return line.at(kTimeField).to_number<std::int64_t>();
+}
+
+/** Whether one of the line's fields names `id`. */
+auto Names(const json::object& line, const std::string& id) -> bool {
+  return std::ranges::any_of(line, [&id](const auto& field) {
+    return field.value().is_string() &&
+           field.value().get_string().find(id) != json::string::npos;
+  });
+}
+
+/** "name=value" of all fields that have no column. */
+auto DetailsOf(const json::object& line) -> std::string {
+  std::string details;
+  for (const auto& field : line) {
+    const auto& value = field.value();
+    const bool is_empty = value.is_string() && value.get_string().empty();
+    if (is_empty || Contains(kColumnFields, field.key())) {
+      continue;
+    }
+    details += details.empty() ? "" : " ";
+    details += std::string(field.key()) + "=" +
+               (value.is_string() ? std::string(value.get_string())
+                                  : json::serialize(value));
+  }
+  return details;
+}
+
+/** One row of the result. */
+auto RowOf(const json::object& line, std::int64_t first_ms) -> json::object {
+  const auto event = TextOf(line, "event");
+  return {{"ms", TimeOf(line) - first_ms},
+          {"host", TextOf(line, "host")},
+          {"event", event},
+          {"decides", Contains(kDecidingEvents, event) ? "=>" : ""},
+          {"details", DetailsOf(line)}};
+}
+
+}  // namespace
+
+auto ReadLogLines(std::istream& input, std::vector<json::object>& lines)
+    -> void {
+  std::string text;
+  while (std::getline(input, text)) {
+    const auto start = text.find("{\"");
+    if (start == std::string::npos) {
+      continue;
+    }
+    json::error_code ec;
+    auto value = json::parse(std::string_view(text).substr(start), ec);
+    if (ec || !value.is_object()) {
+      continue;
+    }
+    const auto* time = value.get_object().if_contains(kTimeField);
+    if (time != nullptr && time->is_int64()) {
+      lines.push_back(std::move(value.get_object()));
+    }
+  }
+}
+
+auto ExplainLog(std::vector<json::object> lines, const std::string& id)
+    -> json::array {
+  std::ranges::stable_sort(lines, {}, TimeOf);
+  const auto first = std::ranges::find_if(
+      lines, [&id](const json::object& line) { return Names(line, id); });
+  json::array rows;
+  if (first == lines.end()) {
+    return rows;
+  }
+  const auto first_ms = TimeOf(*first);
+  // By host, then by event and step: the newest line not shown yet.
+  std::map<std::string, std::map<std::string, const json::object*>> context;
+  for (const auto& line : lines) {
+    const std::string host(TextOf(line, "host"));
+    if (Names(line, id)) {
+      for (const auto& [key, before] : std::exchange(context[host], {})) {
+        rows.emplace_back(RowOf(*before, first_ms));
+      }
+      rows.emplace_back(RowOf(line, first_ms));
+    } else if (Contains(kContextEvents, TextOf(line, "event")) ||
+               Contains(kContextSteps, TextOf(line, "step"))) {
+      const auto key = std::string(TextOf(line, "event")) + "/" +
+                       std::string(TextOf(line, "step"));
+      context[host][key] = &line;
+    }
+  }
+  return rows;
+}
+
+}  // namespace dogwood
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -162,8 +162,8 @@
              : 0;
 }
 
-/** Takes what may change while the process runs: peers, the time that
- * addresses are kept, and the limit of a planned stop. */
+/** Takes what may change while the process runs: peers, log levels, the time
+ * that addresses are kept, and the limit of a planned stop. */
 auto Reload(host_state& host, const std::string& path) -> void {
   auto values = ToOutcome([&] { return ReadSettings(HostdSettings(), path); });
   if (!values) {
@@ -177,6 +177,13 @@
         {options.error().message, "reload settings", path});
     return;
   }
+  if (!SetLogLevels(options->log_levels)) {
+    Log(log_level::kError, log_category::kCore,
+        {"setting \"log_levels\": \"" + options->log_levels +
+             "\" is not a list of levels",
+         "reload settings", path});
+    return;
+  }
   host.options.peers = options->peers;
   host.options.address_keep = options->address_keep;
   host.options.drain_limit = options->drain_limit;
--- a/src/log_func.cc
+++ b/src/log_func.cc
@@ -202,6 +202,10 @@
   conf.setGlobally(el::ConfigurationType::Format,
                    R"({"time":"%datetime{%Y-%M-%dT%H:%m:%s.%g}",%msg)");
   el::Loggers::reconfigureAllLoggers(conf);
+  return SetLogLevels(levels);
+}
+
+auto SetLogLevels(std::string_view levels) -> bool {
   while (!levels.empty()) {
     const auto comma = levels.find(',');
     if (!ApplyLevel(levels.substr(0, comma))) {
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -37,6 +37,10 @@
               std::string_view daemon,
               std::string_view levels) -> bool;
 
+/** Changes the levels while the process runs; see StartLog(). Those before the
+ * first part that cannot be read are changed also if it returns false. */
+auto SetLogLevels(std::string_view levels) -> bool;
+
 /** Writes one line of a named event with its fields if the category's level
  * allows it. Thread-safe. */
 auto LogEvent(log_level level,
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -7,6 +7,7 @@
 #include "src/config.h"
 #include "src/core.h"
 #include "src/ctl_command.h"
+#include "src/ctl_explain.h"
 #include "src/ctl_run.h"
 
 namespace {
@@ -252,3 +253,29 @@
   cr_assert_str_eq(table.c_str(), "name  x    y\na     1.5  -\nbb    -    -\n");
   cr_assert_str_eq(dogwood::FormatTable(json::array()).c_str(), "none\n");
 }
+
+// Guards against an explanation that leaves out a host, mixes up the order, or
+// does not show on what the deciding host acted.
+Test(ctl, explain_shows_the_course_of_a_request_over_hosts) {
+  std::istringstream log(
+      "not a line of log\n"
+      R"(b | {"unix_ms":1030,"event":"request_end","host":"b","id":"r1","status":503})"
+      "\n"
+      R"({"unix_ms":990,"event":"state_applied","host":"b","version":7})"
+      "\n"
+      R"({"unix_ms":980,"event":"state_applied","host":"b","version":6})"
+      "\n"
+      R"({"unix_ms":1000,"event":"placed","host":"a","id":"r1","server":""})"
+      "\n"
+      R"({"unix_ms":1010,"event":"placed","host":"a","id":"r2"})"
+      "\n{\"broken\n");
+  std::vector<json::object> lines;
+  dogwood::ReadLogLines(log, lines);
+  cr_assert_eq(lines.size(), 5);
+  const auto rows = dogwood::ExplainLog(lines, "r1");
+  cr_assert_eq(rows.size(), 3);
+  cr_assert(rows[0].at("event") == "placed" && rows[0].at("ms") == 0);
+  cr_assert(rows[1].at("details") == "version=7" && rows[1].at("ms") == -10);
+  cr_assert(rows[2].at("decides") == "=>" && rows[2].at("host") == "b");
+  cr_assert(dogwood::ExplainLog(lines, "r3").empty());
+}
