Keep a host's daemons serving without their controld

Cause: entryd and batchd pulled from the controld of their own host only. Ruled out: declaring hosts lost sooner (a slow host would lose its limits); a shorter wait of the new owner (two owners at once). Change: while the own controld does not answer, the daemons pull from those of other hosts, nearest first. A controld vouches for every daemon to which it gave a proof, also those of other hosts, so that a change counts as applied everywhere only once they have it or their proof has expired. After a change of owners nobody gives tokens for about a second: requests now wait for an owner that acts (owner_wait_ms) and are refused only by one that has started to give.

--- a/src/batchd_main.cc
+++ b/src/batchd_main.cc
@@ -28,7 +28,7 @@
 
 /** Starts everything that runs for ever. */
 auto StartAll(batchd& d) -> void {
-  Start(d, RunReplica(d.replica, d.controld, "batchd",
+  Start(d, RunReplica(d.replica, d.controld, d.peers, "batchd",
                       d.settings.pull_period, [&d] { d.RefreshRules(); }));
   Start(d, PollHosts(d));
   Start(d, PollLoads(d));
--- a/src/controld_serve.cc
+++ b/src/controld_serve.cc
@@ -103,11 +103,6 @@
 
 /** Whether `peer` may be answered now. */
 auto MayAnswer(const controld& c, const link_peer& peer) -> outcome<void> {
-  const bool is_local = peer.host == c.settings.self.host.value;
-  if (!is_local && peer.daemon != "controld") {
-    return Refuse(error_code::kForbidden,
-                  "this controld serves daemons of its own host only", peer);
-  }
   if (c.state == serve_state::kStopped) {
     return Refuse(error_code::kUnavailable, "this host has stopped", peer);
   }
@@ -147,15 +142,19 @@
   }
 }
 
-/** Notes that a local daemon has applied the records before `from`, and may
- * serve on them for the freshness limit from `now` on. */
-auto NoteLocalPull(controld& c,
-                   const link_peer& peer,
-                   log_offset from,
-                   time_point now) -> void {
+/** Notes that a daemon has applied the records before `from`, and may serve on
+ * them for the freshness limit from `now` on. */
+auto NoteDaemonPull(controld& c,
+                    const link_peer& peer,
+                    log_offset from,
+                    time_point now) -> void {
   if (peer.daemon != "controld") {
+    const bool is_local = peer.host == c.settings.self.host.value;
     c.pulls.Note(peer, from, now);
-    c.tracker.TakeDaemonPull(peer.daemon, from, now);
+    c.tracker.TakeDaemonPull(
+        peer.Name(),
+        is_local ? daemon_place::kOwnHost : daemon_place::kOtherHost, from,
+        now);
   }
 }
 
@@ -170,7 +169,7 @@
   }
   auto allowed = MayAnswer(c, peer);
   if (allowed) {
-    NoteLocalPull(c, peer, from, arrived);
+    NoteDaemonPull(c, peer, from, arrived);
     co_await HoldReply(c, peer, from, arrived);
     allowed = MayAnswer(c, peer);
   }
@@ -179,7 +178,7 @@
     co_return allowed.error();
   }
   // Again, as the proof that the daemon gets counts from now.
-  NoteLocalPull(c, peer, from, clock::now());
+  NoteDaemonPull(c, peer, from, clock::now());
   ++c.metrics.tails_served;
   co_return MakeMessage(MakeReply(c, peer, request, arrived));
 }
--- a/src/entryd_limit.cc
+++ b/src/entryd_limit.cc
@@ -26,6 +26,8 @@
 constexpr std::chrono::seconds kOwnershipPeriod{1};
 constexpr std::string_view kWorkspaces = "/workspaces";
 constexpr std::string_view kRoutes = "/routes";
+/** A request that waits for an owner looks this often whether one acts. */
+constexpr std::chrono::milliseconds kOwnerLook{50};
 /** A host that is not owner tells the asker to come back after this. */
 constexpr std::chrono::milliseconds kNotOwnerRetry{200};
 
@@ -92,11 +94,17 @@
   if (!rate || state_.shares.Admit(limit, *rate, now)) {
     co_return outcome<void>();
   }
+  const auto start = now;
   const auto deadline = now + state_.options.limit_wait;
+  const auto owner_deadline =
+      std::max(deadline, now + state_.options.owner_wait);
   Kick();
-  while (now < deadline) {
+  while (now < deadline ||
+         (now < owner_deadline && !HasAnsweredSince(limit, start))) {
+    const auto until =
+        now < deadline ? deadline : std::min(owner_deadline, now + kOwnerLook);
     auto executor = co_await asio::this_coro::executor;
-    auto timer = std::make_shared<asio::steady_timer>(executor, deadline);
+    auto timer = std::make_shared<asio::steady_timer>(executor, until);
     // Enlisted before the check, so that no grant passes unnoticed.
     Enlist(limit, timer);
     if (state_.shares.AdmitWaiting(limit, *rate, now)) {
@@ -118,6 +126,13 @@
                     .peer = ""};
 }
 
+auto grant_exchange::HasAnsweredSince(const workspace_id& limit,
+                                      time_point start) -> bool {
+  const std::lock_guard lock(mutex_);
+  const auto found = answered_.find(limit);
+  return found != answered_.end() && found->second >= start;
+}
+
 auto grant_exchange::Enlist(const workspace_id& limit, shared_timer timer)
     -> void {
   const std::lock_guard lock(mutex_);
@@ -252,6 +267,8 @@
       ask_again = ask_again || other;
     } else {
       granters_.NoteGrant(limit, granter);
+      const std::lock_guard lock(mutex_);
+      answered_[limit] = clock::now();
     }
     state_.shares.TakeGrant(limit, grant, sent);
     if (grant.tokens > 0) {
@@ -295,7 +312,13 @@
     const workspace_id limit(ask->workspace);
     const auto rate = state_.replica.Read(
         [&](const config_tree& tree) { return RateOf(tree, limit); });
-    const auto since = OwnerSince(limit, now);
+    const auto owner_since = OwnerSince(limit, now);
+    // Until its first grant an owner answers like one that does not act yet:
+    // having no token to give then does not mean that the limit is reached.
+    const auto since =
+        owner_since && now >= state_.granters.FirstGrantAt(*owner_since)
+            ? owner_since
+            : std::nullopt;
     token_grant grant;
     if (since && rate) {
       std::vector<lot_report> reports;
--- a/src/entryd_limit.h
+++ b/src/entryd_limit.h
@@ -33,8 +33,9 @@
  public:
   explicit grant_exchange(entry_state& state);
 
-  /** Admits one request, waiting at most the setting limit_wait_ms. Fails
-   * with kTooManyRequests, ran=no. */
+  /** Admits one request, waiting at most the setting limit_wait_ms, or
+   * owner_wait_ms while no host acts as owner of the limit. Fails with
+   * kTooManyRequests, ran=no. */
   auto Admit(workspace_id limit) -> boost::asio::awaitable<outcome<void>>;
   /** Begins to send the asks that are due, for ever. */
   auto Start() -> void;
@@ -51,6 +52,7 @@
   auto Enlist(const workspace_id& limit, shared_timer timer) -> void;
   auto Delist(const workspace_id& limit, const shared_timer& timer) -> void;
   auto Wake(const workspace_id& limit) -> void;
+  auto HasAnsweredSince(const workspace_id& limit, time_point start) -> bool;
   auto Kick() -> void;
   auto SendDue() -> void;
   auto Ask(std::string address, wire::grant_requestT request)
@@ -68,6 +70,8 @@
   boost::asio::steady_timer timer_;  // Cancelled to send asks at once.
   std::mutex mutex_;                 // Of the members below.
   std::map<workspace_id, std::vector<shared_timer>> waiters_;
+  std::map<workspace_id, time_point>
+      answered_;  // By a host that acts as owner.
   owner_table owned_;
 };
 
--- a/src/entryd_main.cc
+++ b/src/entryd_main.cc
@@ -57,7 +57,7 @@
   auto& io = state.io;
   auto on_change = [&state] { ApplyDraining(state); };
   asio::co_spawn(asio::make_strand(io),
-                 RunReplica(state.replica, controld, "entryd",
+                 RunReplica(state.replica, controld, state.links, "entryd",
                             state.options.pull_period, on_change),
                  EndOnException);
   asio::co_spawn(asio::make_strand(io), PollHosts(state), EndOnException);
--- a/src/entryd_setting.cc
+++ b/src/entryd_setting.cc
@@ -78,6 +78,10 @@
                 "demand_shares|central_bucket|static_split"},
     setting_row{"limit_wait_ms", kInteger, "ms", 0, 10000, "200",
                 "Longest wait of a request for a grant."},
+    setting_row{"owner_wait_ms", kInteger, "ms", 0, 60000, "3000",
+                "Longest wait of a request while no host acts as owner of its "
+                "limit, which after a change of owners takes about as long as "
+                "a proof is old."},
     setting_row{"ask_period_ms", kInteger, "ms", 5, 10000, "100",
                 "Period of asks for grants."},
     setting_row{"grant_life_ms", kInteger, "ms", 10, 60000, "500",
@@ -159,6 +163,7 @@
   o.pull_period = values.Milliseconds("pull_period_ms");
   o.mode = LimitModeOf(values.Text("limit_mode"));
   o.limit_wait = values.Milliseconds("limit_wait_ms");
+  o.owner_wait = values.Milliseconds("owner_wait_ms");
   o.ask_period = values.Milliseconds("ask_period_ms");
   o.grant_life = values.Milliseconds("grant_life_ms");
   o.policy = values.Text("routing_policy");
--- a/src/entryd_setting.h
+++ b/src/entryd_setting.h
@@ -41,6 +41,7 @@
   std::chrono::milliseconds pull_period{};        ///< From controld.
   limit_mode mode = limit_mode::kDemandShares;    ///< How limits are shared.
   std::chrono::milliseconds limit_wait{};         ///< For a grant.
+  std::chrono::milliseconds owner_wait{};         ///< For an owner that acts.
   std::chrono::milliseconds ask_period{};         ///< Between asks.
   std::chrono::milliseconds grant_life{};         ///< Of tokens.
   std::string policy;                             ///< Choice of servers.
--- a/src/freshness_base.cc
+++ b/src/freshness_base.cc
@@ -215,10 +215,15 @@
 }
 
 auto freshness_tracker::TakeDaemonPull(const std::string& daemon,
+                                       daemon_place place,
                                        log_offset from,
                                        time_point now) -> void {
   const std::lock_guard lock(mutex_);
-  daemons_[daemon] = {from, now + WithDrift(limit_)};
+  std::erase_if(daemons_, [now](const auto& entry) {
+    return entry.second.place == daemon_place::kOtherHost &&
+           entry.second.active_until < now;
+  });
+  daemons_[daemon] = {place, from, now + WithDrift(limit_)};
 }
 
 auto freshness_tracker::TakeChildVouch(const host_id& child,
@@ -301,7 +306,8 @@
 auto freshness_tracker::HasActiveDaemon(time_point now) const -> bool {
   const std::lock_guard lock(mutex_);
   return std::any_of(daemons_.begin(), daemons_.end(), [&](const auto& entry) {
-    return entry.second.active_until >= now;
+    return entry.second.place == daemon_place::kOwnHost &&
+           entry.second.active_until >= now;
   });
 }
 
--- a/src/freshness_base.h
+++ b/src/freshness_base.h
@@ -83,8 +83,11 @@
   auto TakeProof(const freshness_proof& proof) -> void;
   /** Takes a vouch that covers all members at its known_offset. */
   auto TakeFleetVouch(const vouch& fleet) -> void;
-  /** Notes that a local daemon asked for the records from `from` on. */
+  /** Notes that a daemon asked here for the records from `from` on. This host
+   * vouches for it until the proof that it gets has expired, also if it is a
+   * daemon of another host. `daemon` is unique among all hosts. */
   auto TakeDaemonPull(const std::string& daemon,
+                      daemon_place place,
                       log_offset from,
                       time_point now) -> void;
   /** Takes a child's vouch that was `age` old when its request was sent.
@@ -120,6 +123,7 @@
 
  private:
   struct daemon_pull {
+    daemon_place place;       ///< Whose daemon it is.
     log_offset from;          ///< It has applied the records before.
     time_point active_until;  ///< Its proof has expired by then.
   };
--- a/src/freshness_type.h
+++ b/src/freshness_type.h
@@ -66,13 +66,20 @@
 
 /** At `as_of` or later, each covered member knew exactly the records before
  * `known_offset` and had no append of its own acknowledged at or beyond it.
- * Its daemons with a valid proof had applied these records too. */
+ * The daemons to which it gave a proof that is still valid had applied these
+ * records too, also those of other hosts. */
 struct vouch {
   log_offset known_offset;               ///< End of what they knew.
   rank_set covered;                      ///< Ranks at `known_offset`.
   time_point as_of = time_point::min();  ///< In the local clock.
 };
 
+/** Whose daemon pulls from a controld. */
+enum class daemon_place {
+  kOwnHost,    ///< That of the same host.
+  kOtherHost,  ///< That of a host whose own controld does not answer.
+};
+
 /** Proof that a request was sent after a certain reply: the reply's start and
  * stamp, and how long after its arrival the request was sent. */
 struct reply_echo {
--- a/src/limit_base.h
+++ b/src/limit_base.h
@@ -30,6 +30,9 @@
    * does not name one of this owner's. */
   granter_table(duration grant_life, std::uint64_t first_lot);
 
+  /** From when on an owner since `owner_since` gives tokens: the former owner's
+   * last grants expire one life after it stopped. */
+  auto FirstGrantAt(time_point owner_since) const -> time_point;
   /** Takes reports and gives up to `want` tokens. `owner_since` is when this
    * host became owner for certain. A bucket that is new since then starts
    * empty once the former owner's last grants have expired. */
--- a/src/limit_granter.cc
+++ b/src/limit_granter.cc
@@ -21,6 +21,10 @@
 granter_table::granter_table(duration grant_life, std::uint64_t first_lot)
     : grant_life_(grant_life), next_lot_(first_lot >> 1) {}
 
+auto granter_table::FirstGrantAt(time_point owner_since) const -> time_point {
+  return owner_since + Stretched(grant_life_);
+}
+
 auto granter_table::BucketOf(const workspace_id& workspace,
                              time_point owner_since) -> bucket& {
   auto& b = buckets_[workspace];
@@ -28,8 +32,7 @@
   if (is_new || b.owner_since != owner_since) {
     b = bucket();
     b.owner_since = owner_since;
-    // The former owner's last grants expire one life after it stopped.
-    b.filled_at = owner_since + Stretched(grant_life_);
+    b.filled_at = FirstGrantAt(owner_since);
   }
   return b;
 }
--- a/src/replica_base.h
+++ b/src/replica_base.h
@@ -116,11 +116,37 @@
   member_history history_;
 };
 
-/** Pulls from the host's controld every `period` for ever: records, proof.
- * Called by entryd and batchd. `on_change` runs after new records and must not
- * throw. */
+/** Chooses the controld to pull from. Has no clock; not thread-safe.
+ *
+ * The host's own is asked first. While it does not answer, those of other hosts
+ * are asked in turn, nearest first, so that the daemons of a host go on serving
+ * without their controld. */
+class pull_source {
+ public:
+  explicit pull_source(host_id self) : self_(std::move(self)) {}
+
+  /** Control link of the host to ask, nothing for the own controld. */
+  auto Choose(const std::vector<member>& members, time_point now)
+      -> std::optional<std::string>;
+  /** Notes that the one chosen last has answered. */
+  auto NoteAnswer() -> void;
+  /** Notes that the one chosen last did not answer; another is next. */
+  auto NoteFailure(time_point now) -> void;
+
+ private:
+  host_id self_;
+  bool asked_own_ = true;     // The last choice.
+  std::size_t failures_ = 0;  // Since the own controld was asked last.
+  time_point own_retry_at_ = time_point::min();
+};
+
+/** Pulls from the host's controld, or from another one while that does not
+ * answer, every `period` for ever: records, proof. Called by entryd and batchd.
+ * `others` has the links to other hosts. `on_change` runs after new records and
+ * must not throw. */
 auto RunReplica(config_replica& replica,
                 link_client& controld,
+                link_table& others,
                 std::string daemon,
                 std::chrono::milliseconds period,
                 std::function<void()> on_change)
--- a/src/replica_client.cc
+++ b/src/replica_client.cc
@@ -1,8 +1,10 @@
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
+#include <vector>
 
 #include "src/core.h"
 #include "src/freshness.h"
@@ -20,6 +22,10 @@
 /** A proof older than this is of no use; keeps time points in range. */
 constexpr std::uint64_t kMaxAgeUs = 3'600'000'000;
 
+/** While the own controld does not answer it is asked again this often. A call
+ * to one that is silent takes kCallTimeout, in which no proof is renewed. */
+constexpr std::chrono::seconds kOwnRetry{5};
+
 /** State of the loop, for log lines at changes only. */
 struct pull_state {
   bool failing = false;  ///< The last pull failed.
@@ -34,11 +40,11 @@
   }
 }
 
-/** Logs the end of several failures. */
-auto NoteSuccess(pull_state& state) -> void {
+/** Logs the end of several failures, and that `peer` answers. */
+auto NoteSuccess(pull_state& state, const std::string& peer) -> void {
   if (std::exchange(state.failing, false)) {
     Log(log_level::kInfo, log_category::kConfig,
-        {"the configuration is pulled again", "pull configuration", ""});
+        {"the configuration is pulled again", "pull configuration", peer});
   }
 }
 
@@ -73,13 +79,51 @@
 
 }  // namespace
 
+auto pull_source::Choose(const std::vector<member>& members, time_point now)
+    -> std::optional<std::string> {
+  std::vector<const member*> others;
+  if (failures_ > 0 && now < own_retry_at_) {
+    for (const auto& m : members) {
+      if (m.host != self_ && m.state == member_state::kLive) {
+        others.push_back(&m);
+      }
+    }
+  }
+  asked_own_ = others.empty();
+  if (asked_own_) {
+    return std::nullopt;
+  }
+  const auto self = std::ranges::find(members, self_, &member::host);
+  if (self != members.end()) {
+    std::ranges::stable_partition(
+        others, [&](const member* m) { return m->region == self->region; });
+  }
+  return others[(failures_ - 1) % others.size()]->control_link;
+}
+
+auto pull_source::NoteAnswer() -> void {
+  if (asked_own_) {
+    failures_ = 0;
+  }
+}
+
+auto pull_source::NoteFailure(time_point now) -> void {
+  if (asked_own_) {
+    failures_ = 0;
+    own_retry_at_ = now + kOwnRetry;
+  }
+  ++failures_;
+}
+
 auto RunReplica(config_replica& replica,
                 link_client& controld,
+                link_table& others,
                 std::string daemon,
                 std::chrono::milliseconds period,
                 std::function<void()> on_change) -> asio::awaitable<void> {
   asio::steady_timer timer(co_await asio::this_coro::executor);
   pull_state state;
+  pull_source source(replica.self());
   while (true) {
     wire::tail_requestT request;
     request.host = replica.self().value;
@@ -88,19 +132,27 @@
     request.limit = kPageRecords;
     auto message = MakeMessage(std::move(request));
     const auto sent = clock::now();
-    auto answer =
-        co_await controld.Call(std::move(message), sent + kCallTimeout);
+    const auto members =
+        replica.Read([](const config_tree& tree) { return tree.Members(); });
+    const auto other = source.Choose(members, sent);
+    // Kept, as the table may drop the link while the call waits.
+    const auto link = other ? others.Get(*other) : nullptr;
+    auto& asked = link ? *link : controld;
+    auto answer = co_await asked.Call(std::move(message), sent + kCallTimeout);
     pull_progress progress;
     if (!answer) {
+      source.NoteFailure(clock::now());
       NoteFailure(state, answer.error());
     } else if (const auto* reply = answer->Astail_reply()) {
+      source.NoteAnswer();
       progress = TakeReply(replica, *reply, sent, clock::now());
-      NoteSuccess(state);
+      NoteSuccess(state, other ? *other : "controld of this host");
     } else {
+      source.NoteFailure(clock::now());
       NoteFailure(state, {.code = error_code::kBadGateway,
                           .message = "the answer is no tail_reply",
                           .step = "pull configuration",
-                          .peer = "controld"});
+                          .peer = other.value_or("controld of this host")});
     }
     if (progress.applied > 0 && on_change) {
       on_change();
--- a/tests/freshness_test.cc
+++ b/tests/freshness_test.cc
@@ -71,6 +71,7 @@
   world_faults none;
   none.loss = none.slow = none.answer_loss = none.stray = 0;
   none.pause_rate = none.restart_rate = none.join_rate = 0;
+  none.away_rate = 0;
   none.cut_rate = none.outage_rate = none.change_rate = 0;
   freshness_world world(7, none, hosts, regions);
   world.RunUntil(30 * kSecond);
--- a/tests/freshness_world.cc
+++ b/tests/freshness_world.cc
@@ -195,36 +195,55 @@
   }
   const auto sent = Local(h);
   const auto from = h.daemon_applied;
-  Deliver(h.region, &h, [this, &h, sent, from] {
-    if (!h.tracker->IsConfirmed()) {
+  // A daemon whose own controld does not answer it asks another one, for longer
+  // than a proof lasts.
+  if (now_ >= h.away_until && Chance(faults_.away_rate)) {
+    h.away_until = now_ + Between(kSecond, 20 * kSecond);
+    h.away_peer = static_cast<std::size_t>(
+        Between(0, static_cast<real_us>(hosts_.size())));
+  }
+  auto& peer = now_ < h.away_until ? *hosts_[h.away_peer] : h;
+  Deliver(h.region, &peer, [this, &h, &peer, sent, from] {
+    if (!peer.tracker->IsConfirmed()) {
       return;
     }
-    h.tracker->TakeDaemonPull("entryd", log_offset(from), Local(h));
-    const auto start = h.start;
-    const auto arrived = Local(h);
-    At(now_ + Between(0, kHoldLimit), [this, &h, start, sent, from, arrived] {
-      if (h.start == start && h.paused_until <= now_) {
-        AnswerDaemon(h, sent, from, arrived);
-      }
-    });
+    NoteDaemonPull(h, peer, from);
+    const auto start = peer.start;
+    const auto arrived = Local(peer);
+    At(now_ + Between(0, kHoldLimit),
+       [this, &h, &peer, start, sent, from, arrived] {
+         if (peer.start == start && peer.paused_until <= now_) {
+           AnswerDaemon(h, peer, sent, from, arrived);
+         }
+       });
   });
   At(now_ + kPullPeriod, [this, &h] { TickDaemon(h); });
 }
 
+auto freshness_world::NoteDaemonPull(const sim_host& h,
+                                     sim_host& peer,
+                                     std::uint64_t from) -> void {
+  peer.tracker->TakeDaemonPull(
+      NameOf(h.index).value + "/entryd",
+      &h == &peer ? daemon_place::kOwnHost : daemon_place::kOtherHost,
+      log_offset(from), Local(peer));
+}
+
 auto freshness_world::AnswerDaemon(sim_host& h,
+                                   sim_host& peer,
                                    time_point sent,
                                    std::uint64_t from,
                                    time_point arrived) -> void {
-  if (!h.tracker->IsConfirmed()) {
+  if (!peer.tracker->IsConfirmed()) {
     return;
   }
-  h.tracker->TakeDaemonPull("entryd", log_offset(from), Local(h));
-  const auto proof = h.tracker->Proof();
-  const auto next = h.applied;
-  const bool proven = h.tracker->IsFresh(Local(h));
+  NoteDaemonPull(h, peer, from);
+  const auto proof = peer.tracker->Proof();
+  const auto next = peer.applied;
+  const bool proven = peer.tracker->IsFresh(Local(peer));
   const auto as_of =
-      ReplyAsOf(sent, Local(h) - arrived, Local(h) - proof.as_of);
-  Deliver(h.region, &h, [&h, next, proven, as_of] {
+      ReplyAsOf(sent, Local(peer) - arrived, Local(peer) - proof.as_of);
+  Deliver(peer.region, &h, [&h, next, proven, as_of] {
     h.daemon_applied = std::max(h.daemon_applied, next);
     if (proven) {
       h.daemon_as_of = std::max(h.daemon_as_of, as_of);
--- a/tests/freshness_world.h
+++ b/tests/freshness_world.h
@@ -35,6 +35,7 @@
   double change_rate = 0.05;    ///< Chance of a change at a tick.
   double pause_rate = 0.01;     ///< Chance of a pause at a tick.
   double restart_rate = 0.002;  ///< Chance of a new controld at a tick.
+  double away_rate = 0.01;      ///< Chance that a daemon asks another host.
   double join_rate = 0.002;     ///< Chance of a new host at a tick.
   double cut_rate = 0.004;      ///< Chance of a region cut at a tick.
   double outage_rate = 0.004;   ///< Chance of a store outage at a tick.
@@ -69,9 +70,11 @@
   time_point join_resend;             ///< When to append it again.
   std::unique_ptr<freshness_tracker> tracker;  ///< State under test.
   std::map<std::size_t, std::pair<reply_echo, time_point>>
-      echoes;                                   ///< By peer.
-  std::vector<sim_change> changes;              ///< Waiting changes.
-  std::uint64_t daemon_applied = 0;             ///< Records its daemon applied.
+      echoes;                        ///< By peer.
+  std::vector<sim_change> changes;   ///< Waiting changes.
+  std::uint64_t daemon_applied = 0;  ///< Records its daemon applied.
+  real_us away_until = 0;            ///< Its daemon asks another host before.
+  std::size_t away_peer = 0;         ///< That host.
   time_point daemon_as_of = time_point::min();  ///< Proof of its daemon.
 };
 
@@ -155,7 +158,10 @@
                  time_point sent,
                  std::uint64_t start,
                  time_point arrived) -> void;
+  auto NoteDaemonPull(const sim_host& h, sim_host& peer, std::uint64_t from)
+      -> void;
   auto AnswerDaemon(sim_host& h,
+                    sim_host& peer,
                     time_point sent,
                     std::uint64_t from,
                     time_point arrived) -> void;
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -293,6 +293,33 @@
   cr_assert_eq(members, 2);
 }
 
+// Guards against daemons that stop serving, or ask one dead host for ever,
+// while their own controld does not answer.
+Test(replica, other_controlds_are_asked_while_the_own_one_is_silent) {
+  std::vector<dogwood::member> members(4);
+  const std::array<const char*, 4> hosts{"a", "b", "c", "d"};
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    members[i].host = host_id(hosts[i]);
+    members[i].region = dogwood::region_id(i == 1 ? "far" : "near");
+    members[i].control_link = std::string("link ") + hosts[i];
+  }
+  const auto start = time_point(std::chrono::hours(1));
+  dogwood::pull_source source(host_id("a"));
+  cr_assert_not(source.Choose(members, start).has_value());
+  source.NoteFailure(start);
+  cr_assert_eq(source.Choose(members, start).value(), "link c");
+  source.NoteAnswer();
+  cr_assert_eq(source.Choose(members, start).value(), "link c");
+  source.NoteFailure(start);
+  cr_assert_eq(source.Choose(members, start).value(), "link d");
+  source.NoteFailure(start);
+  cr_assert_eq(source.Choose(members, start).value(), "link b");
+  const auto later = start + std::chrono::minutes(1);
+  cr_assert_not(source.Choose(members, later).has_value());
+  source.NoteAnswer();
+  cr_assert_not(source.Choose(members, start).has_value());
+}
+
 // Guards against counting an ownership over a gap that a snapshot hides, in
 // which another host may have become owner.
 Test(replica, an_ownership_from_before_a_snapshot_does_not_count) {
