Record the progress of batch items in the log

An item that had answered was even run again when its result had not been appended before the change. Ruled out: want of slots (19 batch runs on 50 slots that online work leaves); preemption alone (an item that is cut goes on after its last event). Change: the owner appends what its open items have brought once a second and before a planned stop; a new owner goes on after the last event recorded. Records count only if they follow what is recorded, so no event is missing or stands twice. What waits to be written is appended for 0.6 s after a partition has gone to another host, which reads again later than that. Test: site_owner, progress_survives (fails without the change: all four items began at event 0); batch, progress_has_every_event_once.

--- a/src/batch_fold.cc
+++ b/src/batch_fold.cc
@@ -10,6 +10,13 @@
   return found == index.end() ? nullptr : &submission.items[found->second];
 }
 
+auto batch_job::ProgressOf(const batch_item_id& item) const
+    -> const batch_progress& {
+  static const batch_progress none;
+  const auto found = progress.find(item);
+  return found == progress.end() ? none : found->second;
+}
+
 auto batch_partition::Reset(log_offset first) -> void {
   next_ = first;
   jobs_.clear();
@@ -28,6 +35,9 @@
   if (auto* result = std::get_if<result_record>(&*parsed)) {
     return TakeResult(std::move(*result));
   }
+  if (auto* progress = std::get_if<progress_record>(&*parsed)) {
+    return TakeProgress(std::move(*progress));
+  }
   return TakeEnd(std::get<end_record>(*parsed));
 }
 
@@ -56,7 +66,9 @@
   for (std::size_t i = 0; i < job.submission.items.size(); ++i) {
     job.index.emplace(job.submission.items[i].id, i);
   }
-  return {.opened = part.job, .ended = {}, .listed = {}};
+  batch_change change;
+  change.opened = part.job;
+  return change;
 }
 
 auto batch_partition::TakeResult(result_record record) -> batch_change {
@@ -70,7 +82,31 @@
     return {};
   }
   job.results.push_back(std::move(record.result));
-  return {.opened = {}, .ended = {}, .listed = std::pair(record.job, item)};
+  job.progress.erase(item);
+  batch_change change;
+  change.listed = std::pair(record.job, item);
+  return change;
+}
+
+auto batch_partition::TakeProgress(progress_record record) -> batch_change {
+  const auto found = jobs_.find(record.job);
+  if (found == jobs_.end()) {
+    return {};
+  }
+  auto& job = found->second;
+  const auto& recorded = job.ProgressOf(record.item);
+  if (job.ended || !job.index.contains(record.item) ||
+      job.listed.contains(record.item) ||
+      record.after_event != recorded.last_event ||
+      record.added.last_event <= recorded.last_event) {
+    return {};
+  }
+  auto& progress = job.progress[record.item];
+  progress.last_event = record.added.last_event;
+  progress.output += record.added.output;
+  batch_change change;
+  change.progressed = std::pair(record.job, record.item);
+  return change;
 }
 
 auto batch_partition::TakeEnd(const end_record& record) -> batch_change {
@@ -79,7 +115,10 @@
     return {};
   }
   found->second.ended = true;
-  return {.opened = {}, .ended = record.job, .listed = {}};
+  found->second.progress.clear();
+  batch_change change;
+  change.ended = record.job;
+  return change;
 }
 
 auto batch_partition::Forget(unix_ms before) -> void {
--- a/src/batch_fold.h
+++ b/src/batch_fold.h
@@ -2,7 +2,9 @@
  *
  * Every host that reads the log comes to the same jobs, results and positions,
  * whoever wrote the records: the first submission of a job counts, and the
- * first result of an item takes the next position of its job. The store keeps
+ * first result of an item takes the next position of its job. Progress counts
+ * only if it follows what is recorded, so that no event is missing or stands
+ * twice in an item's output. The store keeps
  * records longer than jobs live, so nothing is written again. */
 #ifndef SRC_BATCH_FOLD_H_
 #define SRC_BATCH_FOLD_H_
@@ -21,11 +23,12 @@
 
 /** State of one job. */
 struct batch_job {
-  batch_submission submission;                 ///< As submitted.
-  std::map<batch_item_id, std::size_t> index;  ///< Items by name.
-  std::set<batch_item_id> listed;              ///< Items with a result.
-  std::vector<batch_result> results;           ///< By position.
-  bool ended = false;                          ///< Ended by its caller.
+  batch_submission submission;                       ///< As submitted.
+  std::map<batch_item_id, std::size_t> index;        ///< Items by name.
+  std::set<batch_item_id> listed;                    ///< Items with a result.
+  std::vector<batch_result> results;                 ///< By position.
+  std::map<batch_item_id, batch_progress> progress;  ///< Of open items.
+  bool ended = false;                                ///< Ended by its caller.
 
   /** Whether no more results will come. */
   auto IsClosed() const -> bool {
@@ -33,6 +36,8 @@
   }
   /** The item, nullptr if it is unknown. */
   auto FindItem(const batch_item_id& item) const -> const batch_item*;
+  /** What is recorded of an open item. */
+  auto ProgressOf(const batch_item_id& item) const -> const batch_progress&;
 };
 
 /** What a record changed. */
@@ -40,6 +45,8 @@
   std::optional<batch_id> opened;  ///< A job was accepted.
   std::optional<batch_id> ended;   ///< A job was ended by its caller.
   std::optional<std::pair<batch_id, batch_item_id>> listed;  ///< A result.
+  std::optional<std::pair<batch_id, batch_item_id>>
+      progressed;  ///< More events of an open item.
 };
 
 /** Jobs of one partition. A deterministic function of the records applied; has
@@ -66,6 +73,7 @@
  private:
   auto TakePart(submission_part part) -> batch_change;
   auto TakeResult(result_record record) -> batch_change;
+  auto TakeProgress(progress_record record) -> batch_change;
   auto TakeEnd(const end_record& record) -> batch_change;
 
   log_offset next_;
--- a/src/batch_queue.h
+++ b/src/batch_queue.h
@@ -36,8 +36,7 @@
   time_point not_before;                   ///< Pause after a failure.
   unsigned max_attempts = 1;               ///< Failures that end it.
   unsigned failures = 0;                   ///< Answers that count as failures.
-  std::uint64_t last_event = 0;            ///< Last event that came.
-  std::string output;                      ///< Data of the events so far.
+  batch_progress progress;                 ///< What came before this run.
   bool running = false;                    ///< Has been handed out.
 };
 
--- a/src/batch_record.cc
+++ b/src/batch_record.cc
@@ -156,6 +156,18 @@
               result.output);
 }
 
+auto ProgressRecord(const batch_id& job,
+                    const batch_item_id& item,
+                    const batch_progress& recorded,
+                    const batch_progress& now) -> std::string {
+  return Join({{"kind", "progress"},
+               {"job", job.value},
+               {"item", item.value},
+               {"after", recorded.last_event},
+               {"last", now.last_event}},
+              std::string_view(now.output).substr(recorded.output.size()));
+}
+
 auto EndRecord(const batch_id& job) -> std::string {
   return Join({{"kind", "end"}, {"job", job.value}}, "");
 }
@@ -180,6 +192,12 @@
                           is_done ? batch_end::kDone : batch_end::kAbandoned,
                           std::string(bytes)}};
   }
+  if (kind == "progress") {
+    return progress_record{job,
+                           batch_item_id(std::string(TextField(line, "item"))),
+                           NumberField(line, "after"),
+                           {NumberField(line, "last"), std::string(bytes)}};
+  }
   if (kind == "end") {
     return end_record{job};
   }
--- a/src/batch_record.h
+++ b/src/batch_record.h
@@ -31,12 +31,22 @@
   batch_result result;  ///< Result.
 };
 
+/** Events of an item that has not ended, so that a new owner of the partition
+ * goes on after them. */
+struct progress_record {
+  batch_id job;                   ///< Which job.
+  batch_item_id item;             ///< Which item.
+  std::uint64_t after_event = 0;  ///< The last event recorded before.
+  batch_progress added;           ///< New last event, and what follows it.
+};
+
 /** The end of a job by its caller. */
 struct end_record {
   batch_id job;  ///< Which job.
 };
 
-using batch_record = std::variant<submission_part, result_record, end_record>;
+using batch_record =
+    std::variant<submission_part, result_record, progress_record, end_record>;
 
 /** A submission as bytes. */
 auto EncodeSubmission(const batch_submission& submission) -> std::string;
@@ -49,6 +59,11 @@
 /** Record of a result. */
 auto ResultRecord(const batch_id& job, const batch_result& result)
     -> std::string;
+/** Record of what `now` has beyond `recorded`. */
+auto ProgressRecord(const batch_id& job,
+                    const batch_item_id& item,
+                    const batch_progress& recorded,
+                    const batch_progress& now) -> std::string;
 /** Record of a job's end. */
 auto EndRecord(const batch_id& job) -> std::string;
 
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -39,6 +39,12 @@
   kAbandoned,  ///< It is given up.
 };
 
+/** What the runs of an item have brought so far. */
+struct batch_progress {
+  std::uint64_t last_event = 0;  ///< Last event that came; 0: none.
+  std::string output;            ///< Data of its events, split by '\n'.
+};
+
 /** One result; its position in the job never changes. */
 struct batch_result {
   batch_item_id item;                ///< Which item.
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -69,6 +69,8 @@
     std::optional<batch_id> opens;        ///< Job that it submits.
     std::optional<batch_id> ends;         ///< Job that it ends.
     std::optional<batch_item_ref> lists;  ///< Item whose result it is.
+    std::optional<batch_item_ref> tells;  ///< Item whose progress it is.
+    std::uint64_t after_event = 0;        ///< Recorded before that progress.
     bool may_be_in_log = false;           ///< An append with it had no answer.
     bool is_settled = false;  ///< It is in the log, or needless by now.
   };
@@ -80,6 +82,7 @@
     batch_partition fold;          ///< As read from the log.
     bool is_loaded = false;        ///< The log has been read to its end.
     bool is_owned = true;          ///< False once another host owns it.
+    time_point written_until;      ///< Once not owned: end of its last writes.
     bool is_writing = false;       ///< WriteLoop() runs.
     unsigned load_version = 0;     ///< Counts the calls of Load().
     adapter::store_client client;  ///< For this partition's calls.
@@ -88,7 +91,16 @@
     wait_list changed;  ///< Notified of each change.
   };
   using partition_ptr = std::shared_ptr<owned_partition>;
+  /** A run of an item under way; points into its coroutine. */
+  struct item_run {
+    attempt_handle* handle;           ///< Ends it.
+    const stream_progress* progress;  ///< How far it has come.
+    const std::string* output;        ///< Data of the events so far.
+  };
 
+  /** Whether this host may write to a partition: while it owns it and a moment
+   * longer. */
+  static auto IsWritten(const owned_partition& partition) -> bool;
   auto Load(partition_id id, partition_ptr partition)
       -> boost::asio::awaitable<void>;
   /** Applies the records up to the end of the log; false if the store does not
@@ -105,6 +117,8 @@
                   owned_partition& partition,
                   const batch_change& change) -> void;
   auto QueueItems(partition_id id, const batch_job& job) -> void;
+  auto TakeProgress(const batch_item_ref& ref, const batch_progress& recorded)
+      -> void;
   auto DropItems(partition_id id, const batch_job& job) -> void;
   auto Settle(owned_partition& partition) -> void;
   auto Write(partition_id id,
@@ -150,16 +164,21 @@
   auto List(const batch_item_ref& ref, batch_end end, std::string output)
       -> void;
   auto AbortItem(const batch_item_ref& ref) -> void;
+  auto RecordProgress(partition_id id, const partition_ptr& partition) -> void;
+  auto RecordItem(const batch_item_ref& ref,
+                  const partition_ptr& partition,
+                  const batch_progress& now) -> void;
   auto RouteOf(const batch_submission& submission) const -> const route_rule*;
   auto FindJob(const batch_item_ref& ref) -> const batch_job*;
 
   host_state& host_;
   std::map<partition_id, partition_ptr> partitions_;
   batch_queue queue_;
-  std::map<batch_item_ref, attempt_handle*> runs_;
+  std::map<batch_item_ref, item_run> runs_;
   std::size_t asking_ = 0;  // Items that wait for a slot.
   std::size_t running_ = 0;
-  double run_seconds_;  // Smoothed time of a whole run.
+  double run_seconds_;      // Smoothed time of a whole run.
+  time_point next_record_;  // Of progress.
 };
 
 }  // namespace dogwood
--- a/src/hostd_batch_log.cc
+++ b/src/hostd_batch_log.cc
@@ -23,11 +23,18 @@
  * together more than a membership lives. */
 constexpr milliseconds kFirstReread{800};
 constexpr milliseconds kLastReread{1500};
+/** What a run has brought is written for this long after its partition has gone
+ * to another host, which reads again later than that. */
+constexpr milliseconds kLastWrites{600};
 /** Jobs are forgotten this long after their results may be. */
 constexpr std::chrono::seconds kForgetMargin{15};
 
 }  // namespace
 
+auto batch_service::IsWritten(const owned_partition& partition) -> bool {
+  return partition.is_owned || clock::now() < partition.written_until;
+}
+
 auto batch_service::OwnershipChanged() -> void {
   for (auto it = partitions_.begin(); it != partitions_.end();) {
     if (host_.owned.contains(it->first)) {
@@ -39,10 +46,12 @@
       ++it;
       continue;
     }
+    RecordProgress(it->first, it->second);
     it->second->is_owned = false;
+    it->second->written_until = clock::now() + kLastWrites;
     it->second->changed.Notify();
     std::vector<batch_item_ref> aborted;
-    for (const auto& [ref, handle] : runs_) {
+    for (const auto& [ref, run] : runs_) {
       if (ref.partition == it->first) {
         aborted.push_back(ref);
       }
@@ -107,7 +116,7 @@
 auto batch_service::ReadToEnd(partition_id id, partition_ptr partition)
     -> asio::awaitable<bool> {
   const auto where = LocatePartition(id, host_.options.partitions_per_topic);
-  while (partition->is_owned) {
+  while (IsWritten(*partition)) {
     const auto from = partition->fold.next();
     auto page = co_await partition->client.Read(where, from, milliseconds(0),
                                                 clock::now() + kStoreLimit);
@@ -157,6 +166,11 @@
     queue_.Remove(ref);
     AbortItem(ref);
   }
+  if (change.progressed) {
+    // The owner before may have written it after this host had taken over.
+    const auto& [job, item] = *change.progressed;
+    TakeProgress({id, job, item}, partition.fold.Find(job)->ProgressOf(item));
+  }
   if (change.ended) {
     DropItems(id, *partition.fold.Find(*change.ended));
   }
@@ -174,6 +188,12 @@
     } else if (record.lists) {
       const auto* job = partition.fold.Find(record.lists->job);
       is_in_log = job == nullptr || job->listed.contains(record.lists->item);
+    } else if (record.tells) {
+      const auto* job = partition.fold.Find(record.tells->job);
+      const auto& item = record.tells->item;
+      is_in_log = job == nullptr || job->IsClosed() ||
+                  job->listed.contains(item) ||
+                  job->ProgressOf(item).last_event != record.after_event;
     }
     if (is_in_log) {
       record.is_settled = true;
@@ -201,7 +221,7 @@
 
 auto batch_service::WriteLoop(partition_id id, partition_ptr partition)
     -> asio::awaitable<void> {
-  while (partition->is_owned && !partition->pending.empty()) {
+  while (IsWritten(*partition) && !partition->pending.empty()) {
     const bool is_appended = co_await AppendOnce(id, partition);
     if (!is_appended) {
       co_await Sleep(kStorePause);
@@ -281,12 +301,67 @@
   Write(ref.partition, found->second, std::move(record));
 }
 
-auto batch_service::HandOver(time_point deadline) -> asio::awaitable<void> {
-  for (const auto& [ref, handle] : runs_) {
-    handle->Abort();
+auto batch_service::TakeProgress(const batch_item_ref& ref,
+                                 const batch_progress& recorded) -> void {
+  auto* queued = queue_.Find(ref);
+  if (queued != nullptr && !queued->running &&
+      queued->progress.last_event < recorded.last_event) {
+    queued->progress = recorded;
+  }
+}
+
+auto batch_service::RecordItem(const batch_item_ref& ref,
+                               const partition_ptr& partition,
+                               const batch_progress& now) -> void {
+  const auto* job = partition->fold.Find(ref.job);
+  if (job == nullptr || job->listed.contains(ref.item)) {
+    return;
+  }
+  const auto& recorded = job->ProgressOf(ref.item);
+  const bool is_pending =
+      std::ranges::any_of(partition->pending, [&ref](const auto& record) {
+        return record->tells == ref || record->lists == ref;
+      });
+  if (is_pending || now.last_event <= recorded.last_event ||
+      !now.output.starts_with(recorded.output)) {
+    return;
+  }
+  auto record = std::make_shared<pending_record>();
+  record->records = {ProgressRecord(ref.job, ref.item, recorded, now)};
+  record->tells = ref;
+  record->after_event = recorded.last_event;
+  Write(ref.partition, partition, std::move(record));
+}
+
+auto batch_service::RecordProgress(partition_id id,
+                                   const partition_ptr& partition) -> void {
+  for (const auto& [job_id, job] : partition->fold.Jobs()) {
+    if (job.IsClosed()) {
+      continue;
+    }
+    for (const auto& item : job.submission.items) {
+      const batch_item_ref ref{id, job_id, item.id};
+      const auto run = runs_.find(ref);
+      const auto* queued = queue_.Find(ref);
+      if (run != runs_.end()) {
+        RecordItem(ref, partition,
+                   {run->second.progress->last_event, *run->second.output});
+      } else if (queued != nullptr) {
+        RecordItem(ref, partition, queued->progress);
+      }
+    }
   }
+}
+
+auto batch_service::HandOver(time_point deadline) -> asio::awaitable<void> {
   // A copy: ownership may change during the waits.
   const auto partitions = partitions_;
+  for (const auto& [id, kept] : partitions) {
+    RecordProgress(id, kept);
+  }
+  for (const auto& [ref, run] : runs_) {
+    run.handle->Abort();
+  }
   for (const auto& [id, kept] : partitions) {
     while (!kept->pending.empty() && clock::now() < deadline) {
       co_await kept->changed.Wait(deadline);
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -19,6 +19,9 @@
 
 /** Period of the search for items to run. */
 constexpr milliseconds kDispatchPeriod{50};
+/** Period of records of items' progress: a new owner of a partition repeats no
+ * more than this of a run, whose whole time is 2 to 5 s on the users' sites. */
+constexpr milliseconds kRecordPeriod{1000};
 /** Items that ask for a slot at a time; the dispatcher's queue needs no more
  * to fill every slot that frees. */
 constexpr std::size_t kMostAsking = 8;
@@ -117,7 +120,9 @@
       queued.expires = SteadyAfter(job.submission.submitted, route->retention);
       queued.max_attempts = route->max_attempts;
     }
-    queue_.Add({id, job.submission.id, item.id}, std::move(queued));
+    const batch_item_ref ref{id, job.submission.id, item.id};
+    queue_.Add(ref, std::move(queued));
+    TakeProgress(ref, job.ProgressOf(item.id));
   }
 }
 
@@ -158,6 +163,12 @@
       }
       asio::co_spawn(host_.io, RunItem(*ref), LogException);
     }
+    if (now >= next_record_) {
+      next_record_ = now + kRecordPeriod;
+      for (const auto& [id, partition] : partitions_) {
+        RecordProgress(id, partition);
+      }
+    }
     co_await Sleep(kDispatchPeriod);
   }
 }
@@ -239,12 +250,13 @@
       .deadline = std::min(started + kLongestRun, queued->expires),
       .may_move = false,
       .is_batch = true};
-  stream_progress progress{.last_event = queued->last_event, .has_head = true};
-  std::string output = queued->output;
-  const bool is_first_run = queued->last_event == 0;
+  stream_progress progress{.last_event = queued->progress.last_event,
+                           .has_head = true};
+  std::string output = queued->progress.output;
+  const bool is_first_run = progress.last_event == 0;
   item_sink sink(output);
   attempt_handle handle;
-  runs_[ref] = &handle;
+  runs_[ref] = {&handle, &progress, &output};
   ++running_;
   host_.placement->OnPreempt(ticket, [&handle] { handle.Abort(); });
   auto result = co_await RunAttempt(host_, order, progress, handle, sink);
@@ -275,7 +287,7 @@
             {"server", server.value},
             {"whole", result.is_whole},
             {"status", status},
-            {"from_event", queued->last_event},
+            {"from_event", queued->progress.last_event},
             {"last_event", progress.last_event},
             {"outcome", result.is_whole ? "answered" : result.error.message}});
   if (result.is_whole && !result.answer) {
@@ -294,8 +306,7 @@
     }
     return;
   }
-  queued->last_event = progress.last_event;
-  queued->output = std::move(output);
+  queued->progress = {progress.last_event, std::move(output)};
   const bool is_preempted = result.outcome == run_outcome::kLeft;
   queue_.Return(ref, is_preempted ? clock::now() : clock::now() + kUnrunPause);
 }
@@ -303,7 +314,7 @@
 auto batch_service::AbortItem(const batch_item_ref& ref) -> void {
   const auto found = runs_.find(ref);
   if (found != runs_.end()) {
-    found->second->Abort();
+    found->second.handle->Abort();
   }
 }
 
--- a/tests/batch_test.cc
+++ b/tests/batch_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
 
 #include "src/batch.h"
 
@@ -86,6 +87,45 @@
   });
 }
 
+/** Property: whatever two owners record of an item's runs, the text recorded
+ * has every event once and in order. */
+auto ProgressHasEveryEventOnce() -> bool {
+  return rc::check("recorded progress has every event once", [] {
+    batch_partition fold;
+    ApplyAll(fold, SubmissionRecords(Submission("j", 1, 10), kRecordBytes));
+    const batch_item_id item("j-0");
+    // What each owner has run, and what it last read of the log.
+    std::array<batch_progress, 2> run;
+    std::array<batch_progress, 2> known;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 6));
+    for (const auto step : steps) {
+      const auto owner = static_cast<std::size_t>(step % 2);
+      if (step < 2) {
+        ++run[owner].last_event;
+        run[owner].output += std::to_string(run[owner].last_event) + " ";
+      } else if (step < 4) {
+        if (run[owner].last_event > known[owner].last_event) {
+          fold.Apply(
+              ProgressRecord(batch_id("j"), item, known[owner], run[owner]));
+        }
+      } else {
+        known[owner] = fold.Find(batch_id("j"))->ProgressOf(item);
+        run[owner] = known[owner];
+      }
+      const auto& recorded = fold.Find(batch_id("j"))->ProgressOf(item);
+      std::string wanted;
+      for (std::uint64_t event = 1; event <= recorded.last_event; ++event) {
+        wanted += std::to_string(event) + " ";
+      }
+      RC_ASSERT(recorded.output == wanted);
+    }
+    fold.Apply(ResultRecord(batch_id("j"), Result("j-0", "all")));
+    fold.Apply(ProgressRecord(batch_id("j"), item, {}, {1, "1 "}));
+    RC_ASSERT(fold.Find(batch_id("j"))->progress.empty());
+  });
+}
+
 /** Property: bytes that are no record change nothing and do not crash. */
 auto NoiseIsHarmless() -> bool {
   return rc::check("noise changes no job", [] {
@@ -152,6 +192,12 @@
   cr_assert(PositionsNeverChange());
 }
 
+// Guards against a text in which events are missing or stand twice after a
+// change of owners.
+Test(batch, progress_has_every_event_once) {
+  cr_assert(ProgressHasEveryEventOnce());
+}
+
 Test(batch, noise_is_harmless) {
   cr_assert(NoiseIsHarmless());
 }
@@ -212,11 +258,11 @@
   queue.Add(Ref("a"), Item(now, 10));
   cr_assert(queue.Take(now, seconds(1)).has_value());
   cr_assert_not(queue.Take(now, seconds(1)).has_value());
-  queue.Find(Ref("a"))->last_event = 7;
+  queue.Find(Ref("a"))->progress.last_event = 7;
   queue.Return(Ref("a"), now + seconds(2));
   cr_assert_not(queue.Take(now + seconds(1), seconds(1)).has_value());
   cr_assert(queue.Take(now + seconds(2), seconds(1)).has_value());
-  cr_assert_eq(queue.Find(Ref("a"))->last_event, 7);
+  cr_assert_eq(queue.Find(Ref("a"))->progress.last_event, 7);
 }
 
 // Guards against an item that is given up too early, or sent without end.
--- a/tests/site_owner.py
+++ b/tests/site_owner.py
@@ -3,6 +3,8 @@
 their owner is killed, or loses a partition and gets it back unnoticed."""
 
 import asyncio
+import signal
+import time
 
 import site_helper as sh
 
@@ -91,6 +93,33 @@
             await fleet.all_results(f"job{i}", 8, hosts=[first])
 
 
+async def progress_survives(how, wait_s):
+    """Items that began again from their first event after each change of
+    owners, and took several times as long as one run."""
+    async with sh.Fleet("progress_survives", hosts=2) as fleet:
+        first, second = fleet.hosts
+        fleet.store.deal = lambda group, topics: None  # Only this test moves them.
+        move(fleet, second.member)
+        await asyncio.sleep(1.5)
+        for engine in fleet.engines:
+            engine.silent_after = 4
+        answer = await fleet.submit(second, "job", 4)
+        sh.check(answer.status == 202, f"job: {answer}")
+        await asyncio.sleep(wait_s)
+        stopped = time.monotonic()
+        await second.end(how)
+        move(fleet, first.member)
+        for engine in fleet.engines:
+            engine.silent_after = None
+        for item, end, output in await fleet.all_results("job", 4, hosts=[first]):
+            sh.check((end, output) == ("done", sh.stand_in.whole_output(item)), f"{item}: {end} {output}")
+        later = [(seen[0], int(seen[1].get("last-event-id", 0)))
+                 for engine in fleet.engines for seen in engine.seen if seen[3] > stopped]
+        sh.check(len({item for item, _ in later}) == 4, f"runs of the new owner: {later}")
+        again = [run for run in later if run[1] == 0]
+        sh.check(not again, f"the new owner ran items from their first event: {again}")
+
+
 async def lost_answers():
     """An append that took effect without an answer accepts the job once."""
     async with sh.Fleet("lost_answers", hosts=2) as fleet:
@@ -122,6 +151,9 @@
     await killed_owner()
     await unnoticed_return()
     await lost_while_loading()
+    # Killed after the period of progress records; stopped before the first.
+    await progress_survives(signal.SIGKILL, 1.6)
+    await progress_survives(signal.SIGTERM, 0.5)
     await lost_answers()
     await ended_job()
 
