Let any host accept a batch job for an owner that does not answer

Ruled out: shorter memberships (they end also while the store is slow). Change: a submission whose owner has not answered for 0.2 s, or cannot accept it, is appended by the host that got it, or by one of two others if that one does not reach the store. An append counts only at the end of the log for which it was made, and the fold drops a second submission, so the job is accepted once. The answer says that nothing ran only if none of the hosts may have appended it. Test: site_owner, silent_owner (without the change 504).

--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -2,6 +2,7 @@
 #include "src/hostd_batch.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/json/serialize.hpp>
 #include <utility>
 
@@ -23,6 +24,14 @@
 constexpr milliseconds kSubmitLimit{3500};
 /** Longest wait for a result, and for the owner's answer beyond its wait. */
 constexpr milliseconds kReadLimit{1200};
+/** An owner that has not answered a submission for this long is left aside: a
+ * fifth of a second is twice what it needs from another region, and leaves time
+ * within the objective of half a second. */
+constexpr milliseconds kOwnerPatience{200};
+/** Longest try of one host to accept a job in place of the owner. */
+constexpr milliseconds kStandInLimit{1200};
+/** Hosts that try it, this one included. */
+constexpr std::size_t kMostStandIns = 3;
 /** A caller whose job's owner is unknown returns after this. */
 constexpr milliseconds kOwnerReturn{300};
 
@@ -63,6 +72,10 @@
 auto batch_service::Answer(const wire::batch_callT& call)
     -> asio::awaitable<http_response> {
   const partition_id id(call.partition);
+  if (static_cast<batch_call_kind>(call.call) ==
+      batch_call_kind::kSubmitForOwner) {
+    co_return co_await SubmitForOwner(id, call);
+  }
   const auto found = partitions_.find(id);
   if (found == partitions_.end()) {
     co_return FailureAnswer(error_code::kUnavailable,
@@ -157,6 +170,46 @@
                           "the store did not answer in time");
 }
 
+auto batch_service::SubmitForOwner(partition_id id,
+                                   const wire::batch_callT& call)
+    -> asio::awaitable<http_response> {
+  auto submission = DecodeSubmission(call.body);
+  if (!submission) {
+    co_return FailureAnswer(error_code::kBadRequest,
+                            submission.error().message);
+  }
+  const auto records =
+      SubmissionRecords(submission.value(), host_.options.record_bytes);
+  const auto where = LocatePartition(id, host_.options.partitions_per_topic);
+  const auto deadline = clock::now() + std::chrono::microseconds(call.wait_us);
+  // Read for this call only; never among the partitions that this host owns.
+  auto partition =
+      std::make_shared<owned_partition>(host_.io, host_.options.store);
+  bool may_be_in_log = false;
+  while (clock::now() < deadline) {
+    const bool is_read = co_await ReadToEnd(id, partition);
+    if (!is_read) {
+      break;
+    }
+    if (partition->fold.Find(submission->id) != nullptr) {
+      co_return JsonResponse(202, "{}");
+    }
+    auto appended = co_await partition->client.Append(
+        where, records, partition->fold.next(), deadline);
+    if (appended) {
+      co_return JsonResponse(202, "{}");
+    }
+    if (appended.error().code != error_code::kConflict) {
+      may_be_in_log = appended.error().ran == ran_state::kMaybe;
+      break;
+    }
+  }
+  co_return may_be_in_log
+      ? FailureAnswer(error_code::kDeadlineExceeded,
+                      "the store did not answer in time")
+      : FailureAnswer(error_code::kUnavailable, "the store takes no records");
+}
+
 auto batch_service::Results(partition_ptr partition,
                             const wire::batch_callT& call)
     -> asio::awaitable<http_response> {
@@ -227,27 +280,23 @@
   return call;
 }
 
-/** Asks the owner of the call's partition, this host or another. */
-auto AskOwner(host_state& host, wire::batch_callT call)
-    -> asio::awaitable<http_response> {
-  const auto* owner = host.view.OwnerOf(partition_id(call.partition));
-  if (owner == nullptr) {
-    co_return FailureAnswer(error_code::kUnavailable,
-                            "the job's partition has no owner");
-  }
-  if (owner->name == host.self.name) {
+/** Asks a host, this one or another. */
+auto AskHost(host_state& host,
+             const fleet_member& member,
+             wire::batch_callT call) -> asio::awaitable<http_response> {
+  if (member.name == host.self.name) {
     co_return co_await host.batch->Answer(call);
   }
-  const auto link = host.links.Get(host.LinkOf(*owner));
+  const auto link = host.links.Get(host.LinkOf(member));
   if (link == nullptr) {
     co_return FailureAnswer(error_code::kUnavailable,
-                            "the owner has no address");
+                            "the host has no address");
   }
   const auto deadline =
       clock::now() + std::chrono::microseconds(call.wait_us) + kReadLimit;
+  const auto asked = static_cast<batch_call_kind>(call.call);
   const bool is_read =
-      static_cast<batch_call_kind>(call.call) != batch_call_kind::kSubmit &&
-      static_cast<batch_call_kind>(call.call) != batch_call_kind::kEnd;
+      asked == batch_call_kind::kResults || asked == batch_call_kind::kItem;
   auto message = MakeMessage(std::move(call));
   auto reply = co_await link->Call(std::move(message), deadline);
   const auto* answer = reply ? reply->Ashttp_reply() : nullptr;
@@ -256,7 +305,7 @@
     co_return FailureAnswer(
         is_read || is_unsent ? error_code::kUnavailable
                              : error_code::kDeadlineExceeded,
-        reply ? "unexpected answer of the owner" : reply.error().message);
+        reply ? "unexpected answer of the host" : reply.error().message);
   }
   http_response response;
   response.status = answer->status;
@@ -265,6 +314,103 @@
   co_return response;
 }
 
+/** Asks the owner of the call's partition. */
+auto AskOwner(host_state& host, wire::batch_callT call)
+    -> asio::awaitable<http_response> {
+  const auto* owner = host.view.OwnerOf(partition_id(call.partition));
+  if (owner == nullptr) {
+    co_return FailureAnswer(error_code::kUnavailable,
+                            "the job's partition has no owner");
+  }
+  // A copy: the view may change while the owner answers.
+  const auto member = *owner;
+  auto response = co_await AskHost(host, member, std::move(call));
+  co_return response;
+}
+
+/** An answer that is waited for with patience. */
+struct pending_answer {
+  explicit pending_answer(asio::io_context& io) : changed(io) {}
+  std::optional<http_response> response;  ///< Set when it has come.
+  wait_list changed;                      ///< Notified then.
+};
+
+/** Asks the owner; the answer goes to `pending`. */
+auto AskOwnerInto(host_state& host,
+                  wire::batch_callT call,
+                  std::shared_ptr<pending_answer> pending)
+    -> asio::awaitable<void> {
+  pending->response = co_await AskOwner(host, std::move(call));
+  pending->changed.Notify();
+}
+
+/** Whether a submission was accepted, or can never be. */
+auto IsSettled(const std::optional<http_response>& response) -> bool {
+  return response && response->status != 503 && response->status != 504;
+}
+
+/** Hosts that may accept a job in place of the owner: this one, then others in
+ * an order that differs from call to call. */
+auto StandIns(host_state& host, const fleet_member* owner)
+    -> std::vector<fleet_member> {
+  std::vector<fleet_member> others;
+  for (const auto& member : host.view.members) {
+    if (member.name != host.self.name &&
+        (owner == nullptr || member.name != owner->name)) {
+      others.push_back(member);
+    }
+  }
+  std::ranges::shuffle(others, host.random);
+  others.insert(host.store.is_lost ? others.end() : others.begin(), host.self);
+  others.resize(std::min(others.size(), kMostStandIns));
+  return others;
+}
+
+/** Has a job accepted by its owner, or by another host if the owner does not
+ * answer. */
+auto SubmitJob(host_state& host, wire::batch_callT call)
+    -> asio::awaitable<http_response> {
+  const auto deadline = clock::now() + std::chrono::microseconds(call.wait_us);
+  auto owner_answer = std::make_shared<pending_answer>(host.io);
+  asio::co_spawn(host.io, AskOwnerInto(host, call, owner_answer), LogException);
+  const auto patience = clock::now() + kOwnerPatience;
+  while (!owner_answer->response && clock::now() < patience) {
+    co_await owner_answer->changed.Wait(patience);
+  }
+  if (IsSettled(owner_answer->response)) {
+    co_return *owner_answer->response;
+  }
+  const auto stand_ins =
+      StandIns(host, host.view.OwnerOf(partition_id(call.partition)));
+  call.call = static_cast<std::uint8_t>(batch_call_kind::kSubmitForOwner);
+  call.wait_us =
+      std::chrono::duration_cast<std::chrono::microseconds>(kStandInLimit)
+          .count();
+  bool may_be_in_log = false;
+  for (const auto& member : stand_ins) {
+    if (clock::now() >= deadline || IsSettled(owner_answer->response)) {
+      break;
+    }
+    auto response = co_await AskHost(host, member, call);
+    if (IsSettled(response)) {
+      co_return response;
+    }
+    may_be_in_log = may_be_in_log || response.status == 504;
+  }
+  while (!owner_answer->response && clock::now() < deadline) {
+    co_await owner_answer->changed.Wait(deadline);
+  }
+  if (IsSettled(owner_answer->response)) {
+    co_return *owner_answer->response;
+  }
+  // "Not run" only if none of them may have appended the job.
+  may_be_in_log = may_be_in_log || !owner_answer->response ||
+                  owner_answer->response->status == 504;
+  co_return may_be_in_log ? FailureAnswer(error_code::kDeadlineExceeded,
+                                          "the store did not answer in time")
+                          : *owner_answer->response;
+}
+
 }  // namespace
 
 auto HandleBatchCall(host_state& host,
@@ -294,7 +440,12 @@
   const auto job = call.job;
   const auto kind = call.call;
   const auto partition = call.partition;
-  auto response = co_await AskOwner(host, std::move(call));
+  http_response response;
+  if (caller.call == caller_call::kServe) {
+    response = co_await SubmitJob(host, std::move(call));
+  } else {
+    response = co_await AskOwner(host, std::move(call));
+  }
   const auto status = response.status;
   const auto* owner = host.view.OwnerOf(partition_id(partition));
   // Reads come twice a second from every caller; only refused ones are told.
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -25,10 +25,11 @@
 
 /** What a call on a batch job asks its owner for. */
 enum class batch_call_kind : std::uint8_t {
-  kSubmit,   ///< Accept the job in `body`, see EncodeSubmission().
-  kResults,  ///< Results from `position` on.
-  kItem,     ///< Body of `item`.
-  kEnd,      ///< End the job.
+  kSubmit,          ///< Accept the job in `body`, see EncodeSubmission().
+  kResults,         ///< Results from `position` on.
+  kItem,            ///< Body of `item`.
+  kEnd,             ///< End the job.
+  kSubmitForOwner,  ///< The same as kSubmit, at a host that is not the owner.
 };
 
 /** Answers a caller's call on a batch job. */
@@ -53,7 +54,8 @@
   /** Ends all runs and waits until what came of them is in the log, at most
    * until `deadline`: another host is to take over. */
   auto HandOver(time_point deadline) -> boost::asio::awaitable<void>;
-  /** Answers a call for a partition that this host owns. */
+  /** Answers a call for a partition that this host owns, or kSubmitForOwner
+   * for any. */
   auto Answer(const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
   /** Items that wait or run, for metrics. */
@@ -143,6 +145,12 @@
               partition_ptr partition,
               const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
+  /** Accepts a job in place of an owner that does not answer. Any host may: an
+   * append counts only at the end of the log that it was made for, and the fold
+   * drops a second submission. The owner finds the job when it is asked for it,
+   * or the next owner when it reads the log. */
+  auto SubmitForOwner(partition_id id, const wire::batch_callT& call)
+      -> boost::asio::awaitable<http_response>;
   auto Results(partition_ptr partition, const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
   auto End(partition_id id,
--- a/tests/site_owner.py
+++ b/tests/site_owner.py
@@ -120,6 +120,29 @@
         sh.check(not again, f"the new owner ran items from their first event: {again}")
 
 
+async def silent_owner():
+    """Jobs that were refused, or accepted only after seconds, while the owner
+    of their partition did not answer but was still a member."""
+    async with sh.Fleet("silent_owner", hosts=3) as fleet:
+        first, second, third = fleet.hosts
+        fleet.store.deal = lambda group, topics: None  # Only this test moves them.
+        move(fleet, third.member)
+        await asyncio.sleep(1.5)
+        third.process.send_signal(signal.SIGSTOP)
+        jobs = [fleet.new_id("job") for _ in range(6)]
+        for i, job in enumerate(jobs):
+            answer = await fleet.submit(fleet.hosts[i % 2], job, 2)
+            sh.check(answer.status == 202, f"job {job} beside a silent owner: {answer}")
+        again = await fleet.submit(second, jobs[0], 2)
+        sh.check(again.status == 202, f"job {jobs[0]} once more: {again}")
+        third.process.send_signal(signal.SIGCONT)
+        for job in jobs:
+            found = await fleet.all_results(job, 2)
+            sh.check(len({item for item, _, _ in found}) == 2, f"job {job}: {found}")
+        sh.check(all(fleet.runs(f"{jobs[0]}-{i}") == 1 for i in range(2)),
+                 "a job that was accepted twice ran twice")
+
+
 async def lost_answers():
     """An append that took effect without an answer accepts the job once."""
     async with sh.Fleet("lost_answers", hosts=2) as fleet:
@@ -154,6 +177,7 @@
     # Killed after the period of progress records; stopped before the first.
     await progress_survives(signal.SIGKILL, 1.6)
     await progress_survives(signal.SIGTERM, 0.5)
+    await silent_owner()
     await lost_answers()
     await ended_job()
 
