--- a/src/batch_fold.cc
+++ b/src/batch_fold.cc
@@ -12,9 +12,9 @@
 
 auto batch_job::ProgressOf(const batch_item_id& item) const
     -> const batch_progress& {
-  static const batch_progress none;
+  static const batch_progress kNone;
   const auto found = progress.find(item);
-  return found == progress.end() ? none : found->second;
+  return found == progress.end() ? kNone : found->second;
 }
 
 auto batch_partition::Reset(log_offset first) -> void {
