--- a/src/replica_base.h
+++ b/src/replica_base.h
@@ -125,6 +125,8 @@
  public:
   explicit pull_source(host_id self) : self_(std::move(self)) {}
 
+  /** Whether Choose() wants the members; they are many to copy. */
+  auto AsksOthers(time_point now) const -> bool;
   /** Control link of the host to ask, nothing for the own controld. */
   auto Choose(const std::vector<member>& members, time_point now)
       -> std::optional<std::string>;
--- a/src/replica_client.cc
+++ b/src/replica_client.cc
@@ -79,10 +79,14 @@
 
 }  // namespace
 
+auto pull_source::AsksOthers(time_point now) const -> bool {
+  return failures_ > 0 && now < own_retry_at_;
+}
+
 auto pull_source::Choose(const std::vector<member>& members, time_point now)
     -> std::optional<std::string> {
   std::vector<const member*> others;
-  if (failures_ > 0 && now < own_retry_at_) {
+  if (AsksOthers(now)) {
     for (const auto& m : members) {
       if (m.host != self_ && m.state == member_state::kLive) {
         others.push_back(&m);
@@ -132,8 +136,11 @@
     request.limit = kPageRecords;
     auto message = MakeMessage(std::move(request));
     const auto sent = clock::now();
-    const auto members =
-        replica.Read([](const config_tree& tree) { return tree.Members(); });
+    std::vector<member> members;
+    if (source.AsksOthers(sent)) {
+      members =
+          replica.Read([](const config_tree& tree) { return tree.Members(); });
+    }
     const auto other = source.Choose(members, sent);
     // Kept, as the table may drop the link while the call waits.
     const auto link = other ? others.Get(*other) : nullptr;
