--- a/src/replica_client.cc
+++ b/src/replica_client.cc
@@ -99,8 +99,9 @@
   }
   const auto self = std::ranges::find(members, self_, &member::host);
   if (self != members.end()) {
-    std::ranges::stable_partition(
-        others, [&](const member* m) { return m->region == self->region; });
+    std::stable_partition(others.begin(), others.end(), [&](const member* m) {
+      return m->region == self->region;
+    });
   }
   return others[(failures_ - 1) % others.size()]->control_link;
 }
