Share the JSON fields, refusals and failure answers of the programs

Cause: reading a text or number field of a JSON object stood in four files, a refusal before anything has run in three, the answer that carries a failure in two; log_levels was copied into options that nothing reads. Change: json_func, NotRun() and FailureResponse() take their place. RecordItem() takes the two values that it uses instead of a temporary object.

--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -1,4 +1,4 @@
-dogwood_library(core SOURCES error_func.cc log_func.cc text_func.cc
+dogwood_library(core SOURCES error_func.cc json_func.cc log_func.cc text_func.cc
                 LIBS Boost::json easylogging OpenSSL::Crypto Threads::Threads)
 dogwood_library(setting SOURCES setting_func.cc LIBS dogwood_core)
 dogwood_library(net SOURCES net_func.cc LIBS dogwood_core)
--- a/src/batch_record.cc
+++ b/src/batch_record.cc
@@ -7,7 +7,7 @@
 #include <boost/json/serialize.hpp>
 #include <utility>
 
-#include "src/job_record.h"
+#include "src/json_func.h"
 
 namespace dogwood {
 namespace json = boost::json;
--- a/src/batchd_base.cc
+++ b/src/batchd_base.cc
@@ -111,12 +111,4 @@
   return replica.IsOwner(owned_kind::kPartition, std::to_string(p.value), now);
 }
 
-auto NotRun(error_code code, std::string message, std::string step) -> failure {
-  return {.code = code,
-          .message = std::move(message),
-          .ran = ran_state::kNo,
-          .step = std::move(step),
-          .peer = ""};
-}
-
 }  // namespace dogwood
--- a/src/batchd_base.h
+++ b/src/batchd_base.h
@@ -96,9 +96,6 @@
   std::shared_ptr<const dispatch_rules> rules_;
 };
 
-/** A failure with ran=no. */
-auto NotRun(error_code code, std::string message, std::string step) -> failure;
-
 }  // namespace dogwood
 
 #endif  // SRC_BATCHD_BASE_H_
--- a/src/batchd_run.cc
+++ b/src/batchd_run.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "src/job.h"
+#include "src/json_func.h"
 
 namespace dogwood {
 namespace json = boost::json;
--- a/src/batchd_setting.cc
+++ b/src/batchd_setting.cc
@@ -163,7 +163,6 @@
   s.data_centre = data_centre_id(values.Text("data_centre"));
   s.region = region_id(values.Text("region"));
   s.secret = values.Text("secret");
-  s.log_levels = values.Text("log_levels");
   s.admission = PolicyOf(values);
   s.owner = OwnerPolicyOf(values);
   FillNumbers(values, s);
--- a/src/batchd_setting.h
+++ b/src/batchd_setting.h
@@ -46,7 +46,6 @@
   std::chrono::milliseconds load_poll;                 ///< Of servers' load.
   std::chrono::milliseconds online_life;  ///< Of entry hosts' counts.
   std::chrono::milliseconds stop_limit;   ///< For a planned stop.
-  std::string log_levels;                 ///< As for StartLog().
 };
 
 /** Converts checked values. Fails with kBadRequest naming the setting. */
--- a/src/batchd_stream.cc
+++ b/src/batchd_stream.cc
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "src/job.h"
+#include "src/json_func.h"
 
 namespace dogwood {
 namespace json = boost::json;
--- a/src/controld_setting.cc
+++ b/src/controld_setting.cc
@@ -178,7 +178,6 @@
   controld_settings settings;
   settings.self = ReadSelf(values);
   settings.log_region = region_id(values.Text("log_region"));
-  settings.log_levels = values.Text("log_levels");
   ReadNumbers(values, settings);
   for (const auto& [name, to] :
        {std::pair("platform_address", &settings.platform),
--- a/src/controld_setting.h
+++ b/src/controld_setting.h
@@ -43,7 +43,6 @@
   std::uint64_t snapshot_every_records = 0;      ///< Between snapshots.
   std::size_t kept_records = 0;                  ///< In memory.
   unsigned worker_threads = 1;                   ///< Of the worker pool.
-  std::string log_levels;                        ///< As for StartLog().
 };
 
 /** Converts checked values. Fails with kBadRequest naming the setting. */
--- a/src/core.h
+++ b/src/core.h
@@ -4,6 +4,7 @@
 
 #include "src/error_func.h"
 #include "src/error_type.h"
+#include "src/json_func.h"
 #include "src/log_func.h"
 #include "src/text_func.h"
 #include "src/unit_type.h"
--- a/src/ctl_explain.cc
+++ b/src/ctl_explain.cc
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <utility>
 
+#include "src/json_func.h"
+
 namespace dogwood {
 namespace json = boost::json;
 namespace {
@@ -33,15 +35,6 @@
   return std::ranges::find(names, name) != names.end();
 }
 
-/** Text of a field, empty if it is absent or no text. */
-auto TextOf(const json::object& line, std::string_view name)
-    -> std::string_view {
-  const auto* value = line.if_contains(name);
-  return value != nullptr && value->is_string()
-             ? std::string_view(value->get_string())
-             : std::string_view();
-}
-
 /** When a line was written, in Unix milliseconds. */
 auto TimeOf(const json::object& line) -> std::int64_t {
   return line.at(kTimeField).to_number<std::int64_t>();
@@ -74,9 +67,9 @@
 
 /** One row of the result. */
 auto RowOf(const json::object& line, std::int64_t first_ms) -> json::object {
-  const auto event = TextOf(line, "event");
+  const auto event = TextField(line, "event");
   return {{"ms", TimeOf(line) - first_ms},
-          {"host", TextOf(line, "host")},
+          {"host", TextField(line, "host")},
           {"event", event},
           {"decides", Contains(kDecidingEvents, event) ? "=>" : ""},
           {"details", DetailsOf(line)}};
@@ -117,16 +110,16 @@
   // By host, then by event and step: the newest line not shown yet.
   std::map<std::string, std::map<std::string, const json::object*>> context;
   for (const auto& line : lines) {
-    const std::string host(TextOf(line, "host"));
+    const std::string host(TextField(line, "host"));
     if (Names(line, id)) {
       for (const auto& [key, before] : std::exchange(context[host], {})) {
         rows.emplace_back(RowOf(*before, first_ms));
       }
       rows.emplace_back(RowOf(line, first_ms));
-    } else if (Contains(kContextEvents, TextOf(line, "event")) ||
-               Contains(kContextSteps, TextOf(line, "step"))) {
-      const auto key = std::string(TextOf(line, "event")) + "/" +
-                       std::string(TextOf(line, "step"));
+    } else if (Contains(kContextEvents, TextField(line, "event")) ||
+               Contains(kContextSteps, TextField(line, "step"))) {
+      const auto key = std::string(TextField(line, "event")) + "/" +
+                       std::string(TextField(line, "step"));
       context[host][key] = &line;
     }
   }
--- a/src/ctl_session.cc
+++ b/src/ctl_session.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "src/error_func.h"
+#include "src/json_func.h"
 
 namespace dogwood {
 namespace json = boost::json;
@@ -36,14 +37,6 @@
   return line.substr(first, last - first + 1);
 }
 
-/** Text `name` of an object, empty if absent. */
-auto TextOf(const json::object& object, std::string_view name) -> std::string {
-  const auto* value = object.if_contains(name);
-  return value != nullptr && value->is_string()
-             ? std::string(value->get_string())
-             : std::string();
-}
-
 /** The body as an object, nothing if it is none. */
 auto BodyObject(const std::string& body) -> std::optional<json::object> {
   json::error_code ec;
@@ -70,9 +63,9 @@
     return error;
   }
   const auto& object = detail->get_object();
-  error.message = TextOf(object, "message");
-  error.step = TextOf(object, "step");
-  const auto ran = TextOf(object, "ran");
+  error.message = TextField(object, "message");
+  error.step = TextField(object, "step");
+  const auto ran = TextField(object, "ran");
   if (!ran.empty()) {
     error.ran = ran == "no" ? ran_state::kNo : ran_state::kMaybe;
   }
--- a/src/entryd_http.cc
+++ b/src/entryd_http.cc
@@ -21,31 +21,21 @@
 constexpr std::string_view kServices = "/services/";
 constexpr std::string_view kBatches = "/v1/batches";
 
-/** A refusal before anything has run. */
-auto Refusal(error_code code, std::string message, std::string step)
-    -> failure {
-  return {.code = code,
-          .message = std::move(message),
-          .ran = ran_state::kNo,
-          .step = std::move(step),
-          .peer = ""};
-}
-
 /** Whether the daemon should get new callers; else why not. */
 auto CheckReady(const entry_state& state) -> outcome<void> {
   if (state.draining) {
-    return Refusal(error_code::kUnavailable, "the daemon is stopping", "ready");
+    return NotRun(error_code::kUnavailable, "the daemon is stopping", "ready");
   }
   const bool is_draining = state.replica.Read([&](const config_tree& tree) {
     const auto* self = tree.FindMember(state.options.host);
     return self != nullptr && self->state == member_state::kDraining;
   });
   if (is_draining) {
-    return Refusal(error_code::kUnavailable, "the host is draining", "ready");
+    return NotRun(error_code::kUnavailable, "the host is draining", "ready");
   }
   if (!state.has_servers) {
-    return Refusal(error_code::kUnavailable, "no host list has come yet",
-                   "ready");
+    return NotRun(error_code::kUnavailable, "no host list has come yet",
+                  "ready");
   }
   return state.replica.RequireFresh(clock::now());
 }
@@ -211,8 +201,8 @@
     co_return;
   }
   if (!route.known || route.service.empty()) {
-    auto error = Refusal(error_code::kNotFound,
-                         "there is no route \"" + name + "\"", "find route");
+    auto error = NotRun(error_code::kNotFound,
+                        "there is no route \"" + name + "\"", "find route");
     co_await Refuse(state, exchange, std::move(error));
     co_return;
   }
@@ -294,7 +284,7 @@
       co_await ForwardBatch(state, exchange, std::move(who));
     }
   } else {
-    auto error = Refusal(
+    auto error = NotRun(
         error_code::kNotFound,
         "there is no " + request.method + " " + std::string(path), "find path");
     co_await Refuse(state, exchange, std::move(error));
--- a/src/entryd_setting.cc
+++ b/src/entryd_setting.cc
@@ -221,7 +221,6 @@
     return secret.error();
   }
   o.secret = std::move(secret.value());
-  o.log_levels = values.Text("log_levels");
   o.worker_threads = static_cast<unsigned>(values.Integer("worker_threads"));
   ReadConnectionOptions(values, o);
   ReadPolicyOptions(values, o);
--- a/src/entryd_setting.h
+++ b/src/entryd_setting.h
@@ -24,7 +24,6 @@
   std::string batchd_link;                          ///< Link of batchd.
   boost::asio::ip::tcp::endpoint platform;          ///< The platform.
   std::string secret;                               ///< Of the links.
-  std::string log_levels;                           ///< Levels by category.
   unsigned worker_threads = 2;                      ///< Threads.
   http_limits limits;                               ///< Of callers' requests.
   std::size_t answer_buffer_bytes = 0;     ///< Whole answers up to this.
--- a/src/error_func.h
+++ b/src/error_func.h
@@ -4,6 +4,7 @@
 
 #include <boost/json/object.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -26,6 +27,9 @@
 /** The body {"error":{"code","message","ran","step","peer"}}. */
 auto ToJson(const failure& error) -> boost::json::object;
 
+/** A refusal before anything has run. */
+auto NotRun(error_code code, std::string message, std::string step) -> failure;
+
 /** A LEAF error that carries `error`. */
 inline auto Fail(failure error) -> boost::leaf::error_id {
   return boost::leaf::new_error(std::move(error));
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -175,7 +175,8 @@
   auto RecordProgress(partition_id id, const partition_ptr& partition) -> void;
   auto RecordItem(const batch_item_ref& ref,
                   const partition_ptr& partition,
-                  const batch_progress& now) -> void;
+                  std::uint64_t last_event,
+                  const std::string& output) -> void;
   auto RouteOf(const batch_submission& submission) const -> const route_rule*;
   auto FindJob(const batch_item_ref& ref) -> const batch_job*;
 
--- a/src/hostd_batch_log.cc
+++ b/src/hostd_batch_log.cc
@@ -312,7 +312,8 @@
 
 auto batch_service::RecordItem(const batch_item_ref& ref,
                                const partition_ptr& partition,
-                               const batch_progress& now) -> void {
+                               std::uint64_t last_event,
+                               const std::string& output) -> void {
   const auto* job = partition->fold.Find(ref.job);
   if (job == nullptr || job->listed.contains(ref.item)) {
     return;
@@ -322,12 +323,13 @@
       std::ranges::any_of(partition->pending, [&ref](const auto& record) {
         return record->tells == ref || record->lists == ref;
       });
-  if (is_pending || now.last_event <= recorded.last_event ||
-      !now.output.starts_with(recorded.output)) {
+  if (is_pending || last_event <= recorded.last_event ||
+      !output.starts_with(recorded.output)) {
     return;
   }
   auto record = std::make_shared<pending_record>();
-  record->records = {ProgressRecord(ref.job, ref.item, recorded, now)};
+  record->records = {
+      ProgressRecord(ref.job, ref.item, recorded, {last_event, output})};
   record->tells = ref;
   record->after_event = recorded.last_event;
   Write(ref.partition, partition, std::move(record));
@@ -344,10 +346,11 @@
       const auto run = runs_.find(ref);
       const auto* queued = queue_.Find(ref);
       if (run != runs_.end()) {
-        RecordItem(ref, partition,
-                   {run->second.progress->last_event, *run->second.output});
+        RecordItem(ref, partition, run->second.progress->last_event,
+                   *run->second.output);
       } else if (queued != nullptr) {
-        RecordItem(ref, partition, queued->progress);
+        RecordItem(ref, partition, queued->progress.last_event,
+                   queued->progress.output);
       }
     }
   }
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <utility>
 
 #include "platform/adapter.h"
@@ -32,16 +31,6 @@
 /** Longest Retry-After, as a part of the time left, that callers honour. */
 constexpr double kReturnShare = 0.3;
 
-/** A refusal before anything has run. */
-auto Refusal(error_code code, std::string message, std::string step)
-    -> failure {
-  return {.code = code,
-          .message = std::move(message),
-          .ran = ran_state::kNo,
-          .step = std::move(step),
-          .peer = ""};
-}
-
 /** Passes a stream on to a caller. */
 class caller_sink : public answer_sink {
  public:
@@ -118,8 +107,8 @@
         GiveBack(placed);
         avoided_.push_back(placed.server);
         if (++unrun_ > kMostUnrun) {
-          co_await Fail(Refusal(error_code::kUnavailable,
-                                "no server could be used", "place request"));
+          co_await Fail(NotRun(error_code::kUnavailable,
+                               "no server could be used", "place request"));
           co_return;
         }
         continue;
@@ -252,7 +241,7 @@
   auto Refuse(const placement_answer& placed) -> asio::awaitable<void> {
     using enum placement_verdict;
     const bool is_over = placed.verdict == kOverLimit;
-    auto error = Refusal(
+    auto error = NotRun(
         is_over ? error_code::kTooManyRequests : error_code::kUnavailable,
         is_over ? "workspace is at its limit"
                 : (placed.verdict == kNoServer ? "service has no server"
@@ -371,9 +360,7 @@
 auto RespondRefusal(http_exchange& exchange,
                     const failure& error,
                     milliseconds retry_after) -> asio::awaitable<void> {
-  auto response =
-      JsonResponse(HttpStatusOf(error.code), json::serialize(ToJson(error)));
-  response.headers.Set("Dogwood-Ran", NameOf(error.ran));
+  auto response = FailureResponse(error);
   if (retry_after.count() > 0) {
     adapter::SetRetryAfter(response.headers, retry_after);
   }
@@ -389,11 +376,10 @@
   const auto caller = adapter::DecodeRequest(exchange.Request());
   const auto deployment = host.deployment;
   if (deployment == nullptr) {
-    co_await RefuseEarly(
-        host, exchange, caller,
-        Refusal(error_code::kUnavailable, "no declared state is known yet",
-                "find route"),
-        kUnreadyReturn);
+    co_await RefuseEarly(host, exchange, caller,
+                         NotRun(error_code::kUnavailable,
+                                "no declared state is known yet", "find route"),
+                         kUnreadyReturn);
     co_return;
   }
   const bool is_job_call = caller.call != caller_call::kServe;
@@ -402,7 +388,7 @@
   if (route == nullptr && !is_job_call) {
     co_await RefuseEarly(
         host, exchange, caller,
-        Refusal(error_code::kNotFound, "no route", "find route"));
+        NotRun(error_code::kNotFound, "no route", "find route"));
     co_return;
   }
   workspace_id workspace;
@@ -413,7 +399,7 @@
     if (owner == nullptr) {
       co_await RefuseEarly(
           host, exchange, caller,
-          Refusal(error_code::kUnauthorized, "unknown key", "check key"));
+          NotRun(error_code::kUnauthorized, "unknown key", "check key"));
       co_return;
     }
     workspace = owner->id;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -9,7 +9,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <boost/json/serialize.hpp>
 #include <cerrno>
 #include <tuple>
 #include <utility>
@@ -325,9 +324,7 @@
 
 auto http_exchange::RespondFailure(failure error, unsigned retry_after_s)
     -> asio::awaitable<outcome<void>> {
-  auto response = JsonResponse(HttpStatusOf(error.code),
-                               boost::json::serialize(ToJson(error)));
-  response.headers.Set("Dogwood-Ran", NameOf(error.ran));
+  auto response = FailureResponse(error);
   if (retry_after_s > 0) {
     response.headers.Set("Retry-After", std::to_string(retry_after_s));
   }
--- a/src/http_type.cc
+++ b/src/http_type.cc
@@ -1,10 +1,13 @@
 #include "src/http_type.h"
 
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/json/serialize.hpp>
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 #include <utility>
 
+#include "src/error_func.h"
+
 namespace dogwood {
 
 auto http_headers::Get(std::string_view name) const -> std::string_view {
@@ -53,4 +56,11 @@
   return response;
 }
 
+auto FailureResponse(const failure& error) -> http_response {
+  auto response = JsonResponse(HttpStatusOf(error.code),
+                               boost::json::serialize(ToJson(error)));
+  response.headers.Set("Dogwood-Ran", NameOf(error.ran));
+  return response;
+}
+
 }  // namespace dogwood
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "src/error_type.h"
+
 namespace dogwood {
 
 /** One header field. */
@@ -58,6 +60,10 @@
 /** An answer of JSON text. */
 auto JsonResponse(unsigned status, std::string json) -> http_response;
 
+/** The answer that tells a caller of a failure, and whether anything has run.
+ */
+auto FailureResponse(const failure& error) -> http_response;
+
 /** Limits of one server. */
 struct http_limits {
   std::size_t header_bytes = 16UL << 10;  ///< Longest head.
--- a/src/job_query.cc
+++ b/src/job_query.cc
@@ -4,6 +4,7 @@
 
 #include "src/job_base.h"
 #include "src/job_record.h"
+#include "src/json_func.h"
 
 namespace dogwood {
 namespace json = boost::json;
--- a/src/job_record.h
+++ b/src/job_record.h
@@ -73,13 +73,6 @@
 /** Whether `text`, as a string within a record, fits into one append. */
 auto FitsRecord(std::string_view text) -> bool;
 
-/** Value of a number field, 0 if it is absent or no whole number. */
-auto NumberField(const boost::json::object& object, std::string_view name)
-    -> std::uint64_t;
-/** Value of a text field, empty if it is absent or no text. */
-auto TextField(const boost::json::object& object, std::string_view name)
-    -> std::string_view;
-
 }  // namespace dogwood
 
 #endif  // SRC_JOB_RECORD_H_
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -6,6 +6,7 @@
 
 #include "src/error_func.h"
 #include "src/http_client.h"
+#include "src/json_func.h"
 #include "src/net.h"
 
 namespace dogwood {
@@ -96,14 +97,6 @@
   return ec ? std::nullopt : std::optional(log_offset(number));
 }
 
-/** String `name` of an object, empty if absent. */
-auto TextOf(const json::object& object, std::string_view name) -> std::string {
-  const auto* value = object.if_contains(name);
-  return value != nullptr && value->is_string()
-             ? std::string(value->get_string())
-             : std::string();
-}
-
 /** Strings of list `name`; other elements are left out. */
 auto TextsOf(const json::object& object, std::string_view name)
     -> std::vector<std::string> {
@@ -149,12 +142,13 @@
   }
   const auto& object = value.get_object();
   listed_host host;
-  host.id = TextOf(object, "id");
-  host.is_backend_server = TextOf(object, "kind") == "backend_server";
-  host.address = TextOf(object, "address");
-  host.data_centre = data_centre_id(TextOf(object, "data_centre"));
-  host.region = region_id(TextOf(object, "region"));
-  host.leaving = TextOf(object, "state") == "leaving";
+  host.id = TextField(object, "id");
+  host.is_backend_server = TextField(object, "kind") == "backend_server";
+  host.address = TextField(object, "address");
+  host.data_centre =
+      data_centre_id(std::string(TextField(object, "data_centre")));
+  host.region = region_id(std::string(TextField(object, "region")));
+  host.leaving = TextField(object, "state") == "leaving";
   host.models = TextsOf(object, "models");
   host.services = TextsOf(object, "services");
   if (const auto slots = OffsetOf(object, "slots")) {
