Log how long a request waited for its slot

Change: request_end has placed_ms (arrival to the last answer of the dispatcher), asks_waiting and slots_free at that moment.

--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -148,6 +148,8 @@
     watch_.OnGone([this] { host_.placement->Withdraw(ticket_); });
     auto answer = co_await host_.placement->Place(std::move(ask));
     watch_.OnGone({});
+    placed_at_ = clock::now();
+    last_answer_ = answer;
     has_token_ = has_token_ || answer.verdict == placement_verdict::kGranted;
     co_return answer;
   }
@@ -305,6 +307,9 @@
         {"attempts", attempts_},
         {"not_run", unrun_},
         {"last_event", progress_.last_event},
+        {"placed_ms", millis(placed_at_ - arrived_)},
+        {"asks_waiting", last_answer_.waiting},
+        {"slots_free", last_answer_.free},
         {"returning", is_returning_},
         {"server", last_server_.value},
         {"dispatcher", host_.placement->HasDispatcher()}};
@@ -327,6 +332,8 @@
   stream_progress progress_;
   std::vector<server_id> avoided_;
   ticket_id ticket_;
+  placement_answer last_answer_;  // Of the newest ask for a slot.
+  time_point placed_at_;          // When it came.
   server_id last_server_;
   unsigned attempts_ = 0;  // Servers that may have run it.
   unsigned unrun_ = 0;     // Servers that certainly did not.
