Answer overdue batch asks while online asks wait

Cause: the dispatcher looked at the batch queue only while no online ask waited. A batch ask that may wait 3 s got no answer by then; its host gave the call up, closed the link as silent, lost every other ask on it and placed alone. Ruled out: a busy dispatcher (0.02 cores) and load of the machine (the pattern comes back at the same period on every host). Change: asks that are overdue are refused in both queues at each step. Test: overdue_batch_ask_is_answered_while_online_asks_wait failed first.

--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -111,6 +111,7 @@
   auto WaitOf(const placement_ask& ask, time_point now) const -> duration;
   auto Release(const slot_key& key) -> void;
   auto Yield(const slot_key& key) -> void;
+  auto RefuseOverdue(std::list<placement_ask>& queue, time_point now) -> void;
   auto ServeQueue(std::list<placement_ask>& queue, time_point now) -> void;
   auto Enqueue(std::list<placement_ask>& queue, placement_ask ask) -> void;
   auto ReturnTime(time_point now) -> time_point;
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -393,6 +393,18 @@
   }
 }
 
+auto dispatcher::RefuseOverdue(std::list<placement_ask>& queue, time_point now)
+    -> void {
+  for (auto it = queue.begin(); it != queue.end();) {
+    if (now >= it->useless_after) {
+      Refuse(*it, placement_verdict::kNoRoom, now);
+      it = queue.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
 auto dispatcher::ServeQueue(std::list<placement_ask>& queue, time_point now)
     -> void {
   // A service without a free slot is looked at once only.
@@ -401,11 +413,6 @@
   // it: in order of time alone, one late request makes all that follow late.
   for (const bool are_late : {false, true}) {
     for (auto it = queue.begin(); it != queue.end();) {
-      if (now >= it->useless_after) {
-        Refuse(*it, placement_verdict::kNoRoom, now);
-        it = queue.erase(it);
-        continue;
-      }
       if ((now > it->start_by) == are_late && !full.contains(it->service)) {
         if (TryPlace(*it, now)) {
           it = queue.erase(it);
@@ -434,6 +441,10 @@
   for (const auto& key : lost) {
     Release(key);
   }
+  // Both queues, even while only one is served: a host whose ask has no answer
+  // in time takes this dispatcher for dead.
+  RefuseOverdue(online_, now);
+  RefuseOverdue(batch_, now);
   ServeQueue(online_, now);
   if (online_.empty()) {
     ServeQueue(batch_, now);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -461,6 +461,27 @@
   cr_assert(d.TakeNotices().empty());
 }
 
+// Load: online asks wait for longer than a batch ask may. Guards against a
+// batch ask that gets no answer by then: its host would take the dispatcher for
+// dead and drop every ask on the same link.
+Test(dispatch, overdue_batch_ask_is_answered_while_online_asks_wait) {
+  auto d = Ready(1);
+  Fill(d, 1, work_class::kOnline, 1);
+  auto online = Ask(100, work_class::kOnline, Begin());
+  online.is_returning = true;
+  cr_assert_not(Place(d, online, Begin()).has_value());
+  auto batch = Ask(101, work_class::kBatch, Begin());
+  batch.useless_after = Begin() + milliseconds(500);
+  cr_assert_not(Place(d, batch, Begin()).has_value());
+  d.Advance(Begin() + milliseconds(500));
+  const auto notices = d.TakeNotices();
+  cr_assert_eq(notices.size(), 1);
+  cr_assert_eq(notices[0].ticket.value, 101);
+  cr_assert_eq(static_cast<int>(notices[0].answer.verdict),
+               static_cast<int>(placement_verdict::kNoRoom));
+  cr_assert_eq(d.WaitingCount(work_class::kOnline), 1);
+}
+
 // Guards against a fleet that admits a whole limit at each of its hosts while
 // they have no dispatcher.
 Test(dispatch, hosts_alone_admit_a_part_of_each_limit) {
