Keep hosts without a dispatcher from refusing twice and from flooding servers

In the same half second each host alone started every open batch item, up to half of all slots a host, so that the servers' queues were full of batch work before the dispatcher decided. Change: a request that was refused before waits for the dispatcher, as long as one is expected; batch work waits for it, and later uses this host's part of half of all slots. Test: hosts_alone_leave_most_slots_free_of_batch.

--- a/src/dispatch_local.cc
+++ b/src/dispatch_local.cc
@@ -9,6 +9,9 @@
 /** Requests beyond its slots that a server may hold before this host looks
  * elsewhere; servers queue a few. */
 constexpr std::uint32_t kQueuedPlaces = 2;
+/** Part of all slots that the batch runs of all hosts use while they place them
+ * alone; online work needs the rest without a way to end batch runs. */
+constexpr double kBatchShare = 0.5;
 /** A refused caller returns after this. */
 constexpr std::chrono::milliseconds kReturn{800};
 /** Hosts that are assumed to share each limit before the members are known. */
@@ -55,14 +58,18 @@
   counts_until_ = until;
 }
 
-auto local_placement::NoteBegin(const server_id& server) -> void {
+auto local_placement::NoteBegin(const server_id& server, work_class work)
+    -> void {
+  own_batch_ += work == work_class::kBatch ? 1 : 0;
   const auto found = rows_.find(server);
   if (found != rows_.end()) {
     ++found->second.own;
   }
 }
 
-auto local_placement::NoteEnd(const server_id& server) -> void {
+auto local_placement::NoteEnd(const server_id& server, work_class work)
+    -> void {
+  own_batch_ -= work == work_class::kBatch ? 1 : 0;
   const auto found = rows_.find(server);
   if (found != rows_.end() && found->second.own > 0) {
     --found->second.own;
@@ -98,12 +105,30 @@
   return true;
 }
 
+auto local_placement::MayRunBatch(const service_id& service,
+                                  time_point now) const -> bool {
+  std::size_t slots = 0;
+  for (const auto& [id, r] : rows_) {
+    if (r.info.service == service && !r.info.leaving) {
+      slots += r.info.slots;
+    }
+  }
+  const auto part =
+      kBatchShare * static_cast<double>(slots) / static_cast<double>(hosts_);
+  return now >= expected_until_ &&
+         static_cast<double>(own_batch_) < std::max(1.0, part);
+}
+
 auto local_placement::Ask(const placement_ask& ask,
                           const limit_rate& rate,
                           time_point now) -> placement_answer {
   placement_answer answer{.verdict = placement_verdict::kNoServer,
                           .server = {},
                           .retry_at = now + kReturn};
+  if (ask.work == work_class::kBatch && !MayRunBatch(ask.service, now)) {
+    answer.verdict = placement_verdict::kNoRoom;
+    return answer;
+  }
   const row* best = nullptr;
   std::tuple<bool, int, double, std::uint64_t> best_rank;
   for (const auto& [id, r] : rows_) {
@@ -113,9 +138,9 @@
     }
     const auto others = now < counts_until_ ? r.others : 0;
     const auto load = r.own + others;
-    const bool is_batch = ask.work == work_class::kBatch;
-    const auto places =
-        is_batch ? r.info.slots / 2 : r.info.slots + kQueuedPlaces;
+    const auto places = ask.work == work_class::kBatch
+                            ? r.info.slots / 2
+                            : r.info.slots + kQueuedPlaces;
     if (answer.verdict == placement_verdict::kNoServer) {
       answer.verdict = placement_verdict::kNoRoom;
     }
--- a/src/dispatch_local.h
+++ b/src/dispatch_local.h
@@ -29,13 +29,17 @@
    * `until` only. */
   auto SetCounts(const std::vector<server_count>& counts, time_point until)
       -> void;
+  /** A dispatcher is expected until then: batch work waits for it. */
+  auto ExpectDispatcher(time_point until) -> void { expected_until_ = until; }
   /** Notes that this host began or ended a run on a server. */
-  auto NoteBegin(const server_id& server) -> void;
-  auto NoteEnd(const server_id& server) -> void;
+  auto NoteBegin(const server_id& server, work_class work) -> void;
+  auto NoteEnd(const server_id& server, work_class work) -> void;
   /** Notes that a server could not be reached. */
   auto Pause(const server_id& server, time_point until) -> void;
-  /** Decides at once. Batch work is not placed without a dispatcher unless the
-   * server looks half empty. */
+  /** Decides at once. Load pattern answered for batch work: all hosts start
+   * anew, each with every open item of its jobs. Batch work is placed only once
+   * no dispatcher is expected any more, on this host's part of half of all
+   * slots. */
   auto Ask(const placement_ask& ask, const limit_rate& rate, time_point now)
       -> placement_answer;
 
@@ -57,6 +61,7 @@
   auto TakeToken(const placement_ask& ask,
                  const limit_rate& rate,
                  time_point now) -> bool;
+  auto MayRunBatch(const service_id& service, time_point now) const -> bool;
 
   double share_;
   std::mt19937_64 random_;
@@ -65,6 +70,8 @@
   std::map<data_centre_id, region_id> regions_;
   std::map<workspace_id, bucket> buckets_;
   time_point counts_until_;
+  time_point expected_until_;
+  std::size_t own_batch_ = 0;  // Batch runs of this host.
 };
 
 }  // namespace dogwood
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -32,6 +32,10 @@
 constexpr milliseconds kEndLimit{1000};
 /** Added to the time an ask may wait, for the way there and back. */
 constexpr milliseconds kAskTravel{200};
+/** A dispatcher is expected within this time after a start, or after the last
+ * one was heard of: hosts join within 0.5 s and a new one warms up for 0.35 s.
+ */
+constexpr milliseconds kSeekLimit{1500};
 /** Part of a limit that hosts admit while they have no dispatcher. */
 constexpr double kLocalShare = 0.5;
 /** A dispatcher goes on deciding this long after the view names another one,
@@ -97,7 +101,10 @@
     : host_(host),
       dispatcher_(dispatch_policy(), seed),
       local_(kLocalShare, seed + 1),
-      next_ticket_(seed) {}
+      next_ticket_(seed),
+      dispatcher_found_(host.io) {
+  ExpectDispatcher(clock::now() + kSeekLimit);
+}
 
 placement_service::~placement_service() = default;
 
@@ -106,6 +113,11 @@
   asio::co_spawn(host_.io, RunReports(), EndOnException);
 }
 
+auto placement_service::ExpectDispatcher(time_point until) -> void {
+  sought_until_ = until;
+  local_.ExpectDispatcher(until);
+}
+
 auto placement_service::NewTicket() -> ticket_id {
   return ticket_id(next_ticket_++);
 }
@@ -128,22 +140,32 @@
     -> asio::awaitable<placement_answer> {
   ask.host = host_id(host_.self.name);
   std::optional<placement_answer> answer;
-  if (HasDispatcher()) {
-    const auto to = active_;
-    if (to.address.empty()) {
-      answer = co_await AskHere(ask);
-    } else {
-      answer = co_await AskThere(ask, to.address);
+  while (!answer) {
+    if (HasDispatcher()) {
+      const auto to = active_;
+      if (to.address.empty()) {
+        answer = co_await AskHere(ask);
+      } else {
+        answer = co_await AskThere(ask, to.address);
+      }
+    }
+    if (answer && answer->verdict != placement_verdict::kNotReady) {
+      break;
     }
-  }
-  const bool is_decided =
-      answer && answer->verdict != placement_verdict::kNotReady;
-  if (!is_decided) {
     answer = AskLocal(ask);
+    const auto wait_until = std::min(sought_until_, ask.useless_after);
+    if (answer->verdict == placement_verdict::kOverLimit && ask.is_returning &&
+        clock::now() < wait_until) {
+      // Only this host's part of the limit is used up, and a second refusal
+      // would end the request: the dispatcher, which is expected soon, decides.
+      answer.reset();
+      co_await dispatcher_found_.Wait(
+          std::min(wait_until, clock::now() + kSeekPeriod));
+    }
   }
   if (answer->verdict == placement_verdict::kGranted) {
     held_[ask.ticket] = {answer->server, ask.work, {}};
-    local_.NoteBegin(answer->server);
+    local_.NoteBegin(answer->server, ask.work);
   }
   co_return *answer;
 }
@@ -265,9 +287,9 @@
   if (found == held_.end()) {
     return;
   }
-  const auto server = found->second.server;
+  const auto [server, work, preempt] = std::move(found->second);
   held_.erase(found);
-  local_.NoteEnd(server);
+  local_.NoteEnd(server, work);
   if (outcome == run_outcome::kUnreachable) {
     local_.Pause(server, clock::now() + kLocalPause);
   }
@@ -429,6 +451,8 @@
   }
   if (active_.name == to.name) {
     active_.good_until = answered + kGoodLife;
+    ExpectDispatcher(answered + kSeekLimit);
+    dispatcher_found_.Notify();
   }
 }
 
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -15,6 +15,7 @@
 
 #include "src/dispatch.h"
 #include "src/link.h"
+#include "src/wait_list.h"
 
 namespace dogwood {
 
@@ -86,6 +87,7 @@
   auto AskHere(placement_ask ask) -> boost::asio::awaitable<placement_answer>;
   auto AskThere(const placement_ask& ask, const std::string& address)
       -> boost::asio::awaitable<std::optional<placement_answer>>;
+  auto ExpectDispatcher(time_point until) -> void;
   auto AskLocal(const placement_ask& ask) -> placement_answer;
   auto Deliver() -> void;
   auto SendPreemptions() -> void;
@@ -105,7 +107,9 @@
   std::map<std::pair<host_id, ticket_id>, std::shared_ptr<waiter>> waiters_;
   std::map<ticket_id, held> held_;
   std::uint64_t next_ticket_;
-  target active_;     ///< Asked for slots.
+  time_point sought_until_;     ///< A dispatcher is expected until then.
+  wait_list dispatcher_found_;  ///< Notified when one has answered.
+  target active_;               ///< Asked for slots.
   target candidate_;  ///< Dispatcher by the view; becomes active once ready.
   std::vector<run_end_report> ends_;
   std::vector<ticket_id> withdrawn_;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -548,6 +548,33 @@
   cr_assert_gt(granted, 50);
 }
 
+// Load: all hosts start anew, each with every open item of its jobs. Guards
+// against batch runs that fill the servers before a dispatcher can weigh them
+// against online work, and against items that never run without one.
+Test(dispatch, hosts_alone_leave_most_slots_free_of_batch) {
+  constexpr std::size_t kHosts = 11;
+  constexpr unsigned kServers = 12;
+  unsigned granted = 0;
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    local_placement local(0.5, host);
+    local.SetServers(Servers(kServers), Regions());
+    local.SetHostCount(kHosts);
+    local.ExpectDispatcher(Begin() + seconds(1));
+    for (int i = 0; i < 200; ++i) {
+      const auto now = Begin() + milliseconds(10 * i);
+      const auto answer = local.Ask(
+          Ask(static_cast<std::uint64_t>(i), work_class::kBatch, now), {}, now);
+      if (answer.verdict == placement_verdict::kGranted) {
+        cr_assert_geq(now, Begin() + seconds(1));
+        local.NoteBegin(answer.server, work_class::kBatch);
+        ++granted;
+      }
+    }
+  }
+  cr_assert_leq(granted, kServers * kSlots / 2 + kHosts);
+  cr_assert_geq(granted, kHosts);
+}
+
 // Load: all hosts start anew while callers press. Guards against hosts that
 // take each limit for theirs alone until they know the members, and against a
 // first request of a workspace that is refused.
@@ -578,7 +605,7 @@
     const auto answer =
         local.Ask(Ask(i, work_class::kOnline, Begin()), {}, Begin());
     cr_assert_eq(answer.server.value, "s1");
-    local.NoteBegin(answer.server);
+    local.NoteBegin(answer.server, work_class::kOnline);
   }
 }
 
