Begin again on a new connection when a server has dropped an idle one

Cause: servers drop idle connections without notice. Change: a request that may run once only uses connections idle for at most 0.5 s; one that may be repeated goes to the same server again on a new connection. A stale connection says nothing of its server. Test: site_stream, dropped_idle_connections, failed first (502 for a repeatable request with one server).

--- a/src/entryd_backend.cc
+++ b/src/entryd_backend.cc
@@ -59,7 +59,9 @@
 backend_pool::backend_pool(std::size_t per_server, duration idle_life)
     : per_server_(per_server), idle_life_(idle_life) {}
 
-auto backend_pool::Take(const std::string& address, time_point now)
+auto backend_pool::Take(const std::string& address,
+                        time_point now,
+                        duration longest_idle)
     -> std::shared_ptr<backend_connection> {
   const std::lock_guard lock(mutex_);
   const auto found = idle_.find(address);
@@ -68,6 +70,9 @@
   }
   auto& kept = found->second;
   while (!kept.empty()) {
+    if (now - kept.back().since > longest_idle) {
+      return nullptr;  // All others have been idle for longer.
+    }
     auto youngest = std::move(kept.back());
     kept.pop_back();
     if (now < youngest.usable_until && youngest.connection->CanBeReused()) {
@@ -84,7 +89,8 @@
   const std::lock_guard lock(mutex_);
   auto& kept = idle_[connection->address()];
   if (kept.size() < per_server_ && connection->CanBeReused()) {
-    kept.push_back({std::move(connection), now + std::min(life, idle_life_)});
+    kept.push_back(
+        {std::move(connection), now, now + std::min(life, idle_life_)});
   }
 }
 
--- a/src/entryd_backend.h
+++ b/src/entryd_backend.h
@@ -60,8 +60,11 @@
  public:
   backend_pool(std::size_t per_server, duration idle_life);
 
-  /** The youngest idle connection that can be used, nullptr if none. */
-  auto Take(const std::string& address, time_point now)
+  /** The youngest idle connection that can be used and has been idle for at
+   * most `longest_idle`, nullptr if none. */
+  auto Take(const std::string& address,
+            time_point now,
+            duration longest_idle = duration::max())
       -> std::shared_ptr<backend_connection>;
   /** Keeps a connection whose answer was whole, if there is room. It is used
    * for `life` at most, and for the pool's idle life if that is shorter. */
@@ -74,6 +77,7 @@
  private:
   struct idle {
     std::shared_ptr<backend_connection> connection;  ///< Connection.
+    time_point since;                                ///< When it became idle.
     time_point usable_until;                         ///< Closed from then on.
   };
 
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -248,6 +248,7 @@
       .workspace = job->submission.workspace,
       .service = queued->service,
       .deadline = std::min(started + kLongestRun, queued->expires),
+      .is_repeatable = true,
       .may_move = false,
       .is_batch = true};
   stream_progress progress{.last_event = queued->progress.last_event,
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -174,6 +174,7 @@
         .workspace = workspace_,
         .service = service_,
         .deadline = deadline_,
+        .is_repeatable = IsRepeatable(),
         .may_move = IsRepeatable() && attempts_ + 1 < route_.max_attempts,
         .is_batch = false};
     last_server_ = server.id;
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -33,6 +33,11 @@
 /** A connection is given up this long before its server closes it. */
 constexpr milliseconds kIdleMargin{1000};
 constexpr milliseconds kUnknownIdle{3000};
+/** A request that may run once only uses no connection that was idle for
+ * longer: servers drop idle ones without notice, and what is sent on such a
+ * connection may or may not have run. Servers tell idle times of a second and
+ * more. */
+constexpr milliseconds kOnceIdle{500};
 /** Longest answer that is no stream. */
 constexpr std::size_t kMostAnswerBytes = 16UL << 20;
 
@@ -106,11 +111,17 @@
     return std::min(order_.deadline, clock::now() + limit);
   }
 
-  /** Gets a connection: an idle one, or a new one. */
-  auto Open() -> asio::awaitable<bool> {
+  /** Gets a connection: an idle one if `use_idle`, or a new one. */
+  auto Open(bool use_idle) -> asio::awaitable<bool> {
     const auto now = clock::now();
-    handle_.connection = host_.pool.Take(order_.server.address, now);
-    if (handle_.connection != nullptr) {
+    is_reused_ = false;
+    if (use_idle) {
+      handle_.connection = host_.pool.Take(
+          order_.server.address, now,
+          order_.is_repeatable ? duration::max() : duration(kOnceIdle));
+      is_reused_ = handle_.connection != nullptr;
+    }
+    if (is_reused_) {
       co_return true;
     }
     auto opened = co_await backend_connection::Connect(
@@ -333,24 +344,52 @@
     co_return co_await sink_.TakeEvents(std::move(events));
   }
 
-  auto RunSteps() -> asio::awaitable<void> {
-    const bool is_open = co_await Open();
+  /** Sends the request on a connection and reads the head of the answer. */
+  auto Begin(bool use_idle) -> asio::awaitable<std::optional<http_head>> {
+    const bool is_open = co_await Open(use_idle);
     if (!is_open) {
-      co_return;
+      co_return std::nullopt;
     }
     const bool is_sent = co_await Send();
     if (!is_sent) {
-      co_return;
+      co_return std::nullopt;
     }
     auto head = co_await ReadHead();
-    if (!head) {
-      co_return;
-    }
-    if (answer_.is_stream && head->status == 200 && answer_.is_proven) {
-      co_await TakeStream(*head);
+    co_return head;
+  }
+
+  /** Whether the attempt failed because its idle connection was closed, which
+   * says nothing of new connections to the server. */
+  auto WasStale() const -> bool {
+    return is_reused_ && !handle_.aborted &&
+           result_.outcome == run_outcome::kUnreachable &&
+           result_.error.code != error_code::kDeadlineExceeded;
+  }
+
+  /** Takes the answer that begins with `head`. */
+  auto Take(http_head head) -> asio::awaitable<void> {
+    if (answer_.is_stream && head.status == 200 && answer_.is_proven) {
+      co_await TakeStream(head);
     } else {
-      co_await TakeAnswer(std::move(*head));
+      co_await TakeAnswer(std::move(head));
+    }
+  }
+
+  auto RunSteps() -> asio::awaitable<void> {
+    auto head = co_await Begin(true);
+    const bool was_stale = !head && WasStale();
+    if (was_stale && order_.is_repeatable) {
+      result_ = {};
+      head = co_await Begin(false);
+    } else if (was_stale) {
+      result_.outcome = run_outcome::kFailed;
+    }
+    if (head) {
+      co_await Take(std::move(*head));
     }
+    // Whatever came later, the server may have run what the idle connection
+    // carried.
+    result_.may_have_run = result_.may_have_run || was_stale;
   }
 
   host_state& host_;
@@ -362,6 +401,7 @@
   server_answer answer_;
   time_point sent_at_;
   time_point last_event_at_;
+  bool is_reused_ = false;  // The connection was idle before.
 };
 
 }  // namespace
--- a/src/hostd_relay.h
+++ b/src/hostd_relay.h
@@ -47,6 +47,7 @@
   workspace_id workspace;                 ///< Whose it is.
   service_id service;                     ///< For the usual times.
   time_point deadline;                    ///< Of the whole request.
+  bool is_repeatable = false;             ///< It may run more than once.
   bool may_move = false;  ///< Another server may go on: silence ends this one.
   bool is_batch = false;  ///< Runs for nobody who waits.
 };
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -26,6 +26,7 @@
         self.handler = handler
         self.server = None
         self.writers = set()
+        self.idle_limit_s = None  # Requests on connections idle for longer are reset.
 
     async def start(self, ip, port):
         self.server = await asyncio.start_server(self.serve, ip, port)
@@ -42,7 +43,11 @@
         self.writers.add(writer)
         try:
             while True:
+                idle_since = time.monotonic()
                 request = await read_request(reader)
+                if self.idle_limit_s is not None and time.monotonic() - idle_since > self.idle_limit_s:
+                    writer.transport.abort()
+                    break
                 if request is None or not await self.handler(request, reader, writer):
                     break
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
--- a/tests/site_stream.py
+++ b/tests/site_stream.py
@@ -75,11 +75,26 @@
         await sh.until(stopped, "the server stops after its caller left", 5)
 
 
+async def dropped_idle_connections():
+    """Servers drop idle connections without notice, sooner than they say."""
+    async with sh.Fleet("dropped_idle_connections", hosts=1, engines=1) as fleet:
+        fleet.engines[0].http.idle_limit_s = 0.6
+        for route in ("once", "read", "call") * 2:
+            path = f"/{route}/plain" if route != "once" else "/once/x"
+            attempt = fleet.new_id()
+            answer = await sh.call(fleet.hosts[0].ip, sh.FRONT, "POST", path, Host=sh.HOST_NAME,
+                                   X_Attempt_Id=attempt, X_Deadline_Ms=8000, X_Key=sh.KEY)
+            sh.check(answer.status == 200 and answer.is_whole, f"{route}: {answer}")
+            sh.check(fleet.runs(attempt) == 1, f"{attempt} ran {fleet.runs(attempt)} times")
+            await asyncio.sleep(0.9)
+
+
 async def test():
     await broken_servers()
     await replaced_server()
     await leaving_server()
     await caller_leaves()
+    await dropped_idle_connections()
 
 
 sh.run(test)
