--- /dev/null
+++ b/src/log_base.cc
@@ -0,0 +1,5 @@
+// Storage of easylogging++. It is part of that library's target, so that whoever
+// links one has the other.
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
--- a/src/log_func.cc
+++ b/src/log_func.cc
@@ -14,8 +14,6 @@
 #include <thread>
 #include <utility>
 
-INITIALIZE_EASYLOGGINGPP
-
 namespace dogwood {
 namespace {
 
--- /dev/null
+++ b/tests/dispatch_world.h
@@ -0,0 +1,66 @@
+/** Servers and asks that the tests of the placement share. */
+#ifndef TESTS_DISPATCH_WORLD_H_
+#define TESTS_DISPATCH_WORLD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/dispatch.h"
+
+namespace dogwood::testing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Slots of each server. */
+inline constexpr unsigned kSlots = 8;
+
+/** A moment at which a dispatcher started long ago. */
+inline auto Begin() -> time_point {
+  return time_point() + seconds(1000);
+}
+
+/** `count` servers of one service in data centre "a". */
+inline auto Servers(unsigned count) -> std::vector<registered_server> {
+  std::vector<registered_server> servers;
+  for (unsigned i = 0; i < count; ++i) {
+    servers.push_back({.id = server_id("s" + std::to_string(i)),
+                       .service = service_id("llm"),
+                       .address = "10.0.0.1:1",
+                       .data_centre = data_centre_id("a"),
+                       .slots = kSlots,
+                       .leaving = false,
+                       .start = 1});
+  }
+  return servers;
+}
+
+/** Regions of the data centres. */
+inline auto Regions() -> std::map<data_centre_id, region_id> {
+  return {{data_centre_id("a"), region_id("east")},
+          {data_centre_id("b"), region_id("west")}};
+}
+
+/** An ask of host "h". */
+inline auto Ask(std::uint64_t ticket, work_class work, time_point now)
+    -> placement_ask {
+  return {.host = host_id("h"),
+          .ticket = ticket_id(ticket),
+          .service = service_id("llm"),
+          .workspace = workspace_id("w"),
+          .work = work,
+          .priority = 0,
+          .takes_token = work == work_class::kOnline,
+          .is_returning = false,
+          .place = {data_centre_id("a"), region_id("east")},
+          .start_by = now + milliseconds(200),
+          .useless_after = now + seconds(5),
+          .avoided = {}};
+}
+
+}  // namespace dogwood::testing
+
+#endif  // TESTS_DISPATCH_WORLD_H_
