Bound waits by the run's length and the caller's patience

Cause: an ask stayed in the queue until its deadline less the time to a first event. Ruled out: the wait estimate (it holds for requests that start on time) and lost asks (each host withdrew its ask when the caller left).

A request is useless now once its usual run no longer fits before the deadline, or its caller's patience with a silent stream ends, whichever is first; it is refused then, truthfully, with a time to return. The decision is StartLimits() in dispatch_wait, without clock or I/O.

--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -6,5 +6,6 @@
 #include "src/dispatch_base.h"
 #include "src/dispatch_local.h"
 #include "src/dispatch_type.h"
+#include "src/dispatch_wait.h"
 
 #endif  // SRC_DISPATCH_H_
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -39,6 +39,13 @@
   double event_gap_s = 0.04;    ///< Between events.
 };
 
+/** What this host has seen of a route's requests. */
+struct route_history {
+  /** Longest time that callers have left when they arrive. */
+  std::chrono::milliseconds longest_time_left{};
+  double run_s = 0;  ///< Time of a whole run, smoothed; 0: none yet.
+};
+
 /** State that every part of the process shares. */
 struct host_state {
   host_state(boost::asio::io_context& context, hostd_options values);
@@ -60,12 +67,11 @@
   fleet_view view;             ///< Newest members.
   time_point view_confirmed;   ///< When the store last confirmed the view.
   time_point member_until;  ///< The store keeps what this host owns until then.
-  std::set<partition_id> owned;              ///< Partitions of this host.
-  std::map<service_id, answer_times> times;  ///< By service.
-  /** Longest time that callers of a route have left when they arrive. */
-  std::map<route_id, std::chrono::milliseconds> longest_time_left;
-  store_health store;     ///< The store as seen from here.
-  bool draining = false;  ///< SIGTERM has come.
+  std::set<partition_id> owned;               ///< Partitions of this host.
+  std::map<service_id, answer_times> times;   ///< By service.
+  std::map<route_id, route_history> history;  ///< By route.
+  store_health store;                         ///< The store as seen from here.
+  bool draining = false;                      ///< SIGTERM has come.
 
   std::unique_ptr<placement_service> placement;  ///< Slots of servers.
   std::unique_ptr<batch_service> batch;          ///< Batch jobs.
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -28,6 +28,8 @@
 constexpr double kReturningShare = 0.97;
 /** Sends to servers that did not run the request, per request. */
 constexpr unsigned kMostUnrun = 6;
+/** Weight of the newest run in the usual time of a whole one. */
+constexpr double kRunWeight = 0.05;
 /** Longest Retry-After, as a part of the time left, that callers honour. */
 constexpr double kReturnShare = 0.3;
 
@@ -84,7 +86,7 @@
                            : left;
     deadline_ = arrived_ + limit;
     progress_.last_event = caller.resume_after;
-    auto& longest = host.longest_time_left[route.id];
+    auto& longest = host.history[route.id].longest_time_left;
     is_returning_ = caller.time_left &&
                     static_cast<double>(left.count()) <
                         kReturningShare * static_cast<double>(longest.count());
@@ -127,10 +129,21 @@
   }
 
  private:
+  /** Usual times of the rest of this request at a server. */
+  auto UsualTimes() const -> run_times {
+    const auto length = [](double seconds) {
+      return std::chrono::duration_cast<duration>(
+          std::chrono::duration<double>(seconds));
+    };
+    const auto first = length(host_.times[service_].first_event_s);
+    // A run that goes on after an event is shorter than a whole one.
+    const bool is_whole = progress_.last_event == 0;
+    const auto whole = length(host_.history[route_.id].run_s);
+    return {first, is_whole ? std::max(first, whole) : first};
+  }
+
   auto Place() -> asio::awaitable<placement_answer> {
-    const auto& usual = host_.times[service_];
-    const auto first =
-        milliseconds(static_cast<std::int64_t>(usual.first_event_s * 1000));
+    const auto limits = StartLimits(route_, arrived_, deadline_, UsualTimes());
     ticket_ = host_.placement->NewTicket();
     placement_ask ask{
         .host = {},
@@ -142,8 +155,8 @@
         .takes_token = !has_token_,
         .is_returning = is_returning_ || attempts_ > 0,
         .place = {host_.options.data_centre, host_.options.region},
-        .start_by = arrived_ + route_.objective - first,
-        .useless_after = deadline_ - first,
+        .start_by = limits.start_by,
+        .useless_after = limits.useless_after,
         .avoided = avoided_};
     watch_.OnGone([this] { host_.placement->Withdraw(ticket_); });
     auto answer = co_await host_.placement->Place(std::move(ask));
@@ -183,6 +196,9 @@
     auto result = co_await RunAttempt(host_, order, progress_, handle, sink_);
     watch_.OnGone({});
     host_.placement->End(ticket_, result.outcome);
+    if (result.is_whole && attempts_ == 0 && caller_.resume_after == 0) {
+      NoteRun();
+    }
     if (result.may_have_run) {
       ++attempts_;
       may_have_run_ = true;
@@ -196,6 +212,14 @@
     co_return result;
   }
 
+  /** Notes the time of a whole run for the usual one. */
+  auto NoteRun() -> void {
+    auto& usual = host_.history[route_.id].run_s;
+    const auto seconds =
+        std::chrono::duration<double>(clock::now() - placed_at_).count();
+    usual = usual == 0 ? seconds : usual + kRunWeight * (seconds - usual);
+  }
+
   /** Takes what came of an attempt; true if the request has its end. */
   auto TakeResult(attempt_result result, const registered_server& server)
       -> asio::awaitable<bool> {
--- /dev/null
+++ b/tests/dispatch_wait_test.cc
@@ -0,0 +1,79 @@
+/** Tests of the bounds on how long a request may wait for a slot. */
+#include <rapidcheck.h>
+
+#include <vector>
+
+#include "tests/dispatch_world.h"
+
+// Last: macros of Criterion clash with Boost headers that follow it.
+#include <criterion/criterion.h>
+
+namespace dogwood::testing {
+namespace {
+
+/** A stream with the times of the users' sheets. */
+auto Stream() -> route_rule {
+  route_rule route;
+  route.kind = request_kind::kStream;
+  route.objective = milliseconds(300);
+  route.event_gap_limit = milliseconds(400);
+  return route;
+}
+
+/** First event and end of its runs. */
+constexpr run_times kUsual{milliseconds(50), milliseconds(1100)};
+
+/** Property: the bounds lie before the deadline, and leave time to try. */
+auto LimitsAreInOrder() -> bool {
+  return rc::check("a request may wait for part of its time", [] {
+    auto route = Stream();
+    route.kind =
+        *rc::gen::element(request_kind::kStream, request_kind::kIdempotent);
+    const auto left = milliseconds(*rc::gen::inRange(1, 20000));
+    const auto first = milliseconds(*rc::gen::inRange(0, 1000));
+    const auto whole = milliseconds(*rc::gen::inRange(0, 20000));
+    const auto limits =
+        StartLimits(route, Begin(), Begin() + left, {first, whole});
+    RC_ASSERT(limits.useless_after <= Begin() + left);
+    RC_ASSERT(limits.useless_after >= Begin() + left / 2 ||
+              route.kind == request_kind::kStream);
+    RC_ASSERT(limits.start_by <= Begin() + route.objective);
+  });
+}
+
+}  // namespace
+
+// Guards against a request that is held until its caller leaves: on the users'
+// sites callers of streams do so after 3.2 s.
+Test(dispatch_wait, waiting_request_is_answered_before_its_caller_leaves) {
+  const auto limits =
+      StartLimits(Stream(), Begin(), Begin() + seconds(5), kUsual);
+  cr_assert_lt(limits.useless_after, Begin() + milliseconds(3200));
+  cr_assert_gt(limits.useless_after, Begin() + milliseconds(2500));
+}
+
+// Guards against a run that the deadline cuts: it takes a slot and brings its
+// caller nothing.
+Test(dispatch_wait, start_leaves_time_for_the_run) {
+  const auto deadline = Begin() + milliseconds(3000);
+  const auto limits = StartLimits(Stream(), Begin(), deadline, kUsual);
+  cr_assert_leq(limits.useless_after + kUsual.whole, deadline);
+  auto plain = Stream();
+  plain.kind = request_kind::kIdempotent;
+  const auto whole = StartLimits(plain, Begin(), Begin() + seconds(5), kUsual);
+  cr_assert(whole.useless_after == Begin() + milliseconds(3900));
+}
+
+// Guards against a route that is never tried again after its runs were slow.
+Test(dispatch_wait, slow_route_is_still_tried) {
+  const run_times slow{milliseconds(500), seconds(30)};
+  const auto limits =
+      StartLimits(Stream(), Begin(), Begin() + seconds(5), slow);
+  cr_assert_geq(limits.useless_after, Begin() + milliseconds(2500));
+}
+
+Test(dispatch_wait, limits_are_in_order) {
+  cr_assert(LimitsAreInOrder());
+}
+
+}  // namespace dogwood::testing
