Hold requests at a host that starts until it knows the state

Cause: when all hosts have stopped together, the first that serves again gets the callers of all. A host that has just started could not tell them from new callers, since it compares the time they have left with the longest that it has seen. Ruled out: the store (it told the state at once) and the limit itself (a host alone admits one request of a workspace until it knows the members; new callers return).

A host waits up to 250 ms after its start for the state and the servers before it refuses. Until it has seen 20 requests of a route it takes the route's limit for the time that callers have, and a resumed stream always returns; returning callers wait for the dispatcher, as before. The decision is return_history, without I/O. site_stop (early_requests) fails on the code before.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -1,7 +1,8 @@
 # The process of the users' platform and the libraries that only it uses.
 dogwood_library(deployment SOURCES deployment_query.cc LIBS dogwood_core)
 dogwood_library(dispatch
-                SOURCES dispatch_cmd.cc dispatch_local.cc dispatch_wait.cc
+                SOURCES dispatch_cmd.cc dispatch_local.cc dispatch_return.cc
+                        dispatch_wait.cc
                 LIBS dogwood_core)
 dogwood_library(batch SOURCES batch_fold.cc batch_queue.cc batch_record.cc
                 LIBS dogwood_job dogwood_http)
@@ -24,6 +25,7 @@
 dogwood_test(deployment dogwood_deployment)
 dogwood_test(dispatch dogwood_dispatch)
 dogwood_test(dispatch_local dogwood_dispatch)
+dogwood_test(dispatch_return dogwood_dispatch)
 dogwood_test(dispatch_wait dogwood_dispatch)
 dogwood_test(batch dogwood_batch)
 dogwood_test(fleet dogwood_fleet)
--- a/src/hostd_base.cc
+++ b/src/hostd_base.cc
@@ -41,6 +41,8 @@
       random(RandomSeed()),
       links(context, {self.name, "hostd", options.secret}),
       pool(kPooledConnections, kIdleLife),
+      started(clock::now()),
+      learned(context),
       placement(std::make_unique<placement_service>(*this, random())),
       batch(std::make_unique<batch_service>(*this)),
       callers(std::make_unique<caller_watch>(*this)) {}
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -13,11 +13,13 @@
 
 #include "src/core.h"
 #include "src/deployment.h"
+#include "src/dispatch.h"
 #include "src/entryd_backend.h"
 #include "src/entryd_metric.h"
 #include "src/fleet.h"
 #include "src/hostd_setting.h"
 #include "src/link.h"
+#include "src/wait_list.h"
 
 namespace dogwood {
 
@@ -41,9 +43,8 @@
 
 /** What this host has seen of a route's requests. */
 struct route_history {
-  /** Longest time that callers have left when they arrive. */
-  std::chrono::milliseconds longest_time_left{};
-  double run_s = 0;  ///< Time of a whole run, smoothed; 0: none yet.
+  return_history returns;  ///< Which callers return.
+  double run_s = 0;        ///< Time of a whole run, smoothed; 0: none yet.
 };
 
 /** State that every part of the process shares. */
@@ -64,8 +65,10 @@
   std::map<std::string, std::string> registrations;  ///< Servers as stored.
   std::map<server_id, registered_server> servers;    ///< Servers to use.
   bool servers_known = false;  ///< Registrations have been read once.
-  fleet_view view;             ///< Newest members.
-  time_point view_confirmed;   ///< When the store last confirmed the view.
+  time_point started;          ///< Start of the process.
+  wait_list learned;  ///< Notified of each state, and when servers are known.
+  fleet_view view;    ///< Newest members.
+  time_point view_confirmed;  ///< When the store last confirmed the view.
   time_point member_until;  ///< The store keeps what this host owns until then.
   std::set<partition_id> owned;               ///< Partitions of this host.
   std::map<service_id, answer_times> times;   ///< By service.
@@ -77,10 +80,12 @@
   std::unique_ptr<batch_service> batch;          ///< Batch jobs.
   std::unique_ptr<caller_watch> callers;         ///< Who waits for answers.
 
-  /** Whether callers may be sent here. */
-  auto IsReady() const -> bool {
-    return !draining && deployment != nullptr && servers_known;
+  /** Whether it knows enough to place requests. */
+  auto CanPlace() const -> bool {
+    return deployment != nullptr && servers_known;
   }
+  /** Whether callers may be sent here. */
+  auto IsReady() const -> bool { return !draining && CanPlace(); }
   /** Address of a member's link. */
   auto LinkOf(const fleet_member& member) const -> std::string;
   /** Uniform in [0, 1). */
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -21,11 +21,12 @@
 
 /** A caller that sent no time limit is served for this long at most. */
 constexpr milliseconds kDefaultLimit{10000};
+/** A host that has just started holds requests until it knows the declared
+ * state and the servers, at most this long after its start: the store tells
+ * them within 0.1 s, and a caller whose first host died returns only once. */
+constexpr milliseconds kStartWait{250};
 /** A caller is asked to return after this while the host knows no state. */
 constexpr milliseconds kUnreadyReturn{500};
-/** A request whose time left is below this part of the longest that its route
- * has seen was refused or has failed before. */
-constexpr double kReturningShare = 0.97;
 /** Sends to servers that did not run the request, per request. */
 constexpr unsigned kMostUnrun = 6;
 /** Weight of the newest run in the usual time of a whole one. */
@@ -69,7 +70,8 @@
               const caller_request& caller,
               std::shared_ptr<const deployment_index> deployment,
               const route_rule& route,
-              workspace_id workspace)
+              workspace_id workspace,
+              time_point arrived)
       : host_(host),
         exchange_(exchange),
         caller_(caller),
@@ -79,18 +81,15 @@
         service_(PickService(route, host.Draw())),
         watch_(*host.callers, exchange),
         sink_(exchange, watch_),
-        arrived_(clock::now()) {
+        arrived_(arrived) {
     const auto left = caller.time_left.value_or(kDefaultLimit);
     const auto limit = route.answer_limit.count() > 0
                            ? std::min(left, route.answer_limit)
                            : left;
     deadline_ = arrived_ + limit;
     progress_.last_event = caller.resume_after;
-    auto& longest = host.history[route.id].longest_time_left;
-    is_returning_ = caller.time_left &&
-                    static_cast<double>(left.count()) <
-                        kReturningShare * static_cast<double>(longest.count());
-    longest = std::max(longest, left);
+    is_returning_ = caller.time_left && host.history[route.id].returns.Note(
+                                            route, left, caller.resume_after);
   }
 
   auto Run() -> asio::awaitable<void> {
@@ -387,6 +386,14 @@
   co_await RespondRefusal(exchange, error, retry_after);
 }
 
+/** Waits for what a host learns right after its start. */
+auto AwaitStart(host_state& host) -> asio::awaitable<void> {
+  const auto until = host.started + kStartWait;
+  while (!host.CanPlace() && clock::now() < until) {
+    co_await host.learned.Wait(until);
+  }
+}
+
 }  // namespace
 
 auto RespondRefusal(http_exchange& exchange,
@@ -405,6 +412,8 @@
 
 auto HandleCaller(host_state& host, http_exchange& exchange)
     -> asio::awaitable<void> {
+  const auto arrived = clock::now();
+  co_await AwaitStart(host);
   const auto caller = adapter::DecodeRequest(exchange.Request());
   const auto deployment = host.deployment;
   if (deployment == nullptr) {
@@ -440,7 +449,8 @@
     co_await HandleBatchCall(host, exchange, caller, workspace);
     co_return;
   }
-  request_run run(host, exchange, caller, deployment, *route, workspace);
+  request_run run(host, exchange, caller, deployment, *route, workspace,
+                  arrived);
   co_await run.Run();
 }
 
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -99,6 +99,7 @@
       std::make_shared<const deployment_index>(std::move(decoded.value()));
   host.state_text = text;
   host.batch->StateChanged();
+  host.learned.Notify();
 }
 
 /** Registrations as they come, and those that may only have lapsed. */
@@ -264,6 +265,7 @@
     table.KeepOnly(snapshot);
     host.servers_known = true;
     host.placement->ServersChanged();
+    host.learned.Notify();
     auto next = snapshot.end;
     while (true) {
       const auto page = co_await ReadNext(host, client, where, next);
@@ -373,6 +375,7 @@
     });
     host.servers_known = true;
     host.placement->ServersChanged();
+    host.learned.Notify();
   }
   if (reply.generation > host.view.generation) {
     fleet_view view;
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -112,6 +112,7 @@
         self.is_down = False
         self.refused_members = set()  # Their joins are not answered.
         self.read_delay_s = 0  # Before answers to reads that do not wait.
+        self.newest_delay_s = 0  # Before answers that hold the newest records.
         self.lose_appends = 0  # Appends that are done and not answered.
         self.calls = 0
         self.http = HttpServer(self.handle)
@@ -169,6 +170,7 @@
         answer(writer, 200, data)
 
     async def log_newest(self, query, body, writer):
+        await asyncio.sleep(self.newest_delay_s)
         newest = {}
         log = self.log(query["topic"], query["part"])
         for offset, record in enumerate(log):
--- a/tests/site_stop.py
+++ b/tests/site_stop.py
@@ -66,8 +66,35 @@
             await fleet.all_results(f"job{i}", 6)
 
 
+async def early_requests():
+    """Callers reach a host before it knows the declared state; one of them
+    returns, and a second refusal would end its request."""
+    async with sh.Fleet("early_requests", hosts=1, engines=1) as fleet:
+        host = fleet.hosts[0]
+        for _ in range(3):
+            await host.end()
+            fleet.store.newest_delay_s = 0.1
+            await host.start()
+
+            async def ask(**headers):
+                end = asyncio.get_running_loop().time() + 5
+                while True:
+                    try:
+                        return await fleet.ask(host, "stream", **headers)
+                    except ConnectionRefusedError:
+                        sh.check(asyncio.get_running_loop().time() < end, "the host does not listen")
+                        await asyncio.sleep(0.002)
+
+            answers = await asyncio.gather(*(ask() for _ in range(4)), ask(X_Deadline_Ms=3000))
+            for answer in answers:
+                sh.check(answer.status == 200 and answer.is_whole, f"right after the start: {answer}")
+            fleet.store.newest_delay_s = 0
+            await fleet.settled(1)
+
+
 async def test():
     await planned_stop()
+    await early_requests()
     await all_killed()
     await lost_dispatcher()
 
