Count requests of others by the loads that servers tell

Cause: the dispatcher knew the slots of the hosts that report to it only. Ruled out: late placement (they were placed within 0.2 s) and slow servers (the same servers were on time before and after). Servers tell running and waiting requests in their answers; the adapter decoded that and nothing used it.

What is beyond the highest count of the last 0.6 to 1.2 s, runs that are being ended included, belongs to others for 0.6 s. The first of the two new tests of dispatch fails without it; the second guards against own runs counted twice.

--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -52,6 +52,10 @@
   auto TakeHeld(const host_id& host,
                 std::span<const held_slot> held,
                 time_point now) -> void;
+  /** Takes loads that servers have told, running and waiting requests
+   * together. What is beyond the slots counted here is of others: hosts that do
+   * not reach this dispatcher, or requests that their caller has given up. */
+  auto TakeTold(std::span<const server_count> told, time_point now) -> void;
   /** Drops silent hosts, serves and refuses waiting asks. */
   auto Advance(time_point now) -> void;
   /** Answers that are due. */
@@ -78,13 +82,24 @@
     bool yields = false;    ///< Told to end; its place is taken already.
     time_point granted_at;  ///< When it was granted.
   };
+  /** Highest count of the last one or two told_life, since loads arrive late.
+   */
+  struct recent_peak {
+    std::uint32_t current = 0;   ///< Of the span under way.
+    std::uint32_t previous = 0;  ///< Of the span before.
+    time_point turns_at;         ///< End of the span under way.
+  };
   struct server_row {
-    registered_server info;    ///< As registered.
-    bool listed = false;       ///< In the last list.
-    std::uint32_t used = 0;    ///< Slots that do not yield.
-    std::set<slot_key> batch;  ///< Batch runs that do not yield.
-    time_point paused_until;   ///< Gets nothing before then.
-    duration last_pause{};     ///< Doubles while it cannot be reached.
+    registered_server info;      ///< As registered.
+    bool listed = false;         ///< In the last list.
+    std::uint32_t used = 0;      ///< Slots that do not yield.
+    std::uint32_t yielding = 0;  ///< Runs told to end that have not ended yet.
+    std::set<slot_key> batch;    ///< Batch runs that do not yield.
+    recent_peak peak;            ///< Of `used` and `yielding` together.
+    std::uint32_t others = 0;    ///< Requests that are not counted here.
+    time_point others_until;     ///< They count until then.
+    time_point paused_until;     ///< Gets nothing before then.
+    duration last_pause{};       ///< Doubles while it cannot be reached.
   };
   struct bucket {
     double level = 0;      ///< Tokens.
@@ -95,6 +110,9 @@
                 const placement_ask& ask,
                 time_point now) const -> bool;
   auto SlotsFor(work_class work, const server_row& row) const -> std::uint32_t;
+  /** Requests on a server, those of others included. */
+  static auto LoadOf(const server_row& row, time_point now) -> std::uint32_t;
+  auto NotePeak(server_row& row, time_point now) -> void;
   auto FindFree(const placement_ask& ask, time_point now) -> server_row*;
   auto FindBatchRun(const placement_ask& ask, time_point now)
       -> std::optional<slot_key>;
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -41,6 +41,7 @@
   preemptions_.clear();
   for (auto& [id, row] : servers_) {
     row.used = 0;
+    row.yielding = 0;
     row.batch.clear();
   }
 }
@@ -70,7 +71,7 @@
   }
   std::erase_if(servers_, [](const auto& entry) {
     return !entry.second.listed && entry.second.used == 0 &&
-           entry.second.batch.empty();
+           entry.second.yielding == 0;
   });
 }
 
@@ -98,18 +99,50 @@
   return row.info.slots - static_cast<std::uint32_t>(reserve);
 }
 
+auto dispatcher::LoadOf(const server_row& row, time_point now)
+    -> std::uint32_t {
+  return row.used + (now < row.others_until ? row.others : 0);
+}
+
+auto dispatcher::NotePeak(server_row& row, time_point now) -> void {
+  auto& peak = row.peak;
+  if (now >= peak.turns_at) {
+    const bool is_next = now < peak.turns_at + policy_.told_life;
+    peak.previous = is_next ? peak.current : 0;
+    peak.current = 0;
+    peak.turns_at = now + policy_.told_life;
+  }
+  peak.current = std::max(peak.current, row.used + row.yielding);
+}
+
+auto dispatcher::TakeTold(std::span<const server_count> told, time_point now)
+    -> void {
+  for (const auto& load : told) {
+    const auto found = servers_.find(load.server);
+    if (found == servers_.end()) {
+      continue;
+    }
+    auto& row = found->second;
+    NotePeak(row, now);
+    const auto own = std::max(row.peak.current, row.peak.previous);
+    row.others = load.count > own ? load.count - own : 0;
+    row.others_until = now + policy_.told_life;
+  }
+}
+
 auto dispatcher::FindFree(const placement_ask& ask, time_point now)
     -> server_row* {
   server_row* best = nullptr;
   std::tuple<int, double, std::uint64_t> best_rank;
   for (auto& [id, row] : servers_) {
-    if (!IsUsable(row, ask, now) || row.used >= SlotsFor(ask.work, row)) {
+    const auto load = LoadOf(row, now);
+    if (!IsUsable(row, ask, now) || load >= SlotsFor(ask.work, row)) {
       continue;
     }
     // The last rank spreads requests over servers that are alike.
     const std::tuple rank(
         Tier(row, ask.place),
-        static_cast<double>(row.used) / static_cast<double>(row.info.slots),
+        static_cast<double>(load) / static_cast<double>(row.info.slots),
         random_());
     if (best == nullptr || rank < best_rank) {
       best = &row;
@@ -156,6 +189,7 @@
   const slot_key key(ask.host, ask.ticket);
   slots_[key] = {row.info.id, ask.work, false, now};
   ++row.used;
+  NotePeak(row, now);
   if (ask.work == work_class::kBatch) {
     row.batch.insert(key);
   }
@@ -174,6 +208,7 @@
   slot.yields = true;
   row.batch.erase(key);
   --row.used;
+  ++row.yielding;
   preemptions_.push_back({key.first, key.second});
 }
 
@@ -354,8 +389,8 @@
     return;
   }
   const auto row = servers_.find(found->second.server);
-  if (row != servers_.end() && !found->second.yields) {
-    --row->second.used;
+  if (row != servers_.end()) {
+    --(found->second.yields ? row->second.yielding : row->second.used);
     row->second.batch.erase(key);
   }
   slots_.erase(found);
@@ -406,6 +441,7 @@
     }
     slots_[key] = {entry.server, entry.work, false, now};
     ++row->second.used;
+    NotePeak(row->second, now);
     if (entry.work == work_class::kBatch) {
       row->second.batch.insert(key);
     }
@@ -509,8 +545,8 @@
   std::uint32_t free = 0;
   for (const auto& [id, row] : servers_) {
     if (row.listed && !row.info.leaving && row.info.service == service &&
-        now >= row.paused_until && row.used < row.info.slots) {
-      free += row.info.slots - row.used;
+        now >= row.paused_until && LoadOf(row, now) < row.info.slots) {
+      free += row.info.slots - LoadOf(row, now);
     }
   }
   return free;
--- a/src/dispatch_type.h
+++ b/src/dispatch_type.h
@@ -98,7 +98,7 @@
   ticket_id ticket;  ///< Which run.
 };
 
-/** Requests on a server, as its dispatcher counts them. */
+/** Requests on a server, as its dispatcher counts them or as it has told. */
 struct server_count {
   server_id server;         ///< Which.
   std::uint32_t count = 0;  ///< Requests.
@@ -129,6 +129,9 @@
    * request seldom has to end one: an ended run costs a connection, reads its
    * prompt again, and the server may still count it when the request comes. */
   double batch_reserve = 0.125;
+  /** A load that a server has told counts for this long: twice the period of
+   * the hosts' reports, which carry it. */
+  std::chrono::milliseconds told_life{600};
   /** Standard deviations added to the expected wait for a slot, so that 95 in
    * 100 of the asks that are taken at the limit of the queue start on time. */
   double wait_deviations = 1.65;
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -95,6 +95,28 @@
   return ask;
 }
 
+/** Requests on servers, as messages carry them. */
+using wire_counts = std::vector<std::unique_ptr<wire::server_loadT>>;
+
+auto EncodeCounts(const std::vector<server_count>& counts) -> wire_counts {
+  wire_counts loads;
+  for (const auto& count : counts) {
+    auto load = std::make_unique<wire::server_loadT>();
+    load->server = count.server.value;
+    load->in_flight = count.count;
+    loads.push_back(std::move(load));
+  }
+  return loads;
+}
+
+auto DecodeCounts(const wire_counts& loads) -> std::vector<server_count> {
+  std::vector<server_count> counts;
+  for (const auto& load : loads) {
+    counts.push_back({server_id(load->server), load->in_flight});
+  }
+  return counts;
+}
+
 }  // namespace
 
 placement_service::placement_service(host_state& host, std::uint64_t seed)
@@ -353,6 +375,9 @@
   for (const auto& [id, server] : host_.servers) {
     servers.push_back(server);
   }
+  std::erase_if(told_, [this](const auto& entry) {
+    return !host_.servers.contains(entry.first);
+  });
   dispatcher_.SetServers(servers, host_.options.data_centres);
   local_.SetServers(std::move(servers), host_.options.data_centres);
   dispatcher_.Advance(clock::now());
@@ -400,6 +425,22 @@
   }
 }
 
+auto placement_service::NoteLoad(const server_id& server, const told_load& load)
+    -> void {
+  told_[server] = {load.running + load.waiting, clock::now()};
+}
+
+auto placement_service::ToldList(time_point now) const
+    -> std::vector<server_count> {
+  std::vector<server_count> list;
+  for (const auto& [server, load] : told_) {
+    if (now - load.told_at < kReportPeriod) {
+      list.push_back({server, load.count});
+    }
+  }
+  return list;
+}
+
 auto placement_service::HeldList() const -> std::vector<held_slot> {
   std::vector<held_slot> list;
   for (const auto& [ticket, slot] : held_) {
@@ -413,6 +454,7 @@
   wire::held_replyT reply;
   if (to.address.empty()) {
     dispatcher_.TakeHeld(host_id(host_.self.name), HeldList(), now);
+    dispatcher_.TakeTold(ToldList(now), now);
     reply.ready = dispatcher_.IsReady(now);
   } else {
     wire::held_requestT request;
@@ -424,6 +466,7 @@
       entry->batch = slot.work == work_class::kBatch;
       request.held.push_back(std::move(entry));
     }
+    request.told = EncodeCounts(ToldList(now));
     const auto link = host_.links.Get(to.address);
     auto message = MakeMessage(std::move(request));
     auto answer = co_await link->Call(std::move(message), now + kReportLimit);
@@ -433,10 +476,7 @@
     }
     reply = std::move(*held);
   }
-  std::vector<server_count> counts;
-  for (const auto& load : reply.loads) {
-    counts.push_back({server_id(load->server), load->in_flight});
-  }
+  const auto counts = DecodeCounts(reply.loads);
   const auto answered = clock::now();
   if (!counts.empty()) {
     local_.SetCounts(counts, answered + kCountsLife);
@@ -510,14 +550,10 @@
                     entry->batch ? work_class::kBatch : work_class::kOnline});
   }
   dispatcher_.TakeHeld(host_id(request.host), held, now);
+  dispatcher_.TakeTold(DecodeCounts(request.told), now);
   wire::held_replyT reply;
   reply.ready = dispatcher_.IsReady(now);
-  for (const auto& count : dispatcher_.Counts()) {
-    auto load = std::make_unique<wire::server_loadT>();
-    load->server = count.server.value;
-    load->in_flight = count.count;
-    reply.loads.push_back(std::move(load));
-  }
+  reply.loads = EncodeCounts(dispatcher_.Counts());
   return reply;
 }
 
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/caller_type.h"
 #include "src/dispatch.h"
 #include "src/link.h"
 #include "src/wait_list.h"
@@ -41,6 +42,9 @@
   /** `abort` is called if the run is to make room. */
   auto OnPreempt(ticket_id ticket, std::function<void()> abort) -> void;
 
+  /** A server has told its load. */
+  auto NoteLoad(const server_id& server, const told_load& load) -> void;
+
   /** The registrations have changed. */
   auto ServersChanged() -> void;
   /** The view has changed. */
@@ -77,6 +81,11 @@
     work_class work;                ///< What it is.
     std::function<void()> preempt;  ///< Ends the run.
   };
+  /** Load of a server as it told this host. */
+  struct noted_load {
+    std::uint32_t count = 0;  ///< Requests that run or wait.
+    time_point told_at;       ///< When.
+  };
   /** A dispatcher as this host sees it. */
   struct target {
     std::string name;       ///< Member name; empty if none.
@@ -97,6 +106,8 @@
   auto RunReports() -> boost::asio::awaitable<void>;
   auto ReportHeld(target to) -> boost::asio::awaitable<void>;
   auto HeldList() const -> std::vector<held_slot>;
+  /** Loads that servers have told since the report before. */
+  auto ToldList(time_point now) const -> std::vector<server_count>;
   auto RateOf(const workspace_id& workspace) const -> limit_rate;
 
   host_state& host_;
@@ -106,6 +117,7 @@
   time_point decides_until_;  ///< After another host has become dispatcher.
   std::map<std::pair<host_id, ticket_id>, std::shared_ptr<waiter>> waiters_;
   std::map<ticket_id, held> held_;
+  std::map<server_id, noted_load> told_;
   std::uint64_t next_ticket_;
   time_point sought_until_;     ///< A dispatcher is expected until then.
   wait_list dispatcher_found_;  ///< Notified when one has answered.
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -5,6 +5,7 @@
 
 #include "platform/adapter.h"
 #include "src/hostd_base.h"
+#include "src/hostd_placement.h"
 #include "src/proxy.h"
 
 namespace dogwood {
@@ -166,6 +167,9 @@
         co_return std::nullopt;
       }
       answer_ = adapter::DecodeAnswer(*head);
+      if (answer_.load) {
+        host_.placement->NoteLoad(order_.server.id, *answer_.load);
+      }
       if (answer_.attempt.value.empty() || answer_.attempt == order_.attempt) {
         co_return std::move(head.value());
       }
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -412,6 +412,42 @@
   cr_assert_eq(successor.FreeSlots(service_id("llm"), Begin()), kSlots - 3);
 }
 
+// Load: hosts that are cut off from the dispatcher go on sending to servers.
+// Guards against slots given out that they use, where requests would wait
+// behind each other, and against servers left empty after the hosts are back.
+Test(dispatch, told_load_counts_requests_of_others) {
+  auto d = Ready(2);
+  const std::vector<server_count> told{{server_id("s0"), kSlots}};
+  d.TakeTold(told, Begin());
+  for (std::uint64_t i = 1; i <= kSlots; ++i) {
+    const auto answer = Place(d, Ask(i, work_class::kOnline, Begin()), Begin());
+    cr_assert(IsGranted(answer));
+    cr_assert_eq(answer->server.value, "s1");
+  }
+  cr_assert_eq(d.FreeSlots(service_id("llm"), Begin()), 0);
+  const auto later = Begin() + seconds(1);
+  cr_assert_eq(d.FreeSlots(service_id("llm"), later), kSlots);
+}
+
+// Guards against runs of this fleet that count twice: a load is told before the
+// ends that arrive with it, and ended runs linger at their server.
+Test(dispatch, told_load_is_compared_with_recent_slots) {
+  auto d = Ready(1, {.batch_reserve = 0});
+  Fill(d, 1, work_class::kBatch, 1);
+  cr_assert(
+      IsGranted(Place(d, Ask(100, work_class::kOnline, Begin()), Begin())));
+  const auto yielded = d.TakePreemptions();
+  cr_assert_eq(yielded.size(), 1);
+  const std::vector<server_count> told{{server_id("s0"), kSlots + 1}};
+  d.TakeTold(told, Begin());
+  d.End(host_id("h"), {yielded[0].ticket, run_outcome::kLeft}, Begin());
+  d.End(host_id("h"), {ticket_id(100), run_outcome::kWhole}, Begin());
+  cr_assert_eq(d.FreeSlots(service_id("llm"), Begin()), 1);
+  const auto soon = Begin() + milliseconds(250);
+  d.TakeTold(told, soon);
+  cr_assert_eq(d.FreeSlots(service_id("llm"), soon), 1);
+}
+
 // Guards against a dispatcher that decides before it has heard of the slots in
 // use, or after another one has taken over.
 Test(dispatch, decides_only_between_warm_up_and_stop) {
