--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/json/serialize.hpp>
 #include <utility>
 
 #include "src/hostd_base.h"
@@ -37,15 +36,13 @@
 
 /** An answer that carries a failure. */
 auto FailureAnswer(error_code code, std::string message) -> http_response {
-  const failure error{.code = code,
-                      .message = std::move(message),
-                      .ran = code == error_code::kDeadlineExceeded
-                                 ? ran_state::kMaybe
-                                 : ran_state::kNo,
-                      .step = "answer batch call",
-                      .peer = ""};
-  return JsonResponse(HttpStatusOf(code),
-                      boost::json::serialize(ToJson(error)));
+  return FailureResponse({.code = code,
+                          .message = std::move(message),
+                          .ran = code == error_code::kDeadlineExceeded
+                                     ? ran_state::kMaybe
+                                     : ran_state::kNo,
+                          .step = "answer batch call",
+                          .peer = ""});
 }
 
 }  // namespace
@@ -72,9 +69,19 @@
 auto batch_service::Answer(const wire::batch_callT& call)
     -> asio::awaitable<http_response> {
   const partition_id id(call.partition);
-  if (static_cast<batch_call_kind>(call.call) ==
-      batch_call_kind::kSubmitForOwner) {
-    co_return co_await SubmitForOwner(id, call);
+  const auto kind = static_cast<batch_call_kind>(call.call);
+  const auto deadline = clock::now() + std::chrono::microseconds(call.wait_us);
+  std::optional<batch_submission> submission;
+  if (kind == batch_call_kind::kSubmit ||
+      kind == batch_call_kind::kSubmitForOwner) {
+    auto decoded = DecodeSubmission(call.body);
+    if (!decoded) {
+      co_return FailureAnswer(error_code::kBadRequest, decoded.error().message);
+    }
+    submission = std::move(decoded.value());
+  }
+  if (kind == batch_call_kind::kSubmitForOwner) {
+    co_return co_await SubmitForOwner(id, *submission, deadline);
   }
   const auto found = partitions_.find(id);
   if (found == partitions_.end()) {
@@ -88,9 +95,8 @@
     co_return FailureAnswer(error_code::kUnavailable,
                             "the job's partition is being read");
   }
-  const auto kind = static_cast<batch_call_kind>(call.call);
   if (kind == batch_call_kind::kSubmit) {
-    co_return co_await Submit(id, partition, call);
+    co_return co_await Submit(id, partition, *submission, deadline);
   }
   const bool is_current = co_await Verify(id, partition, call);
   if (!is_current) {
@@ -132,14 +138,10 @@
 
 auto batch_service::Submit(partition_id id,
                            partition_ptr partition,
-                           const wire::batch_callT& call)
+                           const batch_submission& submission,
+                           time_point deadline)
     -> asio::awaitable<http_response> {
-  auto submission = DecodeSubmission(call.body);
-  if (!submission) {
-    co_return FailureAnswer(error_code::kBadRequest,
-                            submission.error().message);
-  }
-  const auto job = submission->id;
+  const auto job = submission.id;
   if (partition->fold.Find(job) != nullptr) {
     co_return JsonResponse(202, "{}");
   }
@@ -151,12 +153,10 @@
   }
   if (record == nullptr) {
     record = std::make_shared<pending_record>();
-    record->records =
-        SubmissionRecords(submission.value(), host_.options.record_bytes);
+    record->records = SubmissionRecords(submission, host_.options.record_bytes);
     record->opens = job;
     Write(id, partition, record);
   }
-  const auto deadline = clock::now() + std::chrono::microseconds(call.wait_us);
   const bool is_accepted = co_await AwaitSettled(partition, record, deadline);
   if (is_accepted) {
     co_return JsonResponse(202, "{}");
@@ -171,17 +171,12 @@
 }
 
 auto batch_service::SubmitForOwner(partition_id id,
-                                   const wire::batch_callT& call)
+                                   const batch_submission& submission,
+                                   time_point deadline)
     -> asio::awaitable<http_response> {
-  auto submission = DecodeSubmission(call.body);
-  if (!submission) {
-    co_return FailureAnswer(error_code::kBadRequest,
-                            submission.error().message);
-  }
   const auto records =
-      SubmissionRecords(submission.value(), host_.options.record_bytes);
+      SubmissionRecords(submission, host_.options.record_bytes);
   const auto where = LocatePartition(id, host_.options.partitions_per_topic);
-  const auto deadline = clock::now() + std::chrono::microseconds(call.wait_us);
   // Read for this call only; never among the partitions that this host owns.
   auto partition =
       std::make_shared<owned_partition>(host_.io, host_.options.store);
@@ -191,7 +186,7 @@
     if (!is_read) {
       break;
     }
-    if (partition->fold.Find(submission->id) != nullptr) {
+    if (partition->fold.Find(submission.id) != nullptr) {
       co_return JsonResponse(202, "{}");
     }
     auto appended = co_await partition->client.Append(
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -143,13 +143,15 @@
               const wire::batch_callT& call) -> boost::asio::awaitable<bool>;
   auto Submit(partition_id id,
               partition_ptr partition,
-              const wire::batch_callT& call)
-      -> boost::asio::awaitable<http_response>;
+              const batch_submission& submission,
+              time_point deadline) -> boost::asio::awaitable<http_response>;
   /** Accepts a job in place of an owner that does not answer. Any host may: an
    * append counts only at the end of the log that it was made for, and the fold
    * drops a second submission. The owner finds the job when it is asked for it,
    * or the next owner when it reads the log. */
-  auto SubmitForOwner(partition_id id, const wire::batch_callT& call)
+  auto SubmitForOwner(partition_id id,
+                      const batch_submission& submission,
+                      time_point deadline)
       -> boost::asio::awaitable<http_response>;
   auto Results(partition_ptr partition, const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
