--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -68,6 +68,8 @@
   auto IsReady(time_point now) const -> bool { return now >= ready_at_; }
   /** Requests on each server. */
   auto Counts() const -> std::vector<server_count>;
+  /** Requests on all servers that are not counted here, as servers told. */
+  auto OtherCount(time_point now) const -> std::size_t;
   /** Asks that wait, by class. */
   auto WaitingCount(work_class work) const -> std::size_t;
   /** Slots that are neither used nor paused. */
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -536,6 +536,14 @@
   return counts;
 }
 
+auto dispatcher::OtherCount(time_point now) const -> std::size_t {
+  std::size_t count = 0;
+  for (const auto& [id, row] : servers_) {
+    count += LoadOf(row, now) - row.used;
+  }
+  return count;
+}
+
 auto dispatcher::WaitingCount(work_class work) const -> std::size_t {
   return work == work_class::kOnline ? online_.size() : batch_.size();
 }
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -65,6 +65,10 @@
   auto WaitingCount(work_class work) const -> std::size_t {
     return dispatcher_.WaitingCount(work);
   }
+  /** Requests on servers that this dispatcher does not count. */
+  auto OtherCount() const -> std::size_t {
+    return dispatcher_.OtherCount(clock::now());
+  }
   /** Registered server; nullptr if it is not known. */
   auto FindServer(const server_id& server) const -> const registered_server* {
     return local_.Find(server);
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -425,8 +425,10 @@
     cr_assert_eq(answer->server.value, "s1");
   }
   cr_assert_eq(d.FreeSlots(service_id("llm"), Begin()), 0);
+  cr_assert_eq(d.OtherCount(Begin()), kSlots);
   const auto later = Begin() + seconds(1);
   cr_assert_eq(d.FreeSlots(service_id("llm"), later), kSlots);
+  cr_assert_eq(d.OtherCount(later), 0);
 }
 
 // Guards against runs of this fleet that count twice: a load is told before the
