--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -239,10 +239,11 @@
   if (!IsListening(links.Listen(host.options.link)) ||
       !IsListening(servers.front.Listen(host.options.front)) ||
       !IsListening(servers.ready.Listen(host.options.ready)) ||
-      !IsListening(servers.directory.Listen(host.options.directory)) ||
-      !IsListening(servers.metrics.Listen(host.options.metrics))) {
+      !IsListening(servers.directory.Listen(host.options.directory))) {
     return 1;
   }
+  // A host whose metrics cannot be read, which is logged, still serves callers.
+  static_cast<void>(IsListening(servers.metrics.Listen(host.options.metrics)));
   StartWatching(host);
   host.placement->Start();
   host.batch->Start();
--- a/tests/site_stop.py
+++ b/tests/site_stop.py
@@ -92,8 +92,22 @@
             await fleet.settled(1)
 
 
+async def taken_metrics_port():
+    """The metrics' port is fixed before the ports of the day are known."""
+    async with sh.Fleet("taken_metrics_port", hosts=1, engines=1) as fleet:
+        host = fleet.hosts[0]
+        await host.end()
+        other = await asyncio.start_server(lambda *_: None, host.ip, sh.METRICS)
+        await host.start()
+        await sh.until(host.is_ready, "the host is ready without metrics", 10)
+        answer = await fleet.ask(host, "stream")
+        sh.check(answer.status == 200 and answer.is_whole, f"without metrics: {answer}")
+        other.close()
+
+
 async def test():
     await planned_stop()
+    await taken_metrics_port()
     await early_requests()
     await all_killed()
     await lost_dispatcher()
