End links to hosts that have gone; forget routes that were removed

Once a minute the links to hosts that are neither members nor named as peers end; a new state drops what was noted of routes that it no longer has. hostd_test (links_to_gone_hosts_end) guards the first.

--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -31,6 +31,9 @@
 constexpr double kLogLinesPerSecond = 300;
 /** Period of checks of the settings file, of limits and of idle connections. */
 constexpr milliseconds kHousekeeping{500};
+/** Period of looks for links to hosts that have gone; a host that is only cut
+ * off for a while keeps its links. */
+constexpr std::chrono::seconds kLinkPeriod{60};
 /** After SIGTERM new connections are taken this long: callers keep addresses
  * for three times the time they are told. */
 constexpr int kKeepFactor = 2;
@@ -203,10 +206,11 @@
 }
 
 /** Applies the declared limits, reloads settings that changed without a signal,
- * closes idle connections. */
+ * closes idle connections and links to hosts that have gone. */
 auto KeepHouse(host_state& host, host_servers& servers, std::string path)
     -> asio::awaitable<void> {
   auto changed_at = ChangeTime(path);
+  auto links_due = clock::now() + kLinkPeriod;
   while (true) {
     if (host.deployment != nullptr) {
       const auto& limits = host.deployment->state().limits;
@@ -221,7 +225,12 @@
       changed_at = now_changed;
       Reload(host, path);
     }
-    host.pool.Expire(clock::now());
+    const auto now = clock::now();
+    host.pool.Expire(now);
+    if (now >= links_due) {
+      links_due = now + kLinkPeriod;
+      KeepLinks(host);
+    }
     co_await Sleep(kHousekeeping);
   }
 }
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -95,6 +95,10 @@
             {"routes", decoded->routes.size()},
             {"services", decoded->services.size()},
             {"workspaces", decoded->workspaces.size()}});
+  std::erase_if(host.history, [&decoded](const auto& entry) {
+    return std::ranges::find(decoded->routes, entry.first, &route_rule::id) ==
+           decoded->routes.end();
+  });
   host.deployment =
       std::make_shared<const deployment_index>(std::move(decoded.value()));
   host.state_text = text;
@@ -437,6 +441,11 @@
   asio::co_spawn(host.io, AskPeers(host), EndOnException);
 }
 
+auto KeepLinks(host_state& host) -> void {
+  const auto addresses = PeerAddresses(host);
+  host.links.Keep({addresses.begin(), addresses.end()});
+}
+
 auto LeaveFleet(host_state& host) -> asio::awaitable<void> {
   adapter::store_client client(host.options.store);
   const group_member self{std::string(kGroup), host.self.name};
--- a/src/hostd_watch.h
+++ b/src/hostd_watch.h
@@ -15,6 +15,9 @@
  * servers and the members. */
 auto StartWatching(host_state& host) -> void;
 
+/** Ends the links to hosts that are neither members nor named as peers. */
+auto KeepLinks(host_state& host) -> void;
+
 /** Gives up membership, so that others take over what this host owns. */
 auto LeaveFleet(host_state& host) -> boost::asio::awaitable<void>;
 
--- a/src/link_table.cc
+++ b/src/link_table.cc
@@ -24,4 +24,9 @@
                 [&used](const auto& row) { return !used.contains(row.first); });
 }
 
+auto link_table::Size() -> std::size_t {
+  const std::lock_guard lock(mutex_);
+  return links_.size();
+}
+
 }  // namespace dogwood
--- a/src/link_table.h
+++ b/src/link_table.h
@@ -24,6 +24,8 @@
   auto Get(const std::string& address) -> std::shared_ptr<link_client>;
   /** Ends the links to addresses that are not in `used`. */
   auto Keep(const std::set<std::string>& used) -> void;
+  /** Number of links. */
+  auto Size() -> std::size_t;
 
  private:
   boost::asio::io_context& io_;
--- a/tests/hostd_test.cc
+++ b/tests/hostd_test.cc
@@ -7,7 +7,12 @@
 #include <sstream>
 
 #include "src/core.h"
+#include "src/hostd_base.h"
+#include "src/hostd_batch.h"
+#include "src/hostd_caller.h"
+#include "src/hostd_placement.h"
 #include "src/hostd_setting.h"
+#include "src/hostd_watch.h"
 #include "src/net.h"
 #include "src/proxy.h"
 #include "src/wait_list.h"
@@ -114,4 +119,21 @@
   cr_assert_neq(bad.error().message.find("store_address"), std::string::npos);
 }
 
+// Load: hosts are replaced all day, at new addresses. Guards against links to
+// hosts that have gone, which are never ended.
+Test(hostd, links_to_gone_hosts_end) {
+  asio::io_context io(1);
+  auto options = Options(Settings(R"(,"peers":["127.0.0.9:4"])"));
+  cr_assert(options.has_value());
+  host_state host(io, std::move(options.value()));
+  host.view.members = {*ParseMember("127.0.0.2|a|500")};
+  for (const auto* address :
+       {"127.0.0.2:4", "127.0.0.3:4", "127.0.0.4:4", "127.0.0.9:4"}) {
+    host.links.Get(address);
+  }
+  cr_assert_eq(host.links.Size(), 4);
+  KeepLinks(host);
+  cr_assert_eq(host.links.Size(), 2);
+}
+
 }  // namespace dogwood::testing
