--- a/src/log_base.cc
+++ b/src/log_base.cc
@@ -1,5 +1,5 @@
-// Storage of easylogging++. It is part of that library's target, so that whoever
-// links one has the other.
+// Storage of easylogging++. It belongs to that library's target, so that
+// whoever links one has the other.
 #include <easylogging++.h>
 
 INITIALIZE_EASYLOGGINGPP
