Make every host of a large fleet a member

Cause: the store lists a group's members by the partitions that they own, and 240 partitions of jobs were assigned to 295 hosts: 55 and more were no members and got no callers (members_changed showed 231). With three quarters of the hosts added it would be more than half. Change: the group also assigns the partitions of 14 topics without records, 576 partitions in all where a topic has 24. Result: fleet_test every_host_of_a_large_fleet_is_a_member fails with no such topics (240 of 516 hosts) and passes now.

--- a/src/fleet_func.cc
+++ b/src/fleet_func.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::string_view kTopicPrefix = "jobs-";
+constexpr std::string_view kMemberTopicPrefix = "hosts-";
 /** Separator of the fields in a member's name. */
 constexpr char kSeparator = '|';
 /** Processor cores are encoded in thousandths. */
@@ -40,11 +41,14 @@
 
 }  // namespace
 
-auto JobTopics() -> std::vector<std::string> {
+auto GroupTopics() -> std::vector<std::string> {
   std::vector<std::string> topics;
   for (std::uint32_t i = 0; i < kJobTopics; ++i) {
     topics.push_back(std::string(kTopicPrefix) + std::to_string(i));
   }
+  for (std::uint32_t i = 0; i < kMemberTopics; ++i) {
+    topics.push_back(std::string(kMemberTopicPrefix) + std::to_string(i));
+  }
   return topics;
 }
 
--- a/src/fleet_func.h
+++ b/src/fleet_func.h
@@ -16,13 +16,15 @@
 
 namespace dogwood {
 
-/** Number of topics over which batch jobs are distributed. A group assigns
- * partitions evenly, so there must be at least as many partitions as hosts, or
- * some hosts own none. */
+/** Number of topics over which batch jobs are distributed. */
 constexpr std::uint32_t kJobTopics = 10;
+/** Number of topics without records whose partitions only carry membership. The
+ * store lists the members of a group by the partitions that they own and
+ * assigns partitions evenly, so a group needs more partitions than hosts. */
+constexpr std::uint32_t kMemberTopics = 14;
 
-/** Returns the names of the job topics. */
-auto JobTopics() -> std::vector<std::string>;
+/** Returns the names of all topics whose partitions the group assigns. */
+auto GroupTopics() -> std::vector<std::string>;
 /** Returns the topic and number of a partition in the store. */
 auto LocatePartition(partition_id partition, std::uint32_t per_topic)
     -> log_partition;
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -317,7 +317,7 @@
 auto MaintainMembership(host_state& host) -> asio::awaitable<void> {
   adapter::store_client client(host.options.store);
   const group_member self{std::string(kGroup), host.self.name};
-  const auto topics = JobTopics();
+  const auto topics = GroupTopics();
   std::uint64_t generation = 0;
   while (!host.draining) {
     const auto sent = clock::now();
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -68,6 +68,25 @@
   cr_assert_not(PartitionAt({"jobs-99", 0}, kPartitionsPerTopic).has_value());
 }
 
+// Guards against hosts that are no members because they own no partition: with
+// 240 partitions of jobs, 55 of 295 hosts got no callers, and 276 of 516 once
+// the fleet had grown by three quarters.
+Test(fleet, every_host_of_a_large_fleet_is_a_member) {
+  constexpr std::uint32_t kLargePartitions = 24;
+  constexpr std::size_t kHosts = 516;
+  std::vector<partition_owner_row> rows;
+  for (const auto& topic : GroupTopics()) {
+    for (std::uint32_t part = 0; part < kLargePartitions; ++part) {
+      const auto host = std::to_string(rows.size() % kHosts);
+      rows.push_back({{topic, part}, Name("10.0.0." + host, "a", 0.5)});
+    }
+  }
+  const auto view = BuildView(7, rows, kLargePartitions);
+  cr_assert_eq(view.members.size(), kHosts);
+  // Partitions that only carry membership hold no jobs.
+  cr_assert_eq(view.owners.size(), std::size_t{kJobTopics} * kLargePartitions);
+}
+
 // Guards against owners that differ from those in the store, and against a
 // crash on a member name that this version cannot parse.
 Test(fleet, view_names_the_owners_of_the_store) {
