Let two hosts of a large data centre read the state for the others

Cause: each host read the declared state, each heartbeat of each server and the owners of partitions from the store. Change: in a data centre with more than five members the two with the most cores read the store; the others ask them over held calls and get the state once, changed registrations only (heartbeats change nothing), and the view. Age is carried along; a host whose sources have nothing younger than 2 s reads the store itself, from the offset that they told. Hosts that the store does not answer ask mostly in their own region, and take registrations that are newer than their own instead of those below a fixed age: a host that started in a long outage got none before.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -1,6 +1,7 @@
 # dogwood_hostd, the process for the users' platform, and the libraries that
 # only it uses.
-dogwood_library(deployment SOURCES deployment_query.cc LIBS dogwood_core)
+dogwood_library(deployment SOURCES deployment_journal.cc deployment_query.cc
+                LIBS dogwood_core)
 dogwood_library(dispatch
                 SOURCES dispatch_cmd.cc dispatch_local.cc dispatch_return.cc
                         dispatch_wait.cc
@@ -16,8 +17,9 @@
 dogwood_library(hostd_lib
                 SOURCES hostd_base.cc hostd_batch.cc hostd_batch_log.cc
                         hostd_batch_run.cc hostd_caller.cc
-                        hostd_front.cc hostd_placement.cc hostd_relay.cc
-                        hostd_setting.cc hostd_watch.cc
+                        hostd_feed.cc hostd_front.cc hostd_placement.cc
+                        hostd_registration.cc hostd_relay.cc hostd_setting.cc
+                        hostd_watch.cc
                 LIBS dogwood_platform_adapter dogwood_deployment
                      dogwood_dispatch dogwood_fleet dogwood_entry dogwood_wire
                      dogwood_setting)
--- a/src/deployment_type.h
+++ b/src/deployment_type.h
@@ -95,6 +95,8 @@
   unsigned slots = 1;       ///< Number of requests that it runs concurrently.
   bool leaving = false;     ///< Draining: gets no new requests.
   std::uint64_t start = 0;  ///< Start time in Unix ms; 0 if unknown.
+
+  auto operator==(const registered_server&) const -> bool = default;
 };
 
 }  // namespace dogwood
--- a/src/fleet_func.cc
+++ b/src/fleet_func.cc
@@ -5,6 +5,7 @@
 #include <boost/algorithm/string/split.hpp>
 #include <charconv>
 #include <cmath>
+#include <functional>
 #include <set>
 #include <tuple>
 
@@ -149,6 +150,30 @@
   return best == view.members.end() ? nullptr : &*best;
 }
 
+auto FeedSourcesOf(const fleet_view& view, const fleet_member& self)
+    -> std::vector<fleet_member> {
+  std::vector<fleet_member> near;
+  for (const auto& member : view.members) {
+    if (member.data_centre == self.data_centre) {
+      near.push_back(member);
+    }
+  }
+  if (near.size() <= kMaxDirectReaders) {
+    return {};
+  }
+  std::ranges::sort(near, std::greater(), [](const auto& member) {
+    return std::tuple(member.processor_share, StableHash(member.name));
+  });
+  near.resize(kReadersPerDataCentre);
+  if (std::ranges::find(near, self.name, &fleet_member::name) != near.end()) {
+    return {};
+  }
+  std::ranges::sort(near, std::greater(), [&self](const auto& reader) {
+    return StableHash(reader.name + self.name);
+  });
+  return near;
+}
+
 auto MembersNear(const fleet_view& view,
                  const std::map<data_centre_id, region_id>& regions,
                  const data_centre_id& data_centre,
--- a/src/fleet_func.h
+++ b/src/fleet_func.h
@@ -52,6 +52,22 @@
                   const std::map<data_centre_id, region_id>& regions)
     -> const fleet_member*;
 
+/** Data centres with more members than this have readers. In smaller ones every
+ * host reads the store itself, which needs fewer hops. */
+constexpr std::size_t kMaxDirectReaders = 5;
+/** Number of readers of a larger data centre; one may fail without effect. */
+constexpr std::size_t kReadersPerDataCentre = 2;
+
+/** Returns the members from which `self` gets the declared state and the
+ * registrations, in order of preference; empty if it reads the store itself.
+ *
+ * Without readers a large state crosses the link between regions once for each
+ * host of the other region: 1,900 more routes times 150 hosts filled 150 Mbit/s
+ * for seconds, and requests for slots and runs of items waited behind them. The
+ * members with the most cores are readers; the others are spread over them. */
+auto FeedSourcesOf(const fleet_view& view, const fleet_member& self)
+    -> std::vector<fleet_member>;
+
 /** Returns the members whose addresses a caller gets: those in its data centre,
  * or else those in its region, or else all; at least two if there are two. */
 auto MembersNear(const fleet_view& view,
--- a/src/hostd_base.cc
+++ b/src/hostd_base.cc
@@ -5,6 +5,7 @@
 #include "src/hostd_batch.h"
 #include "src/hostd_caller.h"
 #include "src/hostd_placement.h"
+#include "src/hostd_registration.h"
 
 namespace dogwood {
 namespace {
@@ -42,8 +43,11 @@
       random(RandomSeed()),
       links(context, {self.name, "hostd", options.secret}),
       pool(kPooledConnections, kDefaultIdleTimeout),
+      registrations(std::make_unique<registration_table>(*this)),
       started(clock::now()),
       readiness_changed(context),
+      feed_changed(context),
+      process(random()),
       placement(std::make_unique<placement_service>(*this, random())),
       batch(std::make_unique<batch_service>(*this)),
       callers(std::make_unique<caller_watch>(*this)) {}
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -7,9 +7,11 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "src/async_condition.h"
 #include "src/core.h"
@@ -26,6 +28,7 @@
 class placement_service;
 class batch_service;
 class caller_watch;
+class registration_table;
 
 /** Health of the store as seen by the calls of this process. */
 struct store_health {
@@ -37,6 +40,13 @@
   bool is_lost = true;  ///< State that was last logged.
 };
 
+/** How far a host has followed one log of the store, by itself or through
+ * another host. */
+struct feed_position {
+  std::optional<log_offset> next;  ///< Offset of the next record, if known.
+  time_point confirmed;            ///< When the store confirmed the position.
+};
+
 /** Exponentially smoothed answer times of a service. */
 struct answer_times {
   double first_event_s = 0.15;  ///< Seconds to the first event of a stream.
@@ -69,8 +79,8 @@
   /** Newest declared state; nullptr before the first. */
   std::shared_ptr<const deployment_index> deployment;
   std::string state_text;  ///< Text of the newest declared state as stored.
-  /** Registrations as stored, by server. */
-  std::map<std::string, std::string> registrations;
+  /** Registrations as stored. */
+  std::unique_ptr<registration_table> registrations;
   /** Decoded registrations of usable servers. */
   std::map<server_id, registered_server> servers;
   /** Set once the registrations have been read completely. */
@@ -79,6 +89,17 @@
   /** Notified when a declared state is applied and when the registrations are
    * read. */
   async_condition readiness_changed;
+  /** Notified when the state, the registrations or the members change. */
+  async_condition feed_changed;
+  feed_position state_feed;   ///< Position in the log of the state.
+  feed_position server_feed;  ///< Position in the log of the registrations.
+  /** Hosts from which this one gets the state and the registrations; empty if
+   * it reads the store itself. */
+  std::vector<fleet_member> feed_sources;
+  /** When this host reads the store itself unless a source has answered with
+   * current data before. */
+  time_point feed_deadline;
+  std::uint64_t process;      ///< Identifies this run of the process to others.
   fleet_view view;            ///< Newest view of the members.
   time_point view_confirmed;  ///< When the store last confirmed the view.
   /** End of the membership lease: until then the store gives this host's
--- /dev/null
+++ b/src/hostd_feed.h
@@ -0,0 +1,41 @@
+/** Exchange of the declared state, the registrations and the members between
+ * hosts.
+ *
+ * In a large data centre two hosts read the store, and the others get what has
+ * changed from them over held calls. A host reads the store itself as soon as
+ * its sources do not answer with current data, and any host asks others while
+ * the store does not answer. */
+#ifndef SRC_HOSTD_FEED_H_
+#define SRC_HOSTD_FEED_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+#include <vector>
+
+#include "src/link.h"
+#include "src/unit_type.h"
+
+namespace dogwood {
+
+struct host_state;
+
+/** Whether the host has to read the store itself at `now`. */
+auto ReadsStore(const host_state& host, time_point now) -> bool;
+
+/** Runs the loop that asks other hosts. */
+auto FollowFeed(host_state& host) -> boost::asio::awaitable<void>;
+
+/** Answers another host's query; waits for news if the request says so. */
+auto AnswerView(host_state& host, wire::view_requestT request)
+    -> boost::asio::awaitable<wire::view_replyT>;
+
+/** Applies what another host knows, where it is newer. */
+auto ApplyPeerView(host_state& host, const wire::view_replyT& reply) -> void;
+
+/** Returns the link addresses of configured peers and members, without this
+ * host. */
+auto PeerAddresses(const host_state& host) -> std::vector<std::string>;
+
+}  // namespace dogwood
+
+#endif  // SRC_HOSTD_FEED_H_
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -14,6 +14,7 @@
 #include "src/hostd_base.h"
 #include "src/hostd_batch.h"
 #include "src/hostd_caller.h"
+#include "src/hostd_feed.h"
 #include "src/hostd_front.h"
 #include "src/hostd_placement.h"
 #include "src/hostd_watch.h"
@@ -120,7 +121,8 @@
     co_return MakeMessage(wire::doneT());
   }
   if (const auto* view = message.Asview_request()) {
-    co_return MakeMessage(AnswerView(host, *view));
+    auto answer = co_await AnswerView(host, *view);
+    co_return MakeMessage(std::move(answer));
   }
   if (const auto* call = message.Asbatch_call()) {
     auto response = co_await host.batch->Answer(*call);
--- /dev/null
+++ b/src/hostd_registration.cc
@@ -0,0 +1,146 @@
+#include "src/hostd_registration.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "platform/adapter.h"
+#include "src/hostd_base.h"
+#include "src/hostd_batch.h"
+#include "src/hostd_placement.h"
+
+namespace dogwood {
+namespace {
+
+/** Time that a host which has just learned of its feed sources gives them
+ * before it reads the store itself. */
+constexpr std::chrono::milliseconds kFirstFeedTimeout{400};
+
+}  // namespace
+
+auto ApplyState(host_state& host, const std::string& text) -> void {
+  auto decoded = adapter::DecodeState(text);
+  if (!decoded) {
+    Log(log_level::kError, log_category::kConfig,
+        {decoded.error().message, decoded.error().step, "store"});
+    return;
+  }
+  const auto version = decoded->version;
+  if (host.deployment != nullptr &&
+      version <= host.deployment->state().version) {
+    return;
+  }
+  LogEvent(log_level::kInfo, log_category::kConfig, "state_applied",
+           {{"state_version", version.value},
+            {"bytes", text.size()},
+            {"routes", decoded->routes.size()},
+            {"services", decoded->services.size()},
+            {"workspaces", decoded->workspaces.size()}});
+  std::set<route_id> routes;
+  for (const auto& route : decoded->routes) {
+    routes.insert(route.id);
+  }
+  std::erase_if(host.history, [&routes](const auto& entry) {
+    return !routes.contains(entry.first);
+  });
+  host.deployment =
+      std::make_shared<const deployment_index>(std::move(decoded.value()));
+  host.state_text = text;
+  host.batch->StateChanged();
+  host.readiness_changed.Notify();
+  host.feed_changed.Notify();
+}
+
+auto ApplyView(host_state& host, fleet_view view) -> void {
+  LogEvent(log_level::kInfo, log_category::kMember, "members_changed",
+           {{"generation", view.generation}, {"members", view.members.size()}});
+  host.view = std::move(view);
+  std::set<partition_id> owned;
+  for (std::uint32_t i = 0; i < host.view.owners.size(); ++i) {
+    const auto* owner = host.view.OwnerOf(partition_id(i));
+    if (owner != nullptr && owner->name == host.self.name && !host.draining) {
+      owned.insert(partition_id(i));
+    }
+  }
+  host.owned = std::move(owned);
+  auto sources = FeedSourcesOf(host.view, host.self);
+  if (host.feed_sources.empty() && !sources.empty()) {
+    host.feed_deadline = clock::now() + kFirstFeedTimeout;
+  }
+  host.feed_sources = std::move(sources);
+  host.placement->ViewChanged();
+  host.batch->OwnershipChanged();
+  host.feed_changed.Notify();
+}
+
+auto registration_table::Apply(const std::string& id,
+                               const std::optional<std::string>& text) -> void {
+  if (!text) {
+    Remove(id);
+    return;
+  }
+  lapsed_.erase(id);
+  auto decoded = adapter::DecodeServer(id, *text);
+  const auto known = host_.servers.find(server_id(id));
+  if (!decoded) {
+    Log(log_level::kDebug, log_category::kConfig,
+        {decoded.error().message, decoded.error().step, decoded.error().peer});
+    journal_.Put(id, *text, known != host_.servers.end());
+    host_.servers.erase(server_id(id));
+    return;
+  }
+  const bool is_change =
+      known == host_.servers.end() || known->second != decoded.value();
+  journal_.Put(id, *text, is_change);
+  if (!is_change) {
+    return;
+  }
+  if (known == host_.servers.end() ||
+      known->second.leaving != decoded->leaving) {
+    LogEvent(log_level::kInfo, log_category::kConfig, "server_listed",
+             {{"server", id},
+              {"address", decoded->address},
+              {"leaving", decoded->leaving}});
+  }
+  host_.servers[decoded->id] = std::move(decoded.value());
+}
+
+auto registration_table::Remove(const std::string& id) -> void {
+  const auto now = clock::now();
+  if (now < host_.store.unreliable_until) {
+    lapsed_.try_emplace(id, now);
+    return;
+  }
+  Drop(id);
+}
+
+auto registration_table::Drop(const std::string& id) -> void {
+  journal_.Remove(id);
+  if (host_.servers.erase(server_id(id)) > 0) {
+    LogEvent(log_level::kInfo, log_category::kConfig, "server_gone",
+             {{"server", id}});
+  }
+}
+
+auto registration_table::Expire(time_point now) -> void {
+  // The grace period starts at the store's return.
+  if (now < host_.store.unreliable_until) {
+    return;
+  }
+  for (const auto& [id, since] : std::exchange(lapsed_, {})) {
+    Drop(id);
+  }
+}
+
+auto registration_table::Publish() -> void {
+  if (host_.servers_known && published_ == journal_.revision()) {
+    return;
+  }
+  published_ = journal_.revision();
+  host_.servers_known = true;
+  host_.placement->ServersChanged();
+  host_.readiness_changed.Notify();
+  host_.feed_changed.Notify();
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/src/hostd_registration.h
@@ -0,0 +1,62 @@
+/** What a host knows of the declared state, the registrations of servers and
+ * the members, whether it comes from the store or from another host. */
+#ifndef SRC_HOSTD_REGISTRATION_H_
+#define SRC_HOSTD_REGISTRATION_H_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "src/deployment.h"
+#include "src/fleet.h"
+#include "src/store_type.h"
+#include "src/unit_type.h"
+
+namespace dogwood {
+
+struct host_state;
+
+/** Applies a declared state if it is newer than the current one. */
+auto ApplyState(host_state& host, const std::string& text) -> void;
+
+/** Applies a view of the members: partitions, dispatcher and feed sources. */
+auto ApplyView(host_state& host, fleet_view view) -> void;
+
+/** Registrations of servers on a host. Removals during an outage of the store
+ * are deferred, since the registrations may only have lapsed. */
+class registration_table {
+ public:
+  explicit registration_table(host_state& host) : host_(host) {}
+
+  /** Stores a registration, or removes it if there is no text. */
+  auto Apply(const std::string& id, const std::optional<std::string>& text)
+      -> void;
+  /** Removes all registrations but those of `present`. */
+  template <typename Ids>
+  auto RemoveAbsent(const Ids& present) -> void {
+    for (const auto& id : journal_.Ids()) {
+      if (!present.contains(id)) {
+        Remove(id);
+      }
+    }
+  }
+  /** Drops lapsed registrations that were not renewed in time. */
+  auto Expire(time_point now) -> void;
+  /** Tells the rest of the host about changes since the last call. */
+  auto Publish() -> void;
+
+  auto journal() const -> const registration_journal& { return journal_; }
+
+ private:
+  auto Remove(const std::string& id) -> void;
+  auto Drop(const std::string& id) -> void;
+
+  host_state& host_;
+  registration_journal journal_;
+  std::uint64_t published_ = 0;  // Revision at the last Publish().
+  std::map<std::string, time_point> lapsed_;
+};
+
+}  // namespace dogwood
+
+#endif  // SRC_HOSTD_REGISTRATION_H_
--- a/src/hostd_watch.h
+++ b/src/hostd_watch.h
@@ -1,12 +1,9 @@
-/** Synchronisation of a host's state from the store and, while the store does
- * not answer, from other hosts. */
+/** Synchronisation of a host's state from the store. */
 #ifndef SRC_HOSTD_WATCH_H_
 #define SRC_HOSTD_WATCH_H_
 
 #include <boost/asio/awaitable.hpp>
 
-#include "src/link.h"
-
 namespace dogwood {
 
 struct host_state;
@@ -22,11 +19,6 @@
  * host. */
 auto LeaveFleet(host_state& host) -> boost::asio::awaitable<void>;
 
-/** Builds the answer to another host's query for the declared state, the
- * registrations and the members. */
-auto AnswerView(const host_state& host, const wire::view_requestT& request)
-    -> wire::view_replyT;
-
 }  // namespace dogwood
 
 #endif  // SRC_HOSTD_WATCH_H_
--- a/tests/deployment_test.cc
+++ b/tests/deployment_test.cc
@@ -77,4 +77,44 @@
   cr_assert_eq(PickService(route, 0.9999).value, "b");
 }
 
+// Guards against passing on each heartbeat of each server, and against a host
+// that keeps a server that has left.
+Test(deployment, journal_passes_on_changes_only) {
+  registration_journal journal;
+  journal.Put("s1", "a", true);
+  journal.Put("s2", "b", true);
+  const auto all = journal.ChangesSince(0);
+  cr_assert(all.is_complete);
+  cr_assert_eq(all.present.size(), 2);
+  journal.Put("s1", "a2", false);
+  cr_assert(journal.ChangesSince(all.revision).present.empty());
+  cr_assert_eq(journal.ChangesSince(0).present[0].second, "a2");
+  journal.Put("s2", "draining", true);
+  journal.Remove("s1");
+  const auto news = journal.ChangesSince(all.revision);
+  cr_assert_not(news.is_complete);
+  cr_assert_eq(news.present.size(), 1);
+  cr_assert_eq(news.present[0].second, "draining");
+  cr_assert_eq(news.removed, std::vector<std::string>{"s1"});
+  // A server that is back is not reported as removed.
+  journal.Put("s1", "again", false);
+  const auto back = journal.ChangesSince(all.revision);
+  cr_assert(back.removed.empty());
+  cr_assert_eq(back.present.size(), 2);
+}
+
+// Guards against removals that are lost on a host that has not asked for long.
+Test(deployment, journal_lists_everything_after_many_removals) {
+  registration_journal journal;
+  journal.Put("first", "x", true);
+  const auto revision = journal.revision();
+  for (int i = 0; i < 2000; ++i) {
+    journal.Put(std::to_string(i), "x", true);
+    journal.Remove(std::to_string(i));
+  }
+  const auto changes = journal.ChangesSince(revision);
+  cr_assert(changes.is_complete);
+  cr_assert_eq(changes.present.size(), 1);
+}
+
 }  // namespace dogwood::testing
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -134,4 +134,49 @@
   cr_assert_eq(near("", ""), 4);
 }
 
+// Guards against a state that crosses the link between regions once for each
+// host: in a large data centre two hosts read the store, and the others are
+// spread over them.
+Test(fleet, two_hosts_of_a_large_data_centre_read_the_store) {
+  std::vector<std::string> names;
+  for (int i = 0; i < 50; ++i) {
+    names.push_back(
+        Name("10.0.0." + std::to_string(i), "a", i < 10 ? 0.5 : 0.12));
+  }
+  names.push_back(Name("10.1.0.1", "c", 0.5));
+  std::vector<partition_owner_row> rows;
+  for (const auto& name : names) {
+    rows.push_back({{"hosts-0", 0}, name});
+  }
+  const auto view = BuildView(7, rows, kPartitionsPerTopic);
+  std::map<std::string, std::size_t> first_choices;
+  std::size_t direct = 0;
+  for (const auto& member : view.members) {
+    const auto sources = FeedSourcesOf(view, member);
+    direct += sources.empty() ? 1 : 0;
+    if (!sources.empty()) {
+      cr_assert_eq(sources.size(), kReadersPerDataCentre);
+      cr_assert_float_eq(sources[0].processor_share, 0.5, 1e-9);
+      ++first_choices[sources[0].name];
+    }
+  }
+  cr_assert_eq(direct, kReadersPerDataCentre + 1);
+  cr_assert_eq(first_choices.size(), kReadersPerDataCentre);
+  for (const auto& [name, followers] : first_choices) {
+    cr_assert_geq(followers, 12);
+  }
+}
+
+// Guards against an additional hop on small fleets.
+Test(fleet, every_host_of_a_small_fleet_reads_the_store) {
+  std::vector<std::string> names;
+  for (int i = 0; i < 4; ++i) {
+    names.push_back(Name("10.0.0." + std::to_string(i), "a", 0.5));
+  }
+  const auto view = View(names);
+  for (const auto& member : view.members) {
+    cr_assert(FeedSourcesOf(view, member).empty());
+  }
+}
+
 }  // namespace dogwood::testing
