Send the counts of all servers to a host once a second only

Cause: each host reports to the dispatcher four times a second and got a row for each server back: 295 x 4 x 160 rows a second, some 5 MB/s from one host of half a core, half of it between regions. The counts are valid for 2 s. Change: a host asks for them when its own are a second old. A link that cannot be made no longer ends the process (ReportHeld lacked the check).

--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -44,8 +44,11 @@
 /** A replaced dispatcher goes on deciding for this long, because hosts learn of
  * the new view at different times. */
 constexpr std::chrono::seconds kDispatcherHandoverTime{3};
-/** Validity of the request counts that a dispatcher has sent. */
+/** Validity of the request counts that a dispatcher has sent, and how often a
+ * host asks for them: a row for each server in each report of each host would
+ * be most of what the dispatcher sends. */
 constexpr std::chrono::seconds kCountsTtl{2};
+constexpr milliseconds kCountsInterval{1000};
 /** Backoff for a server that this host could not reach. */
 constexpr milliseconds kUnreachableBackoff{500};
 
@@ -473,7 +476,11 @@
       request.held.push_back(std::move(entry));
     }
     request.told = EncodeCounts(ReportedLoads(now));
+    request.wants_loads = now >= counts_due_;
     const auto link = host_.links.Get(to.address);
+    if (link == nullptr) {
+      co_return;
+    }
     auto message = MakeMessage(std::move(request));
     auto answer = co_await link->Call(std::move(message), now + kReportTimeout);
     auto* held = answer ? answer->Asheld_reply() : nullptr;
@@ -486,6 +493,7 @@
   const auto answered = clock::now();
   if (!counts.empty()) {
     local_.SetCounts(counts, answered + kCountsTtl);
+    counts_due_ = now + kCountsInterval;
   }
   if (!reply.ready) {
     co_return;
@@ -560,7 +568,9 @@
   dispatcher_.RecordReportedLoads(DecodeCounts(request.told), now);
   wire::held_replyT reply;
   reply.ready = dispatcher_.IsReady(now);
-  reply.loads = EncodeCounts(dispatcher_.Counts());
+  if (request.wants_loads) {
+    reply.loads = EncodeCounts(dispatcher_.Counts());
+  }
   return reply;
 }
 
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -132,6 +132,7 @@
   std::map<std::pair<host_id, ticket_id>, std::shared_ptr<waiter>> waiters_;
   std::map<ticket_id, held> held_;
   std::map<server_id, load_record> reported_loads_;
+  time_point counts_due_;  ///< When the dispatcher is asked for its counts.
   std::uint64_t next_ticket_;
   /** End of the current discovery of a dispatcher. */
   time_point discovery_deadline_;
