Keep each workspace within its limit of waiting batch tokens

Cause: routes of batch jobs may limit the tokens of a workspace's accepted items that wait, on all hosts together; nobody counted them. Change: owners report the open tokens of their partitions with their held slots; the owner of a job, or a host that accepts in its place, asks the dispatcher for room, which counts grants until a report includes them. A job without room gets 429 at once. Without a dispatcher a host fills its even part of the limit. A refusal by the owner is not passed on if a substitute may have appended the job. Result: batch_test (jobs at once over several hosts, lost hosts, change of dispatcher as a property, hosts alone, tokens kept in the log).

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -6,7 +6,8 @@
                 SOURCES dispatch_cmd.cc dispatch_local.cc dispatch_return.cc
                         dispatch_wait.cc
                 LIBS dogwood_core)
-dogwood_library(batch SOURCES batch_projection.cc batch_queue.cc batch_record.cc
+dogwood_library(batch SOURCES batch_projection.cc batch_queue.cc batch_quota.cc
+                        batch_record.cc
                 LIBS dogwood_job dogwood_http)
 dogwood_library(fleet SOURCES fleet_func.cc LIBS dogwood_batch)
 add_library(dogwood_platform_adapter STATIC
--- a/src/batch.h
+++ b/src/batch.h
@@ -4,6 +4,7 @@
 
 #include "src/batch_projection.h"
 #include "src/batch_queue.h"
+#include "src/batch_quota.h"
 #include "src/batch_record.h"
 #include "src/batch_type.h"
 
--- a/src/batch_projection.cc
+++ b/src/batch_projection.cc
@@ -5,6 +5,16 @@
 
 namespace dogwood {
 
+auto batch_job::OpenTokens() const -> std::uint64_t {
+  std::uint64_t tokens = 0;
+  for (const auto& item : submission.items) {
+    if (!ended && !listed.contains(item.id)) {
+      tokens += item.tokens;
+    }
+  }
+  return tokens;
+}
+
 auto batch_job::FindItem(const batch_item_id& item) const -> const batch_item* {
   const auto found = index.find(item);
   return found == index.end() ? nullptr : &submission.items[found->second];
--- a/src/batch_projection.h
+++ b/src/batch_projection.h
@@ -35,6 +35,9 @@
   auto IsClosed() const -> bool {
     return ended || listed.size() == submission.items.size();
   }
+  /** Returns the tokens of the items without a result; 0 once the job has ended.
+   */
+  auto OpenTokens() const -> std::uint64_t;
   /** Returns the item, or nullptr if it is unknown. */
   auto FindItem(const batch_item_id& item) const -> const batch_item*;
   /** Returns the recorded progress of an item; empty if there is none. */
--- a/src/batch_record.cc
+++ b/src/batch_record.cc
@@ -49,6 +49,7 @@
   return {{"id", item.id.value},
           {"path", item.path},
           {"headers", std::move(headers)},
+          {"tokens", item.tokens},
           {"bytes", item.body.size()}};
 }
 
@@ -63,7 +64,8 @@
   batch_item item{.id = batch_item_id(std::string(TextField(line, "id"))),
                   .path = std::string(TextField(line, "path")),
                   .headers = {},
-                  .body = std::string(bytes.substr(0, size))};
+                  .body = std::string(bytes.substr(0, size)),
+                  .tokens = NumberField(line, "tokens")};
   bytes.remove_prefix(size);
   const auto* headers = line.if_contains("headers");
   if (headers != nullptr && headers->is_object()) {
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -21,6 +21,7 @@
   std::string path;      ///< Path of the request that runs it.
   http_headers headers;  ///< Header fields of that request.
   std::string body;      ///< Body, decoded.
+  std::uint64_t tokens = 0;  ///< Tokens of the prompt and the longest output.
 };
 
 /** A job as submitted. */
--- a/src/deployment_type.h
+++ b/src/deployment_type.h
@@ -46,6 +46,9 @@
   std::chrono::milliseconds retention{};  ///< Items may be abandoned after it.
   unsigned priority = 0;                  ///< 0 is the highest.
   unsigned max_attempts = 1;  ///< Servers that one request may be sent to.
+  /** Most tokens of a workspace's accepted batch items that may wait; 0: no
+   * limit. */
+  std::uint64_t waiting_tokens_limit = 0;
   bool open = false;          ///< Requests need no key.
   bool resumable = false;     ///< A stream may continue at another server.
   std::vector<service_share> services;  ///< Targets with weights.
--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "src/hostd_base.h"
+#include "src/hostd_placement.h"
 #include "src/wall_clock.h"
 
 namespace dogwood {
@@ -34,6 +35,10 @@
 constexpr milliseconds kSubstituteTimeout{1200};
 /** Maximum number of substitutes, including this host. */
 constexpr std::size_t kMaxSubstitutes = 3;
+/** An accepted job counts for this long at the host that has accepted it, unless
+ * its partition's log shows it before: a host that accepts in place of the owner
+ * does not see that log. */
+constexpr std::chrono::seconds kAcceptedTokensTtl{5};
 /** Retry-After for callers while the owner of the job cannot serve them. */
 constexpr milliseconds kOwnerRetryAfter{300};
 
@@ -139,6 +144,80 @@
   co_return is_current;
 }
 
+auto batch_service::WaitingReport() const -> waiting_report {
+  waiting_report report{.rows = {}, .last_grant = last_grant_};
+  std::map<batch_quota_key, std::uint64_t> rows;
+  for (const auto& [id, partition] : partitions_) {
+    for (const auto& [job_id, job] : partition->projection.Jobs()) {
+      const auto* route =
+          job.IsClosed() ? nullptr : RouteOf(job.submission);
+      if (route != nullptr && route->waiting_tokens_limit > 0) {
+        rows[{job.submission.workspace, route->id}] += job.OpenTokens();
+      }
+    }
+  }
+  const auto now = clock::now();
+  for (const auto& [job, accepted] : accepting_) {
+    if (now < accepted.counted_until) {
+      rows[accepted.row.key] += accepted.row.tokens;
+    }
+  }
+  for (const auto& [key, tokens] : rows) {
+    report.rows.push_back({key, tokens});
+  }
+  return report;
+}
+
+auto batch_service::ReserveRoom(const batch_submission& submission)
+    -> asio::awaitable<bool> {
+  const auto* route = RouteOf(submission);
+  if (route == nullptr || route->waiting_tokens_limit == 0) {
+    co_return true;
+  }
+  const batch_quota_key key{submission.workspace, route->id};
+  const auto limit = route->waiting_tokens_limit;
+  std::uint64_t tokens = 0;
+  for (const auto& item : submission.items) {
+    tokens += item.tokens;
+  }
+  auto grant = co_await host_.placement->RequestQuota(key, tokens, limit);
+  if (grant) {
+    last_grant_ = std::max(last_grant_, grant->number);
+  } else {
+    std::uint64_t waiting = 0;
+    for (const auto& row : WaitingReport().rows) {
+      waiting += row.key == key ? row.tokens : 0;
+    }
+    const auto hosts = host_.view.members.size();
+    grant = batch_grant{.granted = waiting + tokens <= LocalQuota(limit, hosts)};
+  }
+  LogEvent(grant->granted ? log_level::kDebug : log_level::kInfo,
+           log_category::kJob, "batch_quota",
+           {{"job", submission.id.value},
+            {"workspace", key.workspace.value},
+            {"route", key.route.value},
+            {"tokens", tokens},
+            {"limit", limit},
+            {"dispatcher", host_.placement->HasDispatcher()},
+            {"granted", grant->granted}});
+  if (grant->granted) {
+    accepting_[submission.id] = {{key, tokens},
+                                 clock::now() + kAcceptedTokensTtl};
+  }
+  co_return grant->granted;
+}
+
+namespace {
+
+/** Returns the answer to a job that exceeds its workspace's limit of waiting
+ * tokens. */
+auto NoRoomAnswer() -> http_response {
+  return FailureAnswer(error_code::kTooManyRequests,
+                       "workspace has too many tokens waiting on the route");
+}
+
+}  // namespace
+
 auto batch_service::Submit(partition_id id,
                            partition_ptr partition,
                            const batch_submission& submission,
@@ -155,6 +234,13 @@
     }
   }
   if (record == nullptr) {
+    const bool has_room = co_await ReserveRoom(submission);
+    if (partition->projection.Find(job) != nullptr) {
+      co_return JsonResponse(202, "{}");
+    }
+    if (!has_room) {
+      co_return NoRoomAnswer();
+    }
     record = std::make_shared<pending_record>();
     record->records = SubmissionRecords(submission, host_.options.record_bytes);
     record->submitted_job = job;
@@ -162,10 +248,12 @@
   }
   const bool is_accepted = co_await AwaitSettled(partition, record, deadline);
   if (is_accepted) {
+    accepting_.erase(job);
     co_return JsonResponse(202, "{}");
   }
   if (!record->may_be_in_log && !partition->is_writing) {
     partition->pending.remove(record);
+    accepting_.erase(job);
     co_return FailureAnswer(error_code::kUnavailable,
                             "the store takes no records");
   }
@@ -193,6 +281,12 @@
     if (partition->projection.Find(submission.id) != nullptr) {
       co_return JsonResponse(202, "{}");
     }
+    if (!accepting_.contains(submission.id)) {
+      const bool has_room = co_await ReserveRoom(submission);
+      if (!has_room) {
+        co_return NoRoomAnswer();
+      }
+    }
     auto appended = co_await partition->client.Append(
         where, records, partition->projection.next(), deadline);
     if (appended) {
@@ -400,7 +494,9 @@
   while (!owner_answer->response && clock::now() < deadline) {
     co_await owner_answer->changed.Wait(deadline);
   }
-  if (IsSettled(owner_answer->response)) {
+  // A refusal by the owner does not settle what a substitute may have appended.
+  if (IsSettled(owner_answer->response) &&
+      (!may_be_in_log || owner_answer->response->status == 202)) {
     co_return *owner_answer->response;
   }
   // The answer may say "not run" only if no host may have appended the job.
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -60,6 +60,9 @@
    * any partition. */
   auto Answer(const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
+  /** Returns the tokens that wait on routes with a limit, of jobs of this host's
+   * partitions and of those that are being accepted. */
+  auto WaitingReport() const -> waiting_report;
   /** Number of open items, waiting or running; for metrics. */
   auto ItemCount() const -> std::size_t { return queue_.Size(); }
   /** Number of items that have an outstanding placement request, and of those
@@ -104,6 +107,12 @@
     async_condition changed;  ///< Notified of each change of the partition.
   };
   using partition_ptr = std::shared_ptr<owned_partition>;
+  /** Tokens of a job that is being accepted, until its partition counts them.
+   */
+  struct accepted_tokens {
+    waiting_tokens row;
+    time_point counted_until;
+  };
   /** A run in progress. The pointers refer to objects of its coroutine. */
   struct item_run {
     attempt_handle* handle;           ///< Aborts the run.
@@ -165,6 +174,10 @@
                       const batch_submission& submission,
                       time_point deadline)
       -> boost::asio::awaitable<http_response>;
+  /** Asks for room for a job within its workspace's limit of waiting tokens.
+   * Returns false if there is none. */
+  auto ReserveRoom(const batch_submission& submission)
+      -> boost::asio::awaitable<bool>;
   auto Results(partition_ptr partition, const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
   auto End(partition_id id,
@@ -202,6 +215,8 @@
   std::size_t awaiting_slot_ =
       0;  // Items with an outstanding placement request.
   std::size_t running_ = 0;
+  std::map<batch_id, accepted_tokens> accepting_;
+  std::uint64_t last_grant_ = 0;  // Number of the newest quota grant.
   double run_seconds_;      // Smoothed duration of a complete run.
   time_point next_record_;  // When progress is recorded next.
 };
--- a/src/hostd_batch_log.cc
+++ b/src/hostd_batch_log.cc
@@ -205,6 +205,9 @@
       ++it;
     }
   }
+  std::erase_if(accepting_, [now = clock::now()](const auto& entry) {
+    return now >= entry.second.counted_until;
+  });
   partition.projection.Forget(unix_ms(
       UnixNow().value -
       static_cast<std::uint64_t>(
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -120,6 +120,9 @@
     host.placement->HandlePreempt(*preempt);
     co_return MakeMessage(wire::doneT());
   }
+  if (const auto* quota = message.Asquota_request()) {
+    co_return MakeMessage(host.placement->HandleQuota(*quota));
+  }
   if (const auto* view = message.Asview_request()) {
     auto answer = co_await AnswerView(host, *view);
     co_return MakeMessage(std::move(answer));
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "src/hostd_base.h"
+#include "src/hostd_batch.h"
 #include "src/net.h"
 
 namespace dogwood {
@@ -49,6 +50,10 @@
  * be most of what the dispatcher sends. */
 constexpr std::chrono::seconds kCountsTtl{2};
 constexpr milliseconds kCountsInterval{1000};
+/** Validity of a host's report of waiting tokens. It exceeds the time until the
+ * partitions of a lost host are loaded and counted by others: the lifetime of a
+ * membership and one renewal. */
+constexpr std::chrono::seconds kWaitingTtl{4};
 /** Backoff for a server that this host could not reach. */
 constexpr milliseconds kUnreachableBackoff{500};
 
@@ -400,6 +405,7 @@
   const bool is_self = chosen != nullptr && chosen->name == host_.self.name;
   if (is_self && !is_dispatcher_) {
     dispatcher_.Start(now);
+    quota_.Clear();
   }
   if (is_self) {
     decides_until_ = time_point::max();
@@ -464,6 +470,8 @@
   if (to.address.empty()) {
     dispatcher_.ReconcileHeldSlots(host_id(host_.self.name), HeldSlots(), now);
     dispatcher_.RecordReportedLoads(ReportedLoads(now), now);
+    quota_.Report(host_id(host_.self.name), host_.batch->WaitingReport(),
+                  now + kWaitingTtl);
     reply.ready = dispatcher_.IsReady(now);
   } else {
     wire::held_requestT request;
@@ -477,6 +485,15 @@
     }
     request.told = EncodeCounts(ReportedLoads(now));
     request.wants_loads = now >= counts_due_;
+    const auto waiting = host_.batch->WaitingReport();
+    request.last_grant = waiting.last_grant;
+    for (const auto& row : waiting.rows) {
+      auto entry = std::make_unique<wire::waiting_rowT>();
+      entry->workspace = row.key.workspace.value;
+      entry->route = row.key.route.value;
+      entry->tokens = row.tokens;
+      request.waiting.push_back(std::move(entry));
+    }
     const auto link = host_.links.Get(to.address);
     if (link == nullptr) {
       co_return;
@@ -566,6 +583,12 @@
   }
   dispatcher_.ReconcileHeldSlots(host_id(request.host), held, now);
   dispatcher_.RecordReportedLoads(DecodeCounts(request.told), now);
+  waiting_report waiting{.rows = {}, .last_grant = request.last_grant};
+  for (const auto& row : request.waiting) {
+    waiting.rows.push_back(
+        {{workspace_id(row->workspace), route_id(row->route)}, row->tokens});
+  }
+  quota_.Report(host_id(request.host), std::move(waiting), now + kWaitingTtl);
   wire::held_replyT reply;
   reply.ready = dispatcher_.IsReady(now);
   if (request.wants_loads) {
@@ -574,6 +597,58 @@
   return reply;
 }
 
+auto placement_service::HandleQuota(const wire::quota_requestT& request)
+    -> wire::quota_replyT {
+  const auto now = clock::now();
+  wire::quota_replyT reply;
+  reply.ready = dispatcher_.IsReady(now);
+  if (reply.ready) {
+    const auto grant = quota_.Request(
+        host_id(request.host),
+        {workspace_id(request.workspace), route_id(request.route)},
+        request.tokens, request.limit, now);
+    reply.granted = grant.granted;
+    reply.number = grant.number;
+  }
+  return reply;
+}
+
+auto placement_service::RequestQuota(const batch_quota_key& key,
+                                     std::uint64_t tokens,
+                                     std::uint64_t limit)
+    -> asio::awaitable<std::optional<batch_grant>> {
+  if (!HasDispatcher()) {
+    co_return std::nullopt;
+  }
+  wire::quota_requestT request;
+  request.host = host_.self.name;
+  request.workspace = key.workspace.value;
+  request.route = key.route.value;
+  request.tokens = tokens;
+  request.limit = limit;
+  wire::quota_replyT reply;
+  if (active_.address.empty()) {
+    reply = HandleQuota(request);
+  } else {
+    const auto link = host_.links.Get(active_.address);
+    if (link == nullptr) {
+      co_return std::nullopt;
+    }
+    auto message = MakeMessage(std::move(request));
+    auto answer =
+        co_await link->Call(std::move(message), clock::now() + kReportTimeout);
+    const auto* told = answer ? answer->Asquota_reply() : nullptr;
+    if (told == nullptr) {
+      co_return std::nullopt;
+    }
+    reply = *told;
+  }
+  if (!reply.ready) {
+    co_return std::nullopt;
+  }
+  co_return batch_grant{.granted = reply.granted, .number = reply.number};
+}
+
 auto placement_service::HandlePreempt(const wire::preempt_requestT& request)
     -> void {
   for (const auto value : request.tickets) {
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "src/async_condition.h"
+#include "src/batch.h"
 #include "src/caller_type.h"
 #include "src/dispatch.h"
 #include "src/link.h"
@@ -45,6 +46,13 @@
   /** Registers `abort`, which is called if the run is preempted. */
   auto OnPreempt(ticket_id ticket, std::function<void()> abort) -> void;
 
+  /** Asks the dispatcher whether `tokens` more of a workspace's batch items may
+   * wait. Returns nullopt if none answers. */
+  auto RequestQuota(const batch_quota_key& key,
+                    std::uint64_t tokens,
+                    std::uint64_t limit)
+      -> boost::asio::awaitable<std::optional<batch_grant>>;
+
   /** Records the load that a server has reported in an answer. */
   auto RecordLoad(const server_id& server, const reported_load& load) -> void;
 
@@ -60,6 +68,7 @@
   auto HandleEnds(const wire::ends_requestT& request) -> void;
   auto HandleHeld(const wire::held_requestT& request) -> wire::held_replyT;
   auto HandlePreempt(const wire::preempt_requestT& request) -> void;
+  auto HandleQuota(const wire::quota_requestT& request) -> wire::quota_replyT;
 
   /** Number of slots held by this host; for metrics. */
   auto HeldCount() const -> std::size_t { return held_.size(); }
@@ -125,6 +134,7 @@
 
   host_state& host_;
   dispatcher dispatcher_;
+  batch_quota quota_;  // Used while this host is the dispatcher.
   local_placement local_;
   bool is_dispatcher_ = false;
   /** When this host stops deciding after another one has become dispatcher. */
--- a/tests/batch_test.cc
+++ b/tests/batch_test.cc
@@ -282,4 +282,114 @@
   cr_assert_eq(queue.Expired(now + seconds(60)).size(), 1);
 }
 
+namespace {
+
+const batch_quota_key kQuotaKey{workspace_id("w"), route_id("r")};
+
+/** Returns a host's report of `tokens` that include the grants up to `grant`.
+ */
+auto Waiting(std::uint64_t tokens, std::uint64_t grant) -> waiting_report {
+  return {.rows = {{kQuotaKey, tokens}}, .last_grant = grant};
+}
+
+}  // namespace
+
+// Guards against a workspace that submits many jobs at once to several hosts
+// and gets more tokens waiting than its limit: between two reports of a host
+// only the grants tell what it has accepted.
+Test(batch, jobs_submitted_at_once_stay_within_the_limit) {
+  batch_quota quota;
+  const time_point now{seconds(100)};
+  const auto until = now + seconds(4);
+  quota.Report(host_id("a"), Waiting(300, 0), until);
+  quota.Report(host_id("b"), Waiting(200, 0), until);
+  std::uint64_t granted = 0;
+  for (int i = 0; i < 20; ++i) {
+    const host_id host(i % 2 == 0 ? "a" : "b");
+    granted +=
+        quota.Request(host, kQuotaKey, 100, 1000, now).granted ? 100 : 0;
+  }
+  cr_assert_eq(granted, 500);
+  // The report of the first host includes its three grants.
+  quota.Report(host_id("a"), Waiting(600, 3), until);
+  cr_assert_eq(quota.Waiting(kQuotaKey, now), 1000);
+  // Finished items make room, for this workspace and route only.
+  quota.Report(host_id("a"), Waiting(100, 3), until);
+  cr_assert(quota.Request(host_id("b"), kQuotaKey, 100, 1000, now).granted);
+  const batch_quota_key other{workspace_id("v"), route_id("r")};
+  cr_assert_eq(quota.Waiting(other, now), 0);
+}
+
+// Guards against tokens of a lost host, or of a submission that was given up,
+// that count forever.
+Test(batch, tokens_of_lost_hosts_do_not_count_forever) {
+  batch_quota quota;
+  const time_point now{seconds(100)};
+  quota.Report(host_id("a"), Waiting(900, 0), now + seconds(4));
+  cr_assert(quota.Request(host_id("b"), kQuotaKey, 100, 1000, now).granted);
+  cr_assert_not(quota.Request(host_id("b"), kQuotaKey, 1, 1000, now).granted);
+  const auto later = now + seconds(6);
+  cr_assert_eq(quota.Waiting(kQuotaKey, later), 0);
+}
+
+// Property: whatever order requests and reports come in, the hosts together
+// accept no more than the limit, also when a new dispatcher takes over.
+Test(batch, hosts_never_accept_more_than_the_limit) {
+  cr_assert(rc::check("accepted tokens stay within the limit", [] {
+    constexpr std::uint64_t kLimit = 1000;
+    batch_quota quota;
+    const time_point now{seconds(100)};
+    std::array<waiting_report, 3> hosts;
+    const auto steps =
+        *rc::gen::container<std::vector<std::pair<unsigned, unsigned>>>(
+            rc::gen::pair(rc::gen::inRange(0U, 7U), rc::gen::inRange(1U, 400U)));
+    for (const auto& [step, tokens] : steps) {
+      auto& host = hosts[step % hosts.size()];
+      const host_id name(std::to_string(step % hosts.size()));
+      if (step == 6) {
+        quota.Clear();
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+          quota.Report(host_id(std::to_string(i)), hosts[i], now + seconds(4));
+        }
+      } else if (step >= hosts.size()) {
+        quota.Report(name, host, now + seconds(4));
+      } else {
+        const auto grant = quota.Request(name, kQuotaKey, tokens, kLimit, now);
+        if (grant.granted) {
+          host.rows.push_back({kQuotaKey, tokens});
+          host.last_grant = grant.number;
+        }
+      }
+      std::uint64_t accepted = 0;
+      for (const auto& report : hosts) {
+        for (const auto& row : report.rows) {
+          accepted += row.tokens;
+        }
+      }
+      RC_ASSERT(accepted <= kLimit);
+    }
+  }));
+}
+
+// Guards against hosts without a dispatcher that together exceed the limit.
+Test(batch, hosts_alone_share_the_limit) {
+  cr_assert_eq(10 * LocalQuota(1000, 10), 1000);
+  cr_assert_eq(LocalQuota(1000, 0), 1000);
+}
+
+// Guards against a takeover that forgets how many tokens wait.
+Test(batch, open_tokens_survive_the_log) {
+  auto submission = Submission("j", 3, 10);
+  for (auto& item : submission.items) {
+    item.tokens = 100;
+  }
+  batch_partition partition;
+  ApplyAll(partition, SubmissionRecords(submission, kRecordBytes));
+  cr_assert_eq(partition.Find(batch_id("j"))->OpenTokens(), 300);
+  partition.Apply(ResultRecord(batch_id("j"), Result("j-1", "x")));
+  cr_assert_eq(partition.Find(batch_id("j"))->OpenTokens(), 200);
+  partition.Apply(EndRecord(batch_id("j")));
+  cr_assert_eq(partition.Find(batch_id("j"))->OpenTokens(), 0);
+}
+
 }  // namespace dogwood::testing
