Leave the store to the readers when all hosts start at once

Change: a starting host waits up to 1.5 s for the members, asks configured peers only when the store has not answered for 0.9 s, and gives its readers 1.2 to 2.4 s, random, before it reads itself.

--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -32,8 +32,10 @@
 /** Time without an answer after which the store counts as lost. */
 constexpr milliseconds kStoreLostTimeout{900};
 /** A host that has just started waits this long for the members, which tell it
- * whether it is a reader, before it reads the store itself. */
-constexpr milliseconds kViewTimeout{150};
+ * whether it is a reader, before it reads the store itself. They come within
+ * two calls to the store, but when all hosts start at once its queue of new
+ * connections may be full, and a connection takes a second. */
+constexpr milliseconds kViewTimeout{1500};
 /** One in this many queries for want of a store goes to any region. */
 constexpr unsigned kRegionRounds = 4;
 
@@ -123,8 +125,12 @@
 auto IsIsolated(const host_state& host, time_point now) -> bool {
   // A draining host has left the group, so it learns the members only from
   // peers.
-  return host.draining || now - host.store.last_success >= kStoreLostTimeout ||
-         now - host.view_confirmed >= host.options.member_life;
+  // A host that has just started gives the store the same time: if all ask the
+  // configured peers at once, these send the state to each of them.
+  const auto since = std::max(host.store.last_success, host.started);
+  const auto confirmed = std::max(host.view_confirmed, host.started);
+  return host.draining || now - since >= kStoreLostTimeout ||
+         now - confirmed >= host.options.member_life;
 }
 
 /** Whether this host knows something that the request does not. */
--- a/src/hostd_registration.cc
+++ b/src/hostd_registration.cc
@@ -12,9 +12,12 @@
 namespace dogwood {
 namespace {
 
-/** Time that a host which has just learned of its feed sources gives them
- * before it reads the store itself. */
-constexpr std::chrono::milliseconds kFirstFeedTimeout{400};
+/** Bounds of the time that a host which has just learned of its feed sources
+ * gives them before it reads the store itself; random, because after a start of
+ * all hosts these reads would fill the link between regions and delay those of
+ * the sources. */
+constexpr std::chrono::milliseconds kMinFirstFeedTimeout{1200};
+constexpr std::chrono::milliseconds kMaxFirstFeedTimeout{2400};
 
 }  // namespace
 
@@ -65,7 +68,10 @@
   host.owned = std::move(owned);
   auto sources = FeedSourcesOf(host.view, host.self);
   if (host.feed_sources.empty() && !sources.empty()) {
-    host.feed_deadline = clock::now() + kFirstFeedTimeout;
+    host.feed_deadline =
+        clock::now() + kMinFirstFeedTimeout +
+        std::chrono::duration_cast<duration>(
+            host.RandomUnit() * (kMaxFirstFeedTimeout - kMinFirstFeedTimeout));
   }
   host.feed_sources = std::move(sources);
   host.placement->ViewChanged();
