Judge a stalled stream by its events, and bound answers without end

Cause: a run was given up after a silence of some average gaps, at least 200 ms, although its route declares longer gaps on time (500 ms on the large site), so sound slow streams were cut; bytes that never completed an event began that time anew, so a stalled stream held its slot until the request's deadline. An informational response was passed to the caller as the answer. A plain answer could fill 16 MB and an event 4 MB of a host that has 130 MB, for each server in trouble. Change: the time limit runs from the last complete event and is no shorter than the route's objective and event gap; informational responses are skipped, eight at most; a plain answer has 4 MB, all that are being read 24 MB, an event 256 KB.

--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -109,6 +109,8 @@
   std::map<service_id, answer_times> times;  ///< Answer times by service.
   std::map<route_id, route_history> history;  ///< Request history by route.
   store_health store;                         ///< Health of the store.
+  /** Bytes of the answers of servers that are being read, without streams. */
+  std::size_t buffered_bytes = 0;
   bool draining = false;                      ///< Set on SIGTERM.
 
   /** Placement of requests on server slots. */
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -242,6 +242,7 @@
     queue_.Remove(ref);
     co_return;
   }
+  const auto* route = RouteOf(job->submission);
   const auto request = adapter::ItemRequest(*item, job->submission.host);
   const auto started = clock::now();
   const attempt_spec spec{
@@ -253,7 +254,9 @@
       .deadline = std::min(started + kMaxRunTime, queued->expires),
       .is_repeatable = true,
       .may_fail_over = false,
-      .is_batch = true};
+      .is_batch = true,
+      .event_gap_objective =
+          route == nullptr ? duration() : route->event_gap_objective};
   stream_progress progress{.last_event = queued->progress.last_event,
                            .has_head = true};
   std::string output = queued->progress.output;
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -194,7 +194,9 @@
         .deadline = deadline_,
         .is_repeatable = IsRepeatable(),
         .may_fail_over = IsRepeatable() && attempts_ + 1 < route_.max_attempts,
-        .is_batch = false};
+        .is_batch = false,
+        .first_event_objective = route_.objective,
+        .event_gap_objective = route_.event_gap_objective};
     last_server_ = server.id;
     attempt_handle handle;
     watch_.OnDisconnect([&handle] { handle.Abort(); });
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -42,8 +42,15 @@
  * on one may or may not have run. Servers announce keep-alive times of one
  * second and more. */
 constexpr milliseconds kMaxNonRepeatableIdle{500};
-/** Maximum size of an answer that is not a stream. */
-constexpr std::size_t kMaxAnswerBytes = 16UL << 20;
+/** Added to the gap that is on time, for the network. */
+constexpr milliseconds kGapMargin{150};
+/** Maximum number of informational responses before an answer. */
+constexpr int kMaxInterimResponses = 8;
+/** Maximum size of an answer that is not a stream, and of all such answers that
+ * a host reads at the same time: the smallest hosts have 130 MB, and a server in
+ * trouble may send bytes without end. */
+constexpr std::size_t kMaxAnswerBytes = 4UL << 20;
+constexpr std::size_t kMaxBufferedBytes = 24UL << 20;
 
 /** Returns `seconds` times `factor` as a duration, clamped to [least, most]. */
 auto BoundedTimeout(double seconds,
@@ -61,6 +68,31 @@
       kTimeWeight * (std::chrono::duration<double>(newest).count() - average);
 }
 
+/** Body of an answer that is being read; counted in the host's total. */
+class body_buffer {
+ public:
+  explicit body_buffer(std::size_t& total) : total_(total) {}
+  body_buffer(const body_buffer&) = delete;
+  auto operator=(const body_buffer&) -> body_buffer& = delete;
+  ~body_buffer() { total_ -= counted_; }
+
+  /** Appends received bytes. Returns false if that is more than a host has room
+   * for. */
+  auto Append(const std::string& bytes) -> bool {
+    body_ += bytes;
+    counted_ += bytes.size();
+    total_ += bytes.size();
+    return body_.size() <= kMaxAnswerBytes && total_ <= kMaxBufferedBytes;
+  }
+  auto Size() const -> std::size_t { return body_.size(); }
+  auto Take() -> std::string { return std::move(body_); }
+
+ private:
+  std::size_t& total_;
+  std::size_t counted_ = 0;
+  std::string body_;
+};
+
 /** Runs one attempt and holds its state. */
 class attempt {
  public:
@@ -116,6 +148,13 @@
     if (spec_.is_batch) {
       limit *= kBatchTimeoutFactor;
     }
+    if (has_events && spec_.event_gap_objective > duration()) {
+      limit = std::max(limit, std::chrono::duration_cast<milliseconds>(
+                                  spec_.event_gap_objective + kGapMargin));
+    } else if (!has_events) {
+      limit = std::max(limit, std::chrono::duration_cast<milliseconds>(
+                                  spec_.first_event_objective));
+    }
     return std::min(spec_.deadline, clock::now() + limit);
   }
 
@@ -170,12 +209,22 @@
   /** Reads the head of the answer to this request. Unmatched answers, which a
    * server sent late or twice, are skipped. */
   auto ReadHead() -> asio::awaitable<std::optional<http_head>> {
-    for (int i = 0; i < kMaxUnmatchedAnswers; ++i) {
-      auto head = co_await handle_.connection->ReadHead(SilenceDeadline(false));
+    const auto until = SilenceDeadline(false);
+    int interim = 0;
+    for (int i = 0; i < kMaxUnmatchedAnswers;) {
+      auto head = co_await handle_.connection->ReadHead(until);
       if (!head) {
         Fail(head.error(), run_outcome::kUnreachable);
         co_return std::nullopt;
       }
+      if (head->status / 100 == 1 && ++interim <= kMaxInterimResponses) {
+        handle_.connection->PrepareForResponse();
+        continue;
+      }
+      if (head->status / 100 == 1) {
+        break;
+      }
+      ++i;
       answer_ = adapter::DecodeAnswer(*head);
       if (answer_.load) {
         host_.placement->RecordLoad(spec_.server.id, *answer_.load);
@@ -192,14 +241,17 @@
       }
       handle_.connection->PrepareForResponse();
     }
-    Fail(LocalFailure("only answers to other requests came", "read head"),
+    Fail(LocalFailure(interim > kMaxInterimResponses
+                          ? "informational responses without an answer"
+                          : "only answers to other requests came",
+                      "read head"),
          run_outcome::kFailed);
     co_return std::nullopt;
   }
 
   /** Reads the body of an answer that is not a stream. */
   auto ReadBody() -> asio::awaitable<std::optional<std::string>> {
-    std::string body;
+    body_buffer body(host_.buffered_bytes);
     while (true) {
       auto part = co_await handle_.connection->ReadSome(spec_.deadline);
       if (!part) {
@@ -207,11 +259,14 @@
         co_return std::nullopt;
       }
       if (part->empty()) {
-        co_return body;
+        co_return body.Take();
       }
-      body += part.value();
-      if (body.size() > kMaxAnswerBytes) {
-        Fail(LocalFailure("answer is too long", "read body"),
+      if (!body.Append(part.value())) {
+        Fail(LocalFailure("answer is too long: " + std::to_string(body.Size()) +
+                              " bytes, " +
+                              std::to_string(host_.buffered_bytes) +
+                              " in all answers being read",
+                          "read body"),
              run_outcome::kFailed);
         co_return std::nullopt;
       }
@@ -300,9 +355,10 @@
   /** Forwards a stream to the sink. */
   auto HandleStream(const http_head& head) -> asio::awaitable<void> {
     sse_parser parser;
+    // Only complete events count: bytes may also come without ever making one.
+    auto until = SilenceDeadline(false);
     while (true) {
-      auto part = co_await handle_.connection->ReadSome(
-          SilenceDeadline(result_.first_event != time_point()));
+      auto part = co_await handle_.connection->ReadSome(until);
       if (!part) {
         const bool is_silent =
             part.error().code == error_code::kDeadlineExceeded;
@@ -326,6 +382,11 @@
         co_return;
       }
       if (events->empty()) {
+        if (clock::now() >= until) {
+          Fail(LocalFailure("no event although bytes came", "read event"),
+               run_outcome::kUnreachable);
+          co_return;
+        }
         continue;
       }
       RecordEventTime();
@@ -345,6 +406,9 @@
         handle_.connection->Abort();
         co_return;
       }
+      // After the events have been forwarded, since a slow caller is no fault
+      // of the server.
+      until = SilenceDeadline(true);
     }
   }
 
--- a/src/hostd_relay.h
+++ b/src/hostd_relay.h
@@ -56,6 +56,10 @@
    */
   bool may_fail_over = false;
   bool is_batch = false;  ///< Batch item: no caller waits for the next event.
+  /** Times to the first event, and between events, that are still on time; zero
+   * if none are declared. No attempt is given up within them. */
+  duration first_event_objective{};
+  duration event_gap_objective{};
 };
 
 /** Result of an attempt. */
--- a/src/sse_base.h
+++ b/src/sse_base.h
@@ -12,7 +12,7 @@
 namespace dogwood {
 
 /** Maximum size of an event; a longer one is a failure of the server. */
-constexpr std::size_t kMaxEventBytes = 4UL << 20;
+constexpr std::size_t kMaxEventBytes = 256UL << 10;
 
 /** Incremental parser of server-sent events. */
 class sse_parser {
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -14,6 +14,8 @@
 import time
 import urllib.parse
 
+DRIP_GAP_S = 0.05
+FLOOD_BYTES = 65536
 EVENT_GAP_S = 0.02
 STATE_TOPIC = "keyed.op"
 SERVER_TOPIC = "keyed.servers"
@@ -242,6 +244,9 @@
         self.free = Change()
         self.cut_after = None  # Breaks off streams after this many events.
         self.silent_after = None  # Falls silent after this many events.
+        self.drip_after = None  # Sends a byte now and then, but no event, after this many events.
+        self.flood = None  # Sends bytes without end: "head", "interim", "plain" or "event".
+        self.gap_s = EVENT_GAP_S  # Pause before each event.
         self.tokens = random.Random(name)
         self.http = HttpServer(self.handle)
 
@@ -284,6 +289,9 @@
 
     async def run(self, attempt, path, headers, body, reader, writer):
         seal = f"seal-{self.name}"
+        if self.flood is not None:
+            await self.send_flood(attempt, seal, writer)
+            return False
         if "poison" in path:
             answer(writer, 422, X_Attempt_Id=attempt, X_Server_Seal=seal)
             return True
@@ -299,7 +307,7 @@
         count = event_count(attempt)
         first = int(headers.get("last-event-id", 0)) + 1
         for number, event in enumerate(range(first, count + 1)):
-            await asyncio.sleep(EVENT_GAP_S)
+            await asyncio.sleep(self.gap_s)
             if self.cut_after is not None and number >= self.cut_after:
                 writer.transport.abort()
                 return False
@@ -307,6 +315,11 @@
                 if reader.at_eof() or writer.transport.is_closing():
                     return False
                 await asyncio.sleep(EVENT_GAP_S)
+            while self.drip_after is not None and number >= self.drip_after:
+                if reader.at_eof() or writer.transport.is_closing():
+                    return False
+                writer.write(b"1\r\n:\r\n")
+                await asyncio.sleep(DRIP_GAP_S)
             text = f"id: {event}\ndata: {event_data(attempt, event)}\n\n".encode()
             writer.write(f"{len(text):x}\r\n".encode() + text + b"\r\n")
             await writer.drain()
@@ -316,6 +329,23 @@
         await writer.drain()
         return True
 
+    async def send_flood(self, attempt, seal, writer):
+        """Sends bytes that are no answer until the caller closes."""
+        sealed = f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {seal}\r\n".encode()
+        chunk = f"{FLOOD_BYTES:x}\r\n".encode() + b"x" * FLOOD_BYTES + b"\r\n"
+        start, more = {
+            "head": (b"HTTP/1.1 200 OK\r\n" + sealed, b"X-Junk: " + b"x" * 1000 + b"\r\n"),
+            "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+            "plain": (b"HTTP/1.1 200 OK\r\n" + sealed + b"Transfer-Encoding: chunked\r\n\r\n", chunk),
+            "event": (b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + sealed
+                      + b"Transfer-Encoding: chunked\r\n\r\n", chunk)}[self.flood]
+        with contextlib.suppress(OSError):
+            writer.write(start)
+            while not writer.transport.is_closing():
+                writer.write(more)
+                await writer.drain()
+                await asyncio.sleep(0)
+
 
 def event_count(attempt):
     """Number of events of a request's stream; the same at every server."""
--- /dev/null
+++ b/tests/site_trouble.py
@@ -0,0 +1,96 @@
+#!/usr/bin/python3
+"""Guards against sound streams that are cut because they are slow, and against
+servers in trouble that hold a request, or fill a host's memory, with bytes that
+are no answer and never end."""
+
+import asyncio
+import re
+import time
+
+import site_helper as sh
+
+# Another server continues a stalled stream well before its caller gives up,
+# which is after 2 s without an event (PROTOCOL.md, Requests).
+MOVE_ON_S = 2
+# Memory of the smallest machines of the users' sites.
+MACHINE_MB = 130
+
+
+def expected(attempt):
+    return [(e, sh.stand_in.event_data(attempt, e))
+            for e in range(1, sh.stand_in.event_count(attempt) + 1)]
+
+
+async def slow_stream_lives():
+    """Each pause is below the route's longest one on time, 500 ms. A stream
+    that other servers have made fast before must not be cut."""
+    async with sh.Fleet("slow_stream_lives", hosts=1, engines=2) as fleet:
+        for _ in range(20):
+            await fleet.ask(fleet.hosts[0], "stream")
+        for engine in fleet.engines:
+            engine.gap_s = 0.45
+        before = sum(len(engine.seen) for engine in fleet.engines)
+        attempts = [fleet.new_id() for _ in range(4)]
+        answers = await asyncio.gather(*(fleet.ask(fleet.hosts[0], "stream", attempt) for attempt in attempts))
+        for attempt, answer in zip(attempts, answers):
+            sh.check(answer.status == 200, f"slow stream: {answer}")
+            got, whole = answer.events(), expected(attempt)
+            # The longest ones reach the caller's deadline of 8 s.
+            least = min(len(whole), 14)
+            sh.check(got == whole[:len(got)] and len(got) >= least, f"slow stream: {got} of {len(whole)}")
+        runs = sum(len(engine.seen) for engine in fleet.engines) - before
+        sh.check(runs == len(attempts), f"{len(attempts)} sound streams ran {runs} times")
+
+
+async def dripping_stream_moves_on():
+    async with sh.Fleet("dripping_stream", hosts=1, engines=2) as fleet:
+        bad = fleet.engines[0]
+        bad.drip_after = 2
+        for _ in range(8):
+            attempt = fleet.new_id()
+            begun = time.monotonic()
+            answer = await fleet.ask(fleet.hosts[0], "stream", attempt)
+            sh.check(answer.status == 200 and answer.is_whole, f"dripping server: {answer}")
+            sh.check(answer.events() == expected(attempt), f"dripping server: {answer.events()}")
+            longest = sh.stand_in.EVENT_GAP_S * sh.stand_in.event_count(attempt) + MOVE_ON_S
+            took = time.monotonic() - begun
+            sh.check(took < longest, f"stream stalled by a byte now and then took {took:.1f} s")
+        sh.check(bad.seen, "no request met the dripping server")
+
+
+def peak_mb(host):
+    with open(f"/proc/{host.process.pid}/status", encoding="ascii") as status:
+        return int(re.search(r"VmHWM:\s+(\d+) kB", status.read())[1]) / 1024
+
+
+async def endless_bytes():
+    for flood in ("head", "interim", "plain", "event"):
+        async with sh.Fleet(f"endless_{flood}", hosts=1, engines=1) as fleet:
+            host, engine = fleet.hosts[0], fleet.engines[0]
+            engine.slots = 50
+            await engine.register("ready")
+            await asyncio.sleep(1)
+            engine.flood = flood
+            begun = time.monotonic()
+            answers = await asyncio.gather(*(
+                fleet.ask(host, "once", fleet.new_id()) for _ in range(50)))
+            took = time.monotonic() - begun
+            for answer in answers:
+                sh.check(answer.status in (502, 503, 504) or not answer.is_whole, f"{flood}: {answer}")
+                sh.check(answer.status != 503 or not engine.seen, f"{flood}: reported as not run, but ran")
+            sh.check(took < 8 + MOVE_ON_S, f"{flood}: answered after {took:.1f} s")
+            sh.check(peak_mb(host) < MACHINE_MB, f"{flood}: the host's memory reached {peak_mb(host):.0f} MB")
+            engine.flood = None
+
+            async def works():
+                return (await fleet.ask(host, "stream", fleet.new_id())).status == 200
+            await sh.until(works, f"{flood}: the server is used again", 10)
+
+
+async def test():
+    await slow_stream_lives()
+    await dripping_stream_moves_on()
+    await endless_bytes()
+
+
+sh.run(test)
