--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -70,6 +70,10 @@
   static auto HandleMetrics(host_state& host, http_exchange& exchange)
       -> asio::awaitable<void> {
     const auto count = [](std::size_t n) { return static_cast<double>(n); };
+    const auto now = clock::now();
+    const auto age = [now](const feed_position& position) {
+      return std::chrono::duration<double>(now - position.confirmed).count();
+    };
     http_response response;
     response.headers.Set("Content-Type", "text/plain; version=0.0.4");
     response.body = host.metrics.Print(
@@ -92,6 +96,9 @@
               : count(host.deployment->state().version.value)},
          {"dogwood_store_lost", host.store.is_lost ? 1 : 0},
          {"dogwood_has_dispatcher", host.placement->HasDispatcher() ? 1 : 0},
+         {"dogwood_reads_store", ReadsStore(host, now) ? 1 : 0},
+         {"dogwood_state_age_seconds", age(host.state_feed)},
+         {"dogwood_servers_age_seconds", age(host.server_feed)},
          {"dogwood_draining", host.draining ? 1 : 0}});
     response.body += PrintLinkTotals();
     co_await exchange.Respond(std::move(response));
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import contextlib
+import functools
 import json
 import random
 import struct
@@ -247,6 +248,8 @@
         self.drip_after = None  # Sends a byte now and then, but no event, after this many events.
         self.flood = None  # Sends bytes without end: "head", "interim", "plain" or "event".
         self.gap_s = EVENT_GAP_S  # Pause before each event.
+        self.copy_after_s = None  # Sends each plain answer once more, this much later.
+        self.cut_plain = False  # Closes in the middle of plain answers.
         self.tokens = random.Random(name)
         self.http = HttpServer(self.handle)
 
@@ -300,7 +303,16 @@
             return True
         if "plain" in path:
             await asyncio.sleep(EVENT_GAP_S)
+            if self.cut_plain:
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: 99\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: {seal}\r\n\r\n"
+                writer.write(head.encode() + b"echo " + body)
+                await writer.drain()
+                return False
             answer(writer, 200, b"echo " + body, X_Attempt_Id=attempt, X_Server_Seal=seal)
+            if self.copy_after_s is not None:
+                asyncio.get_running_loop().call_later(
+                    self.copy_after_s, functools.partial(
+                        answer, writer, 200, b"echo " + body, X_Attempt_Id=attempt, X_Server_Seal=seal))
             return True
         writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {attempt}\r\n"
                      f"X-Server-Seal: {seal}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
--- a/tests/site_trouble.py
+++ b/tests/site_trouble.py
@@ -1,10 +1,12 @@
 #!/usr/bin/python3
-"""Guards against sound streams that are cut because they are slow, and against
-servers in trouble that hold a request, or fill a host's memory, with bytes that
-are no answer and never end."""
+"""Guards against what servers and hosts in trouble do to callers: late copies
+and halves of answers, sound streams that are cut because they are slow, bytes
+that are no answer and never end, and items that run twice because their host was
+silent for a moment."""
 
 import asyncio
 import re
+import signal
 import time
 
 import site_helper as sh
@@ -87,7 +89,66 @@
             await sh.until(works, f"{flood}: the server is used again", 10)
 
 
+async def plain(fleet, route, body):
+    attempt = fleet.new_id()
+    answer = await sh.call(fleet.hosts[0].ip, sh.FRONT, "POST", f"/{route}/plain", body, Host=sh.HOST_NAME,
+                           X_Attempt_Id=attempt, X_Deadline_Ms=8000, X_Key=sh.KEY)
+    return attempt, answer
+
+
+async def late_copies():
+    """A second copy of an answer comes while its connection is idle, or in use
+    again."""
+    async with sh.Fleet("late_copies", hosts=1, engines=1) as fleet:
+        engine = fleet.engines[0]
+        for engine.copy_after_s in (0, 0.005, 0.03):
+            for i in range(40):
+                body = f"body {engine.copy_after_s} {i}".encode()
+                attempt, answer = await plain(fleet, ("read", "call")[i % 2], body)
+                # A copy that is taken for the answer's beginning fails the call.
+                if answer.status == 200:
+                    sh.check(answer.body == b"echo " + body, f"answer to another request: {answer}")
+                sh.check(answer.status in (200, 502), f"late copies: {answer}")
+                sh.check(i % 2 == 0 or fleet.runs(attempt) <= 1, f"{attempt} ran {fleet.runs(attempt)} times")
+                await asyncio.sleep(0.002 * (i % 9))
+
+
+async def cut_answers():
+    """An answer that ends before its length is never complete."""
+    async with sh.Fleet("cut_answers", hosts=1, engines=1) as fleet:
+        fleet.engines[0].cut_plain = True
+        for i in range(6):
+            _, answer = await plain(fleet, ("read", "call")[i % 2], b"body")
+            sh.check(answer.status in (502, 504) or not answer.is_whole, f"cut answer: {answer}")
+
+
+async def paused_host():
+    """A host that is silent for less than the lifetime of its membership keeps
+    its items: none is given up, and none runs twice."""
+    async with sh.Fleet("paused_host", hosts=3, engines=2) as fleet:
+        jobs = [fleet.new_id("job") for _ in range(12)]
+        for engine in fleet.engines:
+            engine.gap_s = 0.15
+        for i, job in enumerate(jobs):
+            answer = await fleet.submit(fleet.hosts[i % 3], job, 2)
+            sh.check(answer.status == 202, f"job {job}: {answer}")
+        await asyncio.sleep(0.5)
+        paused = fleet.hosts[2]
+        paused.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(1.0)
+        paused.process.send_signal(signal.SIGCONT)
+        for job in jobs:
+            found = await fleet.all_results(job, 2)
+            sh.check(all(end == "done" for _, end, _ in found), f"job {job}: {found}")
+            for item, _, output in found:
+                sh.check(output == sh.stand_in.whole_output(item), f"output of {item}: {output}")
+                sh.check(fleet.runs(item) == 1, f"item {item} ran {fleet.runs(item)} times")
+
+
 async def test():
+    await late_copies()
+    await cut_answers()
+    await paused_host()
     await slow_stream_lives()
     await dripping_stream_moves_on()
     await endless_bytes()
