--- a/src/batch_projection.h
+++ b/src/batch_projection.h
@@ -35,7 +35,8 @@
   auto IsClosed() const -> bool {
     return ended || listed.size() == submission.items.size();
   }
-  /** Returns the tokens of the items without a result; 0 once the job has ended.
+  /** Returns the tokens of the items without a result; 0 once the job has
+   * ended.
    */
   auto OpenTokens() const -> std::uint64_t;
   /** Returns the item, or nullptr if it is unknown. */
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -17,10 +17,10 @@
 
 /** One item as submitted. */
 struct batch_item {
-  batch_item_id id;      ///< Unique in its job.
-  std::string path;      ///< Path of the request that runs it.
-  http_headers headers;  ///< Header fields of that request.
-  std::string body;      ///< Body, decoded.
+  batch_item_id id;          ///< Unique in its job.
+  std::string path;          ///< Path of the request that runs it.
+  http_headers headers;      ///< Header fields of that request.
+  std::string body;          ///< Body, decoded.
   std::uint64_t tokens = 0;  ///< Tokens of the prompt and the longest output.
 };
 
--- a/src/deployment_type.h
+++ b/src/deployment_type.h
@@ -49,8 +49,8 @@
   /** Most tokens of a workspace's accepted batch items that may wait; 0: no
    * limit. */
   std::uint64_t waiting_tokens_limit = 0;
-  bool open = false;          ///< Requests need no key.
-  bool resumable = false;     ///< A stream may continue at another server.
+  bool open = false;       ///< Requests need no key.
+  bool resumable = false;  ///< A stream may continue at another server.
   std::vector<service_share> services;  ///< Targets with weights.
 };
 
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -111,7 +111,7 @@
   store_health store;                         ///< Health of the store.
   /** Bytes of the answers of servers that are being read, without streams. */
   std::size_t buffered_bytes = 0;
-  bool draining = false;                      ///< Set on SIGTERM.
+  bool draining = false;  ///< Set on SIGTERM.
 
   /** Placement of requests on server slots. */
   std::unique_ptr<placement_service> placement;
--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -35,9 +35,9 @@
 constexpr milliseconds kSubstituteTimeout{1200};
 /** Maximum number of substitutes, including this host. */
 constexpr std::size_t kMaxSubstitutes = 3;
-/** An accepted job counts for this long at the host that has accepted it, unless
- * its partition's log shows it before: a host that accepts in place of the owner
- * does not see that log. */
+/** An accepted job counts for this long at the host that has accepted it,
+ * unless its partition's log shows it before: a host that accepts in place of
+ * the owner does not see that log. */
 constexpr std::chrono::seconds kAcceptedTokensTtl{5};
 /** Retry-After for callers while the owner of the job cannot serve them. */
 constexpr milliseconds kOwnerRetryAfter{300};
@@ -149,8 +149,7 @@
   std::map<batch_quota_key, std::uint64_t> rows;
   for (const auto& [id, partition] : partitions_) {
     for (const auto& [job_id, job] : partition->projection.Jobs()) {
-      const auto* route =
-          job.IsClosed() ? nullptr : RouteOf(job.submission);
+      const auto* route = job.IsClosed() ? nullptr : RouteOf(job.submission);
       if (route != nullptr && route->waiting_tokens_limit > 0) {
         rows[{job.submission.workspace, route->id}] += job.OpenTokens();
       }
@@ -189,7 +188,8 @@
       waiting += row.key == key ? row.tokens : 0;
     }
     const auto hosts = host_.view.members.size();
-    grant = batch_grant{.granted = waiting + tokens <= LocalQuota(limit, hosts)};
+    grant =
+        batch_grant{.granted = waiting + tokens <= LocalQuota(limit, hosts)};
   }
   LogEvent(grant->granted ? log_level::kDebug : log_level::kInfo,
            log_category::kJob, "batch_quota",
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -60,8 +60,8 @@
    * any partition. */
   auto Answer(const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
-  /** Returns the tokens that wait on routes with a limit, of jobs of this host's
-   * partitions and of those that are being accepted. */
+  /** Returns the tokens that wait on routes with a limit, of jobs of this
+   * host's partitions and of those that are being accepted. */
   auto WaitingReport() const -> waiting_report;
   /** Number of open items, waiting or running; for metrics. */
   auto ItemCount() const -> std::size_t { return queue_.Size(); }
@@ -217,8 +217,8 @@
   std::size_t running_ = 0;
   std::map<batch_id, accepted_tokens> accepting_;
   std::uint64_t last_grant_ = 0;  // Number of the newest quota grant.
-  double run_seconds_;      // Smoothed duration of a complete run.
-  time_point next_record_;  // When progress is recorded next.
+  double run_seconds_;            // Smoothed duration of a complete run.
+  time_point next_record_;        // When progress is recorded next.
 };
 
 }  // namespace dogwood
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -86,9 +86,8 @@
     source_ = view->source;
     revision_ = view->revision;
     const auto now = clock::now();
-    const auto confirmed =
-        std::min(TimeBefore(now, view->state_age_us),
-                 TimeBefore(now, view->servers_age_us));
+    const auto confirmed = std::min(TimeBefore(now, view->state_age_us),
+                                    TimeBefore(now, view->servers_age_us));
     if (!view->has_servers || now - confirmed >= kMaxFeedAge) {
       co_return false;
     }
@@ -241,8 +240,8 @@
                                    : RandomPeer(host, failures);
     bool is_current = false;
     if (!address.empty()) {
-      is_current = co_await client.Ask(
-          address, is_source ? kFeedWait : milliseconds(0));
+      is_current =
+          co_await client.Ask(address, is_source ? kFeedWait : milliseconds(0));
     }
     failures = is_current && is_source ? 0 : failures + 1;
     co_await Sleep(is_current && is_source ? kFeedInterval
@@ -261,8 +260,8 @@
   }
   // What this host has read itself may be newer than the answer.
   const log_offset servers_next(reply.servers_next);
-  if (reply.has_servers && (!host.server_feed.next ||
-                            servers_next >= *host.server_feed.next)) {
+  if (reply.has_servers &&
+      (!host.server_feed.next || servers_next >= *host.server_feed.next)) {
     ApplyRegistrations(host, reply);
     Advance(host.server_feed, servers_next,
             TimeBefore(now, reply.servers_age_us));
@@ -289,9 +288,8 @@
 
 auto AnswerView(host_state& host, wire::view_requestT request)
     -> asio::awaitable<wire::view_replyT> {
-  const auto until =
-      clock::now() + std::min(microseconds(request.wait_us),
-                              microseconds(kFeedWait));
+  const auto until = clock::now() + std::min(microseconds(request.wait_us),
+                                             microseconds(kFeedWait));
   while (!HasNews(host, request) && clock::now() < until) {
     co_await host.feed_changed.Wait(until);
   }
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -47,8 +47,8 @@
 /** Maximum number of informational responses before an answer. */
 constexpr int kMaxInterimResponses = 8;
 /** Maximum size of an answer that is not a stream, and of all such answers that
- * a host reads at the same time: the smallest hosts have 130 MB, and a server in
- * trouble may send bytes without end. */
+ * a host reads at the same time: the smallest hosts have 130 MB, and a server
+ * in trouble may send bytes without end. */
 constexpr std::size_t kMaxAnswerBytes = 4UL << 20;
 constexpr std::size_t kMaxBufferedBytes = 24UL << 20;
 
@@ -262,12 +262,12 @@
         co_return body.Take();
       }
       if (!body.Append(part.value())) {
-        Fail(LocalFailure("answer is too long: " + std::to_string(body.Size()) +
-                              " bytes, " +
-                              std::to_string(host_.buffered_bytes) +
-                              " in all answers being read",
-                          "read body"),
-             run_outcome::kFailed);
+        Fail(
+            LocalFailure("answer is too long: " + std::to_string(body.Size()) +
+                             " bytes, " + std::to_string(host_.buffered_bytes) +
+                             " in all answers being read",
+                         "read body"),
+            run_outcome::kFailed);
         co_return std::nullopt;
       }
     }
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -236,11 +236,11 @@
     generation = share->generation;
     // A newer view comes from this host's sources, if it has any. One that is
     // older than what the store confirmed before this call is a new count.
-    const bool is_newer = generation > host.view.generation &&
-                          (host.view.members.empty() ||
-                           ReadsStore(host, clock::now()));
-    const bool is_new_count = generation < host.view.generation &&
-                              sent > host.view_confirmed;
+    const bool is_newer =
+        generation > host.view.generation &&
+        (host.view.members.empty() || ReadsStore(host, clock::now()));
+    const bool is_new_count =
+        generation < host.view.generation && sent > host.view_confirmed;
     if (is_newer || is_new_count) {
       auto owners = co_await client.Owners(std::string(kGroup),
                                            clock::now() + kCallTimeout);
--- a/tests/batch_test.cc
+++ b/tests/batch_test.cc
@@ -306,8 +306,7 @@
   std::uint64_t granted = 0;
   for (int i = 0; i < 20; ++i) {
     const host_id host(i % 2 == 0 ? "a" : "b");
-    granted +=
-        quota.Request(host, kQuotaKey, 100, 1000, now).granted ? 100 : 0;
+    granted += quota.Request(host, kQuotaKey, 100, 1000, now).granted ? 100 : 0;
   }
   cr_assert_eq(granted, 500);
   // The report of the first host includes its three grants.
@@ -342,7 +341,8 @@
     std::array<waiting_report, 3> hosts;
     const auto steps =
         *rc::gen::container<std::vector<std::pair<unsigned, unsigned>>>(
-            rc::gen::pair(rc::gen::inRange(0U, 7U), rc::gen::inRange(1U, 400U)));
+            rc::gen::pair(rc::gen::inRange(0U, 7U),
+                          rc::gen::inRange(1U, 400U)));
     for (const auto& [step, tokens] : steps) {
       auto& host = hosts[step % hosts.size()];
       const host_id name(std::to_string(step % hosts.size()));
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -561,9 +561,8 @@
     auto request = MakeRequest(ticket, work_class::kOnline, now);
     request.host = host;
     auto& idle = idle_since[host];
-    std::erase_if(idle, [&](const auto& entry) {
-      return now - entry.second > kIdle;
-    });
+    std::erase_if(
+        idle, [&](const auto& entry) { return now - entry.second > kIdle; });
     for (const auto& [server, since] : idle) {
       if (tells_connections) {
         request.connected.push_back(server);
@@ -573,8 +572,7 @@
     cr_assert(IsGranted(answer));
     fresh += idle.erase(answer->server) == 0 ? 1 : 0;
     ++total;
-    ends.emplace(now + kRun,
-                 std::tuple(host, request.ticket, answer->server));
+    ends.emplace(now + kRun, std::tuple(host, request.ticket, answer->server));
   }
   return static_cast<double>(fresh) / total;
 }
