--- a/src/hostd_base.cc
+++ b/src/hostd_base.cc
@@ -5,7 +5,7 @@
 #include "src/hostd_batch.h"
 #include "src/hostd_caller.h"
 #include "src/hostd_placement.h"
-#include "src/hostd_registration.h"
+#include "src/hostd_state.h"
 
 namespace dogwood {
 namespace {
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -30,6 +30,9 @@
 class caller_watch;
 class registration_table;
 
+/** Time without an answer after which the store counts as lost. */
+inline constexpr std::chrono::milliseconds kStoreLostTimeout{900};
+
 /** Health of the store as seen by the calls of this process. */
 struct store_health {
   time_point last_success;  ///< Time of the last answered call.
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "src/hostd_base.h"
-#include "src/hostd_registration.h"
+#include "src/hostd_state.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
@@ -29,8 +29,6 @@
  * second. Declared states must be in force 2.5 s after their confirmation on
  * the smallest fleets, which have no readers, and 4 s on others. */
 constexpr milliseconds kMaxFeedAge{2000};
-/** Time without an answer after which the store counts as lost. */
-constexpr milliseconds kStoreLostTimeout{900};
 /** A host that has just started waits this long for the members, which tell it
  * whether it is a reader, before it reads the store itself. They come within
  * two calls to the store, but when all hosts start at once its queue of new
--- a/src/hostd_registration.cc
+++ b/src/hostd_state.cc
@@ -1,4 +1,4 @@
-#include "src/hostd_registration.h"
+#include "src/hostd_state.h"
 
 #include <algorithm>
 #include <set>
--- a/src/hostd_registration.h
+++ b/src/hostd_state.h
@@ -1,7 +1,7 @@
 /** What a host knows of the declared state, the registrations of servers and
  * the members, whether it comes from the store or from another host. */
-#ifndef SRC_HOSTD_REGISTRATION_H_
-#define SRC_HOSTD_REGISTRATION_H_
+#ifndef SRC_HOSTD_STATE_H_
+#define SRC_HOSTD_STATE_H_
 
 #include <map>
 #include <optional>
@@ -59,4 +59,4 @@
 
 }  // namespace dogwood
 
-#endif  // SRC_HOSTD_REGISTRATION_H_
+#endif  // SRC_HOSTD_STATE_H_
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -9,7 +9,7 @@
 #include "platform/adapter.h"
 #include "src/hostd_base.h"
 #include "src/hostd_feed.h"
-#include "src/hostd_registration.h"
+#include "src/hostd_state.h"
 
 namespace dogwood {
 namespace asio = boost::asio;
@@ -38,8 +38,6 @@
  * they are back within two seconds of its return (the platform's pages,
  * "Service discovery"). */
 constexpr milliseconds kRegistrationGrace{2300};
-/** Time without an answer after which the store counts as lost. */
-constexpr milliseconds kStoreLostTimeout{900};
 /** Interval at which a host that gets its data from others looks whether it has
  * to read the store itself. */
 constexpr milliseconds kRoleCheckInterval{50};
