--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -2,6 +2,14 @@
  */
 #include <rapidcheck.h>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <list>
+
 #include "platform/adapter.h"
 #include "platform/base64.h"
 #include "src/core.h"
@@ -18,7 +26,8 @@
   "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
   "maxAttempts":2,"public":false,"gapAimMs":400},
  {"name":"r2","host":"one.example","pathPrefix":"/b/","kind":"batch",
-  "service":"s1","completionTargetMs":18000,"retentionS":60,"maxAttempts":3},
+  "service":"s1","completionTargetMs":18000,"retentionS":60,"maxAttempts":3,
+  "maxCount":1100000},
  {"name":"broken","host":5},
  {"name":"r3","host":"two.example","pathPrefix":"/c/","kind":"unknown",
   "service":"s1"}],
@@ -275,4 +284,93 @@
   cr_assert(DamagedStateAddsNoRoutes());
 }
 
+// Guards against limits of waiting tokens that are ignored.
+Test(adapter, waiting_tokens_are_counted) {
+  const auto state = adapter::DecodeState(kState);
+  cr_assert(state.has_value());
+  cr_assert_eq(state->routes[0].waiting_tokens_limit, 0);
+  cr_assert_eq(state->routes[1].waiting_tokens_limit, 1100000);
+  const auto items = adapter::DecodeItems(
+      R"({"items":[{"id":"a","path":"/b/","body":"","tokens":940},
+          {"id":"b","path":"/b/","body":"","tokens":"many"}]})");
+  cr_assert(items.has_value());
+  cr_assert_eq(items.value()[0].tokens, 940);
+  cr_assert_eq(items.value()[1].tokens, 0);
+}
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+/** Answers each connection's request with a refusal that has no effect. */
+auto RefuseCalls(tcp::acceptor& acceptor) -> asio::awaitable<void> {
+  std::list<tcp::socket> sockets;
+  while (true) {
+    auto [ec, socket] = co_await acceptor.async_accept(kAwait);
+    if (ec) {
+      co_return;
+    }
+    sockets.push_back(std::move(socket));
+    asio::co_spawn(
+        acceptor.get_executor(),
+        [](tcp::socket& s) -> asio::awaitable<void> {
+          std::string text(1024, '\0');
+          auto [failed, n] =
+              co_await s.async_read_some(asio::buffer(text), kAwait);
+          constexpr std::string_view kAnswer =
+              "HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n";
+          if (!failed && n > 0) {
+            co_await s.async_send(asio::buffer(kAnswer), kAwait);
+          }
+        }(sockets.back()),
+        asio::detached);
+  }
+}
+
+/** Calls a store whose queue of new connections is full for its first 100 ms.
+ * Returns whether it has answered within 900 ms. */
+auto CallBusyStore() -> bool {
+  asio::io_context io(1);
+  tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0}, true);
+  acceptor.listen(0);
+  const auto endpoint = acceptor.local_endpoint();
+  std::list<tcp::socket> fillers;
+  for (int i = 0; i < 4; ++i) {
+    fillers.emplace_back(io);
+    fillers.back().async_connect(endpoint, asio::detached);
+  }
+  adapter::store_client client(endpoint);
+  bool is_answered = false;
+  auto call = [&]() -> asio::awaitable<void> {
+    co_await Sleep(std::chrono::milliseconds(20));
+    const auto deadline = clock::now() + std::chrono::milliseconds(900);
+    auto owners = co_await client.Owners("g", deadline);
+    is_answered = !owners && owners.error().ran == ran_state::kNo &&
+                  owners.error().message == "status 503";
+    acceptor.close();
+    io.stop();
+  };
+  auto serve = [&]() -> asio::awaitable<void> {
+    co_await Sleep(std::chrono::milliseconds(100));
+    for (auto& filler : fillers) {
+      filler.close();
+    }
+    co_await RefuseCalls(acceptor);
+  };
+  asio::co_spawn(io, call, asio::detached);
+  asio::co_spawn(io, serve, asio::detached);
+  io.run();
+  return is_answered;
+}
+
+}  // namespace
+
+// When all hosts start at once, the store's queue of new connections is full.
+// Guards against calls that wait a second for an opening packet to be repeated.
+Test(adapter, connect_is_begun_anew_at_a_busy_store) {
+  cr_assert(CallBusyStore());
+}
+
 }  // namespace dogwood::testing
