Wake followers by changes instead of twenty times a second

Cause: each of the two loops that read the store looked each 50 ms whether it had to, on every host that gets its data from readers; wake-ups cost processor time. Change: they wait for a change of what the host knows, 200 ms at most.

--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -38,9 +38,9 @@
  * they are back within two seconds of its return (the platform's pages,
  * "Service discovery"). */
 constexpr milliseconds kRegistrationGrace{2300};
-/** Interval at which a host that gets its data from others looks whether it has
- * to read the store itself. */
-constexpr milliseconds kRoleCheckInterval{50};
+/** Longest interval at which a host that gets its data from others looks whether
+ * it has to read the store itself. */
+constexpr milliseconds kRoleCheckInterval{200};
 
 /** Records whether the store answered a call, and logs the loss and return of
  * the store. */
@@ -197,7 +197,7 @@
   adapter::store_client client(host.options.store);
   while (true) {
     if (!ReadsStore(host, clock::now())) {
-      co_await Sleep(kRoleCheckInterval);
+      co_await host.feed_changed.Wait(clock::now() + kRoleCheckInterval);
       continue;
     }
     const auto before = follower.Position().next;
