Let returning callers wait for the dispatcher after a start of all hosts

A host without dispatcher admits half of its even part of each limit, and a returning caller waited for a dispatcher only until 1.5 s after its host's start; when all hosts start at once the members are known later than that. A host of a small fleet also waited for them to read the state. Change: 4 s after a start; a host whose share of the partitions tells that the fleet is small reads the state at once.

--- a/src/fleet_func.cc
+++ b/src/fleet_func.cc
@@ -150,6 +150,13 @@
   return best == view.members.end() ? nullptr : &*best;
 }
 
+auto OwnsShareOfSmallFleet(std::size_t owned,
+                           std::uint32_t per_topic,
+                           std::size_t data_centres) -> bool {
+  const auto all = std::size_t{kJobTopics + kMemberTopics} * per_topic;
+  return owned * kMaxDirectReaders * data_centres >= all;
+}
+
 auto FeedSourcesOf(const fleet_view& view, const fleet_member& self)
     -> std::vector<fleet_member> {
   std::vector<fleet_member> near;
--- a/src/fleet_func.h
+++ b/src/fleet_func.h
@@ -58,6 +58,13 @@
 /** Number of readers of a larger data centre; one may fail without effect. */
 constexpr std::size_t kReadersPerDataCentre = 2;
 
+/** Whether a host that owns `owned` partitions of the group is, by their even
+ * assignment, in a fleet whose data centres have no readers. A host that starts
+ * learns this one call earlier than the members. */
+auto OwnsShareOfSmallFleet(std::size_t owned,
+                           std::uint32_t per_topic,
+                           std::size_t data_centres) -> bool;
+
 /** Returns the members from which `self` gets the declared state and the
  * registrations, in order of preference; empty if it reads the store itself.
  *
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -102,6 +102,9 @@
   /** When this host reads the store itself unless a source has answered with
    * current data before. */
   time_point feed_deadline;
+  /** Set if this host's partitions tell that the fleet is small, before the
+   * members are known. */
+  bool is_small_fleet = false;
   std::uint64_t process;      ///< Identifies this run of the process to others.
   fleet_view view;            ///< Newest view of the members.
   time_point view_confirmed;  ///< When the store last confirmed the view.
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -216,7 +216,7 @@
 
 auto ReadsStore(const host_state& host, time_point now) -> bool {
   if (host.view.members.empty()) {
-    return now >= host.started + kViewTimeout;
+    return host.is_small_fleet || now >= host.started + kViewTimeout;
   }
   return host.feed_sources.empty() || now >= host.feed_deadline;
 }
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -40,6 +40,11 @@
  * dispatcher warms up for 0.35 s.
  */
 constexpr milliseconds kDiscoveryTimeout{1500};
+/** The same after a start of this host. When all hosts of a large fleet start
+ * at once, the members are known only after seconds. Callers return meanwhile,
+ * and those who find a part of their limit too small would be refused for good.
+ */
+constexpr milliseconds kStartDiscoveryTimeout{4000};
 /** Fraction of a limit that hosts admit while they have no dispatcher. */
 constexpr double kLocalShare = 0.5;
 /** A replaced dispatcher goes on deciding for this long, because hosts learn of
@@ -143,7 +148,7 @@
       local_(kLocalShare, seed + 1),
       next_ticket_(seed),
       dispatcher_found_(host.io) {
-  ExpectDispatcher(clock::now() + kDiscoveryTimeout);
+  ExpectDispatcher(clock::now() + kStartDiscoveryTimeout);
 }
 
 placement_service::~placement_service() = default;
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -38,8 +38,8 @@
  * they are back within two seconds of its return (the platform's pages,
  * "Service discovery"). */
 constexpr milliseconds kRegistrationGrace{2300};
-/** Longest interval at which a host that gets its data from others looks whether
- * it has to read the store itself. */
+/** Longest interval at which a host that gets its data from others looks
+ * whether it has to read the store itself. */
 constexpr milliseconds kRoleCheckInterval{200};
 
 /** Records whether the store answered a call, and logs the loss and return of
@@ -232,6 +232,13 @@
     }
     host.member_until = sent + host.options.member_life;
     generation = share->generation;
+    if (host.view.members.empty() &&
+        OwnsShareOfSmallFleet(share->partitions.size(),
+                              host.options.partitions_per_topic,
+                              host.options.data_centres.size())) {
+      host.is_small_fleet = true;
+      host.feed_changed.Notify();
+    }
     // A newer view comes from this host's sources, if it has any. One that is
     // older than what the store confirmed before this call is a new count.
     const bool is_newer =
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -117,6 +117,7 @@
         self.refused_members = set()  # Joins of these members are not answered.
         self.read_delay_s = 0  # Delay of answers to reads with waitMs=0.
         self.newest_delay_s = 0  # Delay of answers to log-newest.
+        self.group_delay_s = 0  # Delay of answers to log-join and log-owners.
         self.lose_appends = 0  # Number of next appends that take effect but are not answered.
         self.calls = 0
         self.http = HttpServer(self.handle)
@@ -187,6 +188,7 @@
     async def log_join(self, query, body, writer):
         call = json.loads(body)
         group = self.groups.setdefault(call["group"], {"generation": 0, "members": {}, "owners": {}})
+        await asyncio.sleep(self.group_delay_s)
         if call["member"] in self.refused_members:
             writer.transport.abort()
             return
@@ -226,6 +228,7 @@
         answer(writer, 200, {})
 
     async def log_owners(self, query, body, writer):
+        await asyncio.sleep(self.group_delay_s)
         group = self.groups.get(query["group"], {"owners": {}})
         answer(writer, 200, {"owners": [[t, p, m, 0] for (t, p), m in group["owners"].items()]})
 
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -179,4 +179,14 @@
   }
 }
 
+// Guards against a host of a small fleet that waits for the members before it
+// reads the state, and against one of a large fleet that does not.
+Test(fleet, even_share_tells_a_small_fleet) {
+  const std::size_t all =
+      std::size_t{kJobTopics + kMemberTopics} * kPartitionsPerTopic;
+  cr_assert(OwnsShareOfSmallFleet(all / 11, kPartitionsPerTopic, 3));
+  cr_assert_not(OwnsShareOfSmallFleet(all / 60, kPartitionsPerTopic, 6));
+  cr_assert_not(OwnsShareOfSmallFleet(0, kPartitionsPerTopic, 3));
+}
+
 }  // namespace dogwood::testing
--- a/tests/site_restart.py
+++ b/tests/site_restart.py
@@ -124,7 +124,28 @@
             sh.check(not any(fleet.runs(f"{job}-{i}") for i in range(5)), f"refused job {job} ran")
 
 
+async def start_of_all_hosts():
+    """When all hosts start at once, the members and with them the dispatcher
+    are known late. A caller that was cut off once and returns must not be
+    refused meanwhile because one host's part of its workspace's limit is small:
+    it would give up."""
+    async with sh.Fleet("start_of_all_hosts", hosts=3, engines=1) as fleet:
+        await asyncio.gather(*(host.end() for host in fleet.hosts))
+        # Longer than the lifetime of the old memberships.
+        await asyncio.sleep(2.5)
+        fleet.store.group_delay_s = 0.8
+        await asyncio.gather(*(host.start() for host in fleet.hosts))
+
+        await sh.until(fleet.hosts[0].is_ready, "the host knows the state")
+        # Half of the route's time is gone: these callers return.
+        answers = await asyncio.gather(*(
+            fleet.ask(fleet.hosts[0], "stream", key="key-of-beta", X_Deadline_Ms=4000) for _ in range(6)))
+        statuses = [answer.status for answer in answers]
+        sh.check(statuses == [200] * 6, f"returning callers after a start of all hosts: {statuses}")
+
+
 async def test():
+    await start_of_all_hosts()
     await start_without_store()
     await readers_fail()
     await waiting_tokens()
