--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -50,6 +50,15 @@
   time_point confirmed;            ///< When the store confirmed the position.
 };
 
+/** Events of following the store's logs, for metrics. */
+struct feed_counts {
+  std::uint64_t skipped_answers = 0;    ///< Registrations of peers not applied.
+  std::uint64_t lost_positions = 0;     ///< The store had deleted the records.
+  std::uint64_t deferred_removals = 0;  ///< A server may only have lapsed.
+  std::uint64_t restored_removals = 0;  ///< It registered again in time.
+  std::uint64_t expired_removals = 0;   ///< It did not: the server is gone.
+};
+
 /** Exponentially smoothed answer times of a service. */
 struct answer_times {
   double first_event_s = 0.15;  ///< Seconds to the first event of a stream.
@@ -96,6 +105,7 @@
   async_condition feed_changed;
   feed_position state_feed;   ///< Position in the log of the state.
   feed_position server_feed;  ///< Position in the log of the registrations.
+  feed_counts feed;           ///< What happened while following the logs.
   /** Hosts from which this one gets the state and the registrations; empty if
    * it reads the store itself. */
   std::vector<fleet_member> feed_sources;
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -263,6 +263,13 @@
     ApplyRegistrations(host, reply);
     Advance(host.server_feed, servers_next,
             TimeBefore(now, reply.servers_age_us));
+  } else if (reply.has_servers) {
+    ++host.feed.skipped_answers;
+    LogEvent(log_level::kInfo, log_category::kConfig, "answer_skipped",
+             {{"position", servers_next.value},
+              {"own_position", host.server_feed.next->value},
+              {"complete", reply.is_complete},
+              {"changes", reply.servers.size() + reply.removed.size()}});
   }
   if (auto view = NewerView(host, reply)) {
     ApplyView(host, std::move(*view));
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -99,6 +99,11 @@
          {"dogwood_reads_store", ReadsStore(host, now) ? 1 : 0},
          {"dogwood_state_age_seconds", age(host.state_feed)},
          {"dogwood_servers_age_seconds", age(host.server_feed)},
+         {"dogwood_feed_answers_skipped", count(host.feed.skipped_answers)},
+         {"dogwood_feed_positions_lost", count(host.feed.lost_positions)},
+         {"dogwood_removals_deferred", count(host.feed.deferred_removals)},
+         {"dogwood_removals_restored", count(host.feed.restored_removals)},
+         {"dogwood_removals_expired", count(host.feed.expired_removals)},
          {"dogwood_draining", host.draining ? 1 : 0}});
     response.body += PrintLinkTotals();
     co_await exchange.Respond(std::move(response));
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -85,7 +85,11 @@
     Remove(id);
     return;
   }
-  lapsed_.erase(id);
+  if (lapsed_.erase(id) > 0) {
+    ++host_.feed.restored_removals;
+    LogEvent(log_level::kInfo, log_category::kConfig, "removal_restored",
+             {{"server", id}});
+  }
   auto decoded = adapter::DecodeServer(id, *text);
   const auto known = host_.servers.find(server_id(id));
   if (!decoded) {
@@ -114,7 +118,11 @@
 auto registration_table::Remove(const std::string& id) -> void {
   const auto now = clock::now();
   if (now < host_.store.unreliable_until) {
-    lapsed_.try_emplace(id, now);
+    if (journal_.Contains(id) && lapsed_.try_emplace(id, now).second) {
+      ++host_.feed.deferred_removals;
+      LogEvent(log_level::kInfo, log_category::kConfig, "removal_deferred",
+               {{"server", id}});
+    }
     return;
   }
   Drop(id);
@@ -134,6 +142,9 @@
     return;
   }
   for (const auto& [id, since] : std::exchange(lapsed_, {})) {
+    ++host_.feed.expired_removals;
+    LogEvent(log_level::kInfo, log_category::kConfig, "removal_expired",
+             {{"server", id}});
     Drop(id);
   }
 }
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -66,6 +66,12 @@
   }
 }
 
+/** Logs a failed read of a log, with the bytes that had come. */
+auto LogFailedRead(const log_partition& where, const failure& error) -> void {
+  Log(log_level::kInfo, log_category::kConfig,
+      {where.topic + ": " + error.message, error.step, "store"});
+}
+
 /** Records the outcome of a store call. */
 template <typename T>
 auto RecordCall(host_state& host, const outcome<T>& call) -> void {
@@ -146,6 +152,7 @@
   auto snapshot = co_await client.Newest(where, clock::now() + kCallTimeout);
   RecordCall(host, snapshot);
   if (!snapshot) {
+    LogFailedRead(where, snapshot.error());
     co_return false;
   }
   auto& position = follower.Position();
@@ -168,6 +175,7 @@
                                    clock::now() + kReadWait + kReadSlack);
   RecordCall(host, page);
   if (!page) {
+    LogFailedRead(where, page.error());
     co_return false;
   }
   if (position.next != from) {
@@ -175,6 +183,11 @@
   }
   if (page->first > from) {
     position.next.reset();  // The records were deleted.
+    ++host.feed.lost_positions;
+    LogEvent(log_level::kInfo, log_category::kConfig, "position_lost",
+             {{"topic", where.topic},
+              {"position", from.value},
+              {"first", page->first.value}});
     co_return true;
   }
   position = {log_offset(from.value + page->records.size()), clock::now()};
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -191,7 +191,10 @@
   while (true) {
     auto part = co_await connection.ReadSome(deadline);
     if (!part) {
-      co_return part.error();
+      auto error = part.error();
+      error.message +=
+          " after " + std::to_string(response.body.size()) + " bytes";
+      co_return error;
     }
     if (part->empty()) {
       co_return response;
