--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -46,6 +46,13 @@
                          RUN_SERIAL TRUE ENVIRONMENT
                          "DOGWOOD_BUILD=${CMAKE_BINARY_DIR}")
   endforeach()
+  foreach(scenario removal narrow_link)
+    add_test(NAME site_feed_${scenario}
+             COMMAND ${CMAKE_SOURCE_DIR}/tests/site_feed.py ${scenario})
+    set_tests_properties(site_feed_${scenario} PROPERTIES LABELS failure
+                         TIMEOUT 300 RUN_SERIAL TRUE ENVIRONMENT
+                         "DOGWOOD_BUILD=${CMAKE_BINARY_DIR}")
+  endforeach()
   # The long soak is run by hand: tests/soak.py --fresh 50.
   add_test(NAME soak_short
            COMMAND ${CMAKE_SOURCE_DIR}/tests/soak.py --seed 20261204
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -105,6 +105,33 @@
             await asyncio.wait_for(self.event.wait(), seconds)
 
 
+class PacedWriter:
+    """Sends what is written in small pieces, in turns with the other writers of
+    a link, as fast as the link carries them."""
+
+    PIECE_BYTES = 16 << 10
+
+    def __init__(self, store, writer):
+        self.store, self.writer, self.pending = store, writer, b""
+        self.transport = writer.transport
+
+    def write(self, data):
+        self.pending += data
+
+    async def drain(self):
+        if self.store.bytes_per_s is None:
+            self.writer.write(self.pending)
+            self.pending = b""
+        while self.pending:
+            piece, self.pending = self.pending[: self.PIECE_BYTES], self.pending[self.PIECE_BYTES :]
+            async with self.store.link:
+                await asyncio.sleep(len(piece) / self.store.bytes_per_s)
+            self.store.sent_bytes += len(piece)
+            self.writer.write(piece)
+            await self.writer.drain()
+        await self.writer.drain()
+
+
 class Store:
     """Logs, keyed topics and groups, in memory."""
 
@@ -120,8 +147,15 @@
         self.group_delay_s = 0  # Delay of answers to log-join and log-owners.
         self.lose_appends = 0  # Number of next appends that take effect but are not answered.
         self.calls = 0
+        self.bytes_per_s = None  # Rate of the link to all callers together.
+        self.sent_bytes = 0  # Since the rate has been limited.
+        self.link = None
         self.http = HttpServer(self.handle)
 
+    def limit_rate(self, bytes_per_s):
+        """Lets all answers share a link of this rate."""
+        self.bytes_per_s, self.link = bytes_per_s, asyncio.Lock()
+
     def log(self, topic, part):
         return self.logs.setdefault((topic, int(part)), [])
 
@@ -137,8 +171,10 @@
     async def handle(self, request, reader, writer):
         method, path, query, headers, body = request
         self.calls += 1
+        writer = PacedWriter(self, writer)
         if self.is_down:
             answer(writer, 503)
+            await writer.drain()
             return True
         name = path.rsplit("/", 1)[1].replace("-", "_")
         await getattr(self, name)(query, body, writer)
