Decide from the log whether a missing server may only have lapsed

Cause: a removal was put off while any call of this host had failed within 2.3 s, joins and appends included, and each further failure moved the end; the server stayed in use like any other. A host that the store turns away for seconds, or whose calls time out on a full link, kept every server that left. Now only a gap in the log itself counts: not confirmed for 2 s, by this host or by the one that passed it on. Removals read within 2.3 s after the gap's end are put off until then, once; later failures do not move that deadline.

--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -36,11 +36,7 @@
 /** Health of the store as seen by the calls of this process. */
 struct store_health {
   time_point last_success;  ///< Time of the last answered call.
-  time_point last_failure;  ///< Time of the last unanswered call.
-  /** Until then a missing registration may only have lapsed because of the
-   * outage. */
-  time_point unreliable_until;
-  bool is_lost = true;  ///< State that was last logged.
+  bool is_lost = true;      ///< State that was last logged.
 };
 
 /** How far a host has followed one log of the store, by itself or through
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -173,11 +173,12 @@
       host.registrations->Apply(entry.substr(0, end), entry.substr(end + 1));
     }
   }
+  // The other host has deferred removals that are in doubt.
   if (reply.is_complete) {
-    host.registrations->RemoveAbsent(present);
+    host.registrations->DropAbsent(present);
   }
   for (const auto& id : reply.removed) {
-    host.registrations->Apply(id, std::nullopt);
+    host.registrations->Drop(id);
   }
   host.registrations->Expire(clock::now());
   host.registrations->Publish();
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -17,6 +17,7 @@
 #include "src/hostd_feed.h"
 #include "src/hostd_front.h"
 #include "src/hostd_placement.h"
+#include "src/hostd_state.h"
 #include "src/hostd_watch.h"
 
 namespace dogwood {
@@ -251,6 +252,10 @@
     }
     const auto now = clock::now();
     host.pool.Expire(now);
+    host.registrations->Expire(now);
+    if (host.servers_known) {
+      host.registrations->Publish();
+    }
     if (now >= links_due) {
       links_due = now + kLinkPruneInterval;
       PruneLinks(host);
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "platform/adapter.h"
 #include "src/hostd_base.h"
@@ -19,6 +20,10 @@
 constexpr std::chrono::milliseconds kMinFirstFeedTimeout{1200};
 constexpr std::chrono::milliseconds kMaxFirstFeedTimeout{2400};
 
+/** Time after the store's return within which lapsed registrations are back
+ * (the platform's pages, "Service discovery": about two seconds). */
+constexpr std::chrono::milliseconds kRegistrationGrace{2300};
+
 }  // namespace
 
 auto ApplyState(host_state& host, const std::string& text) -> void {
@@ -85,7 +90,7 @@
     Remove(id);
     return;
   }
-  if (lapsed_.erase(id) > 0) {
+  if (deferred_.erase(id) > 0) {
     ++host_.feed.restored_removals;
     LogEvent(log_level::kInfo, log_category::kConfig, "removal_restored",
              {{"server", id}});
@@ -115,21 +120,26 @@
   host_.servers[decoded->id] = std::move(decoded.value());
 }
 
+auto registration_table::NoteGap(time_point now) -> void {
+  doubtful_until_ = now + kRegistrationGrace;
+}
+
 auto registration_table::Remove(const std::string& id) -> void {
-  const auto now = clock::now();
-  if (now < host_.store.unreliable_until) {
-    if (journal_.Contains(id) && lapsed_.try_emplace(id, now).second) {
-      ++host_.feed.deferred_removals;
-      LogEvent(log_level::kInfo, log_category::kConfig, "removal_deferred",
-               {{"server", id}});
-    }
+  if (clock::now() >= doubtful_until_) {
+    Drop(id);
     return;
   }
-  Drop(id);
+  if (journal_.Contains(id) &&
+      deferred_.try_emplace(id, doubtful_until_).second) {
+    ++host_.feed.deferred_removals;
+    LogEvent(log_level::kInfo, log_category::kConfig, "removal_deferred",
+             {{"server", id}});
+  }
 }
 
 auto registration_table::Drop(const std::string& id) -> void {
   journal_.Remove(id);
+  deferred_.erase(id);
   if (host_.servers.erase(server_id(id)) > 0) {
     LogEvent(log_level::kInfo, log_category::kConfig, "server_gone",
              {{"server", id}});
@@ -137,11 +147,13 @@
 }
 
 auto registration_table::Expire(time_point now) -> void {
-  // The grace period starts at the store's return.
-  if (now < host_.store.unreliable_until) {
-    return;
+  std::vector<std::string> expired;
+  for (const auto& [id, deadline] : deferred_) {
+    if (now >= deadline) {
+      expired.push_back(id);
+    }
   }
-  for (const auto& [id, since] : std::exchange(lapsed_, {})) {
+  for (const auto& id : expired) {
     ++host_.feed.expired_removals;
     LogEvent(log_level::kInfo, log_category::kConfig, "removal_expired",
              {{"server", id}});
--- a/src/hostd_state.h
+++ b/src/hostd_state.h
@@ -22,15 +22,21 @@
 /** Applies a view of the members: partitions, dispatcher and feed sources. */
 auto ApplyView(host_state& host, fleet_view view) -> void;
 
-/** Registrations of servers on a host. Removals during an outage of the store
- * are deferred, since the registrations may only have lapsed. */
+/** Registrations of servers on a host. A removal that follows a gap in the log
+ * is deferred, since the registration may only have lapsed with the store. */
 class registration_table {
  public:
   explicit registration_table(host_state& host) : host_(host) {}
 
+  /** Records that the log of the registrations was read at `now` after it had
+   * not been followed for a while: servers that miss from now on may be
+   * registered again. */
+  auto NoteGap(time_point now) -> void;
   /** Stores a registration, or removes it if there is no text. */
   auto Apply(const std::string& id, const std::optional<std::string>& text)
       -> void;
+  /** Removes a registration for good. */
+  auto Drop(const std::string& id) -> void;
   /** Removes all registrations but those of `present`. */
   template <typename Ids>
   auto RemoveAbsent(const Ids& present) -> void {
@@ -40,7 +46,16 @@
       }
     }
   }
-  /** Drops lapsed registrations that were not renewed in time. */
+  /** Drops all registrations but those of `present`. */
+  template <typename Ids>
+  auto DropAbsent(const Ids& present) -> void {
+    for (const auto& id : journal_.Ids()) {
+      if (!present.contains(id)) {
+        Drop(id);
+      }
+    }
+  }
+  /** Drops deferred registrations that were not renewed in time. */
   auto Expire(time_point now) -> void;
   /** Tells the rest of the host about changes since the last call. */
   auto Publish() -> void;
@@ -49,12 +64,15 @@
 
  private:
   auto Remove(const std::string& id) -> void;
-  auto Drop(const std::string& id) -> void;
 
   host_state& host_;
   registration_journal journal_;
   std::uint64_t published_ = 0;  // Revision at the last Publish().
-  std::map<std::string, time_point> lapsed_;
+  /** Removals are deferred until then. */
+  time_point doubtful_until_;
+  /** When the deferred removals take effect, by id. Later gaps do not move it.
+   */
+  std::map<std::string, time_point> deferred_;
 };
 
 }  // namespace dogwood
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -34,10 +34,10 @@
 constexpr milliseconds kStateReadInterval{40};
 /** Renewals of a membership within its lifetime. */
 constexpr int kRenewalsPerTtl = 3;
-/** Grace period of registrations that lapsed during an outage of the store:
- * they are back within two seconds of its return (the platform's pages,
- * "Service discovery"). */
-constexpr milliseconds kRegistrationGrace{2300};
+/** A log that was not confirmed for longer than this has a gap: the store may
+ * have been away, and registrations may have lapsed meanwhile. Shorter than
+ * their lifetime less one interval of their renewals. */
+constexpr milliseconds kMaxLogGap{2000};
 /** Longest interval at which a host that gets its data from others looks
  * whether it has to read the store itself. */
 constexpr milliseconds kRoleCheckInterval{200};
@@ -57,8 +57,6 @@
     store.last_success = now;
     return;
   }
-  store.last_failure = now;
-  store.unreliable_until = now + kRegistrationGrace;
   if (!store.is_lost && now - store.last_success > kStoreLostTimeout) {
     store.is_lost = true;
     Log(log_level::kWarning, log_category::kConfig,
@@ -85,6 +83,7 @@
   explicit state_follower(host_state& host) : host_(host) {}
 
   auto Position() -> feed_position& { return host_.state_feed; }
+  auto HandleGap(time_point) -> void {}
   auto HandleSnapshot(const store_snapshot& snapshot) -> void {
     HandleRecords(snapshot.records);
   }
@@ -112,6 +111,7 @@
   explicit server_follower(host_state& host) : host_(host) {}
 
   auto Position() -> feed_position& { return host_.server_feed; }
+  auto HandleGap(time_point now) -> void { host_.registrations->NoteGap(now); }
   auto HandleSnapshot(const store_snapshot& snapshot) -> void {
     std::set<std::string> present;
     for (const auto& record : snapshot.records) {
@@ -138,10 +138,24 @@
                                 const store_snapshot& snapshot,
                                 const std::vector<keyed_record>& records) {
   { follower.Position() } -> std::same_as<feed_position&>;
+  follower.HandleGap(time_point());
   follower.HandleSnapshot(snapshot);
   follower.HandleRecords(records);
 };
 
+/** Moves the position after a read, and tells the follower if the log was not
+ * followed up to it. */
+template <log_follower T>
+auto MovePosition(T& follower, log_offset next) -> void {
+  const auto now = clock::now();
+  auto& position = follower.Position();
+  const bool is_first = position.confirmed == time_point();
+  if (!is_first && now - position.confirmed > kMaxLogGap) {
+    follower.HandleGap(now);
+  }
+  position = {next, now};
+}
+
 /** Reads the newest record of each key. Returns false if the store does not
  * answer. */
 template <log_follower T>
@@ -157,7 +171,7 @@
   }
   auto& position = follower.Position();
   if (!position.next) {
-    position = {snapshot->end, clock::now()};
+    MovePosition(follower, snapshot->end);
     follower.HandleSnapshot(snapshot.value());
   }
   co_return true;
@@ -190,7 +204,7 @@
               {"first", page->first.value}});
     co_return true;
   }
-  position = {log_offset(from.value + page->records.size()), clock::now()};
+  MovePosition(follower, log_offset(from.value + page->records.size()));
   std::vector<keyed_record> records;
   for (const auto& record : page->records) {
     if (auto keyed = adapter::SplitKeyedRecord(record)) {
