Let a large state cross a link to the readers of a data centre only

Cause: once no reader of a data centre was current for two seconds, all of its hosts read the store. 44 copies of 300 to 900 KB do not fit through the link between the regions within the 1.5 s that a read was given, so all reads were given up with bytes arriving, and began anew. Now the hosts stand in for their readers one after another, from the return of the store on; the others follow a stand-in that answers. A read lasts as long as parts of the answer arrive, and a reader tells the others that it makes progress, for which they wait up to 1.5 s more.

--- a/src/fleet_func.cc
+++ b/src/fleet_func.cc
@@ -157,7 +157,7 @@
   return owned * kMaxDirectReaders * data_centres >= all;
 }
 
-auto FeedSourcesOf(const fleet_view& view, const fleet_member& self)
+auto ReadOrderOf(const fleet_view& view, const fleet_member& self)
     -> std::vector<fleet_member> {
   std::vector<fleet_member> near;
   for (const auto& member : view.members) {
@@ -171,6 +171,15 @@
   std::ranges::sort(near, std::greater(), [](const auto& member) {
     return std::tuple(member.processor_share, StableHash(member.name));
   });
+  return near;
+}
+
+auto FeedSourcesOf(const fleet_view& view, const fleet_member& self)
+    -> std::vector<fleet_member> {
+  auto near = ReadOrderOf(view, self);
+  if (near.empty()) {
+    return {};
+  }
   near.resize(kReadersPerDataCentre);
   if (std::ranges::find(near, self.name, &fleet_member::name) != near.end()) {
     return {};
--- a/src/fleet_func.h
+++ b/src/fleet_func.h
@@ -75,6 +75,12 @@
 auto FeedSourcesOf(const fleet_view& view, const fleet_member& self)
     -> std::vector<fleet_member>;
 
+/** Returns the members of `self`'s data centre in the order in which they read
+ * the store: first the readers, then those that stand in for them one after
+ * another. Empty if all read it. */
+auto ReadOrderOf(const fleet_view& view, const fleet_member& self)
+    -> std::vector<fleet_member>;
+
 /** Returns the members whose addresses a caller gets: those in its data centre,
  * or else those in its region, or else all; at least two if there are two. */
 auto MembersNear(const fleet_view& view,
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -36,7 +36,9 @@
 /** Health of the store as seen by the calls of this process. */
 struct store_health {
   time_point last_success;  ///< Time of the last answered call.
-  bool is_lost = true;      ///< State that was last logged.
+  /** First answered call after the latest loss. */
+  time_point reachable_since;
+  bool is_lost = true;  ///< State that was last logged.
 };
 
 /** How far a host has followed one log of the store, by itself or through
@@ -44,6 +46,7 @@
 struct feed_position {
   std::optional<log_offset> next;  ///< Offset of the next record, if known.
   time_point confirmed;            ///< When the store confirmed the position.
+  time_point progress;             ///< Arrival of the newest part of a read.
 };
 
 /** Events of following the store's logs, for metrics. */
@@ -105,8 +108,11 @@
   /** Hosts from which this one gets the state and the registrations; empty if
    * it reads the store itself. */
   std::vector<fleet_member> feed_sources;
-  /** When this host reads the store itself unless a source has answered with
-   * current data before. */
+  /** Members of this data centre that read the store before this one if the
+   * sources do not answer, in order. */
+  std::vector<fleet_member> feed_stand_ins;
+  /** When the first stand-in reads the store itself unless a source has
+   * answered with current data before. */
   time_point feed_deadline;
   /** Set if this host's partitions tell that the fleet is small, before the
    * members are known. */
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -29,6 +29,20 @@
  * second. Declared states must be in force 2.5 s after their confirmation on
  * the smallest fleets, which have no readers, and 4 s on others. */
 constexpr milliseconds kMaxFeedAge{2000};
+/** Added while a source receives an answer of the store: a large state may take
+ * longer than kMaxFeedAge, and further copies would only delay it. */
+constexpr milliseconds kMaxProgressWait{1500};
+/** A read makes progress if a part of it has arrived this recently. */
+constexpr milliseconds kMaxProgressAge{700};
+/** Hosts of a data centre stand in for its readers one after another, the first
+ * few at the shorter interval. If all did at once, their copies of a large
+ * state would fill the link between regions, and none would arrive. */
+constexpr std::size_t kEarlyStandIns = 2;
+constexpr milliseconds kEarlyStandInInterval{300};
+constexpr milliseconds kStandInInterval{1000};
+/** A host that follows a stand-in asks its sources again after so many answers
+ * of it. */
+constexpr unsigned kStandInRounds = 8;
 /** A host that has just started waits this long for the members, which tell it
  * whether it is a reader, before it reads the store itself. They come within
  * two calls to the store, but when all hosts start at once its queue of new
@@ -86,6 +100,13 @@
     const auto now = clock::now();
     const auto confirmed = std::min(TimeBefore(now, view->state_age_us),
                                     TimeBefore(now, view->servers_age_us));
+    const auto progress = TimeBefore(now, view->progress_age_us);
+    if (now - progress < kMaxProgressAge) {
+      host_.feed_deadline =
+          std::max(host_.feed_deadline,
+                   std::min(now + kMaxProgressAge,
+                            confirmed + kMaxFeedAge + kMaxProgressWait));
+    }
     if (!view->has_servers || now - confirmed >= kMaxFeedAge) {
       co_return false;
     }
@@ -118,6 +139,28 @@
                            : addresses[host.random() % addresses.size()];
 }
 
+/** Returns when the stand-in with this rank begins to read the store. */
+auto StandInTime(const host_state& host, std::size_t rank) -> time_point {
+  // When the store returns, the readers hear from it about as soon as this
+  // host.
+  const auto first = std::max(host.feed_deadline, host.store.reachable_since);
+  const auto early = std::min(rank, kEarlyStandIns);
+  return first + early * kEarlyStandInInterval +
+         (rank - early) * kStandInInterval;
+}
+
+/** Returns the address of a random host that stands in for the readers at
+ * `now`; empty if none does. */
+auto RandomStandIn(host_state& host, time_point now) -> std::string {
+  const auto& order = host.feed_stand_ins;
+  std::size_t due = 0;
+  while (due < order.size() && now >= StandInTime(host, due)) {
+    ++due;
+  }
+  return due == 0 ? std::string()
+                  : host.LinkAddressOf(order[host.random() % due]);
+}
+
 /** Whether the store does not tell this host about the members or itself. */
 auto IsIsolated(const host_state& host, time_point now) -> bool {
   // A draining host has left the group, so it learns the members only from
@@ -130,6 +173,64 @@
          now - confirmed >= host.options.member_life;
 }
 
+/** Chooses the peers that this host asks, one after another: its sources, the
+ * hosts that stand in for them, and any host while it is isolated. A source or
+ * stand-in that answers with current data is followed. */
+class peer_choice {
+ public:
+  /** Chooses the next peer. */
+  auto Next(host_state& host, time_point now) -> void {
+    const auto& sources = host.feed_sources;
+    const auto& group = is_stand_in_ ? host.feed_stand_ins : sources;
+    const bool is_in_group =
+        std::ranges::any_of(group, [&](const auto& member) {
+          return host.LinkAddressOf(member) == address_;
+        });
+    const bool tries_sources =
+        is_stand_in_ && followed_answers_ >= kStandInRounds;
+    if (is_following_ && is_in_group && !tries_sources) {
+      return;
+    }
+    followed_answers_ = 0;
+    const auto stand_in = RandomStandIn(host, now);
+    const std::size_t stand_in_choices = stand_in.empty() ? 0 : 1;
+    const auto choices =
+        sources.size() + stand_in_choices + (IsIsolated(host, now) ? 1 : 0);
+    const auto turn = choices == 0 ? 0 : failures_ % choices;
+    may_follow_ = turn < sources.size() + stand_in_choices;
+    is_stand_in_ = may_follow_ && turn >= sources.size();
+    if (!may_follow_) {
+      address_ = RandomPeer(host, failures_);
+    } else if (is_stand_in_) {
+      address_ = stand_in;
+    } else {
+      address_ = host.LinkAddressOf(sources[turn]);
+    }
+  }
+
+  /** Records whether the chosen peer has answered with current data. */
+  auto RecordAnswer(bool is_current) -> void {
+    is_following_ = may_follow_ && is_current;
+    followed_answers_ = is_following_ ? followed_answers_ + 1 : 0;
+    failures_ = is_following_ && !is_stand_in_ ? 0 : failures_ + 1;
+  }
+
+  /** Address of the chosen peer; empty if there is none. */
+  auto address() const -> const std::string& { return address_; }
+  /** Whether the peer may be followed: it reads the store, or should. */
+  auto may_follow() const -> bool { return may_follow_; }
+  /** Whether the latest answer was that of a peer that is followed. */
+  auto is_following() const -> bool { return is_following_; }
+
+ private:
+  std::string address_;
+  bool may_follow_ = false;
+  bool is_stand_in_ = false;
+  bool is_following_ = false;
+  unsigned followed_answers_ = 0;  // Of the followed peer in a row.
+  unsigned failures_ = 0;          // Since a source was followed.
+};
+
 /** Whether this host knows something that the request does not. */
 auto HasNews(const host_state& host, const wire::view_requestT& request)
     -> bool {
@@ -219,32 +320,27 @@
   if (host.view.members.empty()) {
     return host.is_small_fleet || now >= host.started + kViewTimeout;
   }
-  return host.feed_sources.empty() || now >= host.feed_deadline;
+  return host.feed_sources.empty() ||
+         now >= StandInTime(host, host.feed_stand_ins.size());
 }
 
 auto FollowFeed(host_state& host) -> asio::awaitable<void> {
   feed_client client(host);
-  unsigned failures = 0;
+  peer_choice choice;
   while (true) {
-    // Copied because the view may change during the call.
-    const auto sources = host.feed_sources;
-    const bool is_isolated = IsIsolated(host, clock::now());
-    if (sources.empty() && !is_isolated) {
+    const auto now = clock::now();
+    if (host.feed_sources.empty() && !IsIsolated(host, now)) {
       co_await Sleep(kPeerQueryInterval);
       continue;
     }
-    const auto turn = failures % (sources.size() + (is_isolated ? 1 : 0));
-    const bool is_source = turn < sources.size();
-    const auto address = is_source ? host.LinkAddressOf(sources[turn])
-                                   : RandomPeer(host, failures);
+    choice.Next(host, now);
     bool is_current = false;
-    if (!address.empty()) {
-      is_current =
-          co_await client.Ask(address, is_source ? kFeedWait : milliseconds(0));
+    if (!choice.address().empty()) {
+      is_current = co_await client.Ask(
+          choice.address(), choice.may_follow() ? kFeedWait : milliseconds(0));
     }
-    failures = is_current && is_source ? 0 : failures + 1;
-    co_await Sleep(is_current && is_source ? kFeedInterval
-                                           : kPeerQueryInterval);
+    choice.RecordAnswer(is_current);
+    co_await Sleep(choice.is_following() ? kFeedInterval : kPeerQueryInterval);
   }
 }
 
@@ -313,6 +409,10 @@
   reply.servers_age_us = Micros(now - host.server_feed.confirmed);
   reply.servers_next = host.server_feed.next.value_or(log_offset()).value;
   reply.has_state = host.deployment != nullptr;
+  const auto& oldest = host.state_feed.confirmed < host.server_feed.confirmed
+                           ? host.state_feed
+                           : host.server_feed;
+  reply.progress_age_us = Micros(now - oldest.progress);
   reply.state_age_us = Micros(now - host.state_feed.confirmed);
   reply.state_next = host.state_feed.next.value_or(log_offset()).value;
   if (reply.has_state &&
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -79,6 +79,18 @@
             host.RandomUnit() * (kMaxFirstFeedTimeout - kMinFirstFeedTimeout));
   }
   host.feed_sources = std::move(sources);
+  host.feed_stand_ins.clear();
+  for (auto& member : ReadOrderOf(host.view, host.self)) {
+    if (member.name == host.self.name) {
+      break;
+    }
+    host.feed_stand_ins.push_back(std::move(member));
+  }
+  const auto readers =
+      std::min(host.feed_stand_ins.size(), kReadersPerDataCentre);
+  host.feed_stand_ins.erase(
+      host.feed_stand_ins.begin(),
+      host.feed_stand_ins.begin() + static_cast<std::ptrdiff_t>(readers));
   host.placement->ViewChanged();
   host.batch->OwnershipChanged();
   host.feed_changed.Notify();
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -51,6 +51,7 @@
   if (answered) {
     if (store.is_lost) {
       store.is_lost = false;
+      store.reachable_since = now;
       Log(log_level::kInfo, log_category::kConfig,
           {"store is reachable again", "call store", "store"});
     }
@@ -153,7 +154,8 @@
   if (!is_first && now - position.confirmed > kMaxLogGap) {
     follower.HandleGap(now);
   }
-  position = {next, now};
+  position.next = next;
+  position.confirmed = now;
 }
 
 /** Reads the newest record of each key. Returns false if the store does not
@@ -221,7 +223,8 @@
                log_partition where,
                T follower,
                milliseconds interval) -> asio::awaitable<void> {
-  adapter::store_client client(host.options.store);
+  adapter::store_client client(host.options.store,
+                               &follower.Position().progress);
   while (true) {
     if (!ReadsStore(host, clock::now())) {
       co_await host.feed_changed.Wait(clock::now() + kRoleCheckInterval);
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -175,13 +175,13 @@
 
 auto Exchange(http_connection& connection,
               const http_request& request,
-              time_point deadline,
+              const response_limits& limits,
               std::size_t max_body) -> asio::awaitable<outcome<http_response>> {
-  auto sent = co_await connection.Send(request, deadline);
+  auto sent = co_await connection.Send(request, limits.head_deadline);
   if (!sent) {
     co_return sent.error();
   }
-  auto head = co_await connection.ReadHead(deadline);
+  auto head = co_await connection.ReadHead(limits.head_deadline);
   if (!head) {
     co_return head.error();
   }
@@ -189,7 +189,10 @@
   response.status = head->status;
   response.headers = std::move(head->headers);
   while (true) {
-    auto part = co_await connection.ReadSome(deadline);
+    const auto until = limits.max_pause < limits.deadline - clock::now()
+                           ? clock::now() + limits.max_pause
+                           : limits.deadline;
+    auto part = co_await connection.ReadSome(until);
     if (!part) {
       auto error = part.error();
       error.message +=
@@ -199,6 +202,9 @@
     if (part->empty()) {
       co_return response;
     }
+    if (limits.progress != nullptr) {
+      *limits.progress = clock::now();
+    }
     response.body += part.value();
     if (response.body.size() > max_body) {
       failure error{.code = error_code::kTooLarge,
@@ -212,6 +218,18 @@
   }
 }
 
+auto Exchange(http_connection& connection,
+              const http_request& request,
+              time_point deadline,
+              std::size_t max_body) -> asio::awaitable<outcome<http_response>> {
+  const response_limits limits{.head_deadline = deadline,
+                               .deadline = deadline,
+                               .max_pause = duration::max(),
+                               .progress = nullptr};
+  auto response = co_await Exchange(connection, request, limits, max_body);
+  co_return response;
+}
+
 auto Fetch(tcp::endpoint endpoint,
            http_request request,
            time_point deadline,
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -53,8 +53,25 @@
   std::shared_ptr<state> state_;
 };
 
+/** Limits on the time that a response may take. */
+struct response_limits {
+  time_point head_deadline;  ///< Until the head has arrived.
+  time_point deadline;       ///< Until the whole body has arrived.
+  duration max_pause;        ///< Between two parts of the body.
+  /** If not null, set to the arrival of each part of the body. */
+  time_point* progress = nullptr;
+};
+
 /** Sends one request and reads the complete response. Fails with kTooLarge if
- * its body is longer than `max_body` bytes. */
+ * its body is longer than `max_body` bytes, and with kDeadlineExceeded if the
+ * body makes no progress or takes too long. */
+auto Exchange(http_connection& connection,
+              const http_request& request,
+              const response_limits& limits,
+              std::size_t max_body = 64UL << 20)
+    -> boost::asio::awaitable<outcome<http_response>>;
+
+/** As above, with one deadline for the whole response. */
 auto Exchange(http_connection& connection,
               const http_request& request,
               time_point deadline,
