Keep requests off a server that has said in an answer that it leaves

Cause: the header was not read; only the registration counted, which comes late or not at all while the store is away. A host that reads the header keeps off that process of the server for as long as its registration names the same start, and tells the dispatcher with its next report, so that no placement is wasted on it.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -46,7 +46,7 @@
                          RUN_SERIAL TRUE ENVIRONMENT
                          "DOGWOOD_BUILD=${CMAKE_BINARY_DIR}")
   endforeach()
-  foreach(scenario removal narrow_link)
+  foreach(scenario announced removal narrow_link)
     add_test(NAME site_feed_${scenario}
              COMMAND ${CMAKE_SOURCE_DIR}/tests/site_feed.py ${scenario})
     set_tests_properties(site_feed_${scenario} PROPERTIES LABELS failure
--- a/src/caller_type.h
+++ b/src/caller_type.h
@@ -55,6 +55,8 @@
   /** Carries the server's seal, which proves that it ran the request. */
   bool has_proof = false;
   bool not_run = false;  ///< The server states that it did not run the request.
+  /** The addressed server states that it leaves. */
+  bool is_leaving = false;
   bool is_stream = false;             ///< The body is an event stream.
   std::optional<reported_load> load;  ///< Load, if reported.
   /** Keep-alive time of the connection in seconds, if announced. */
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -56,6 +56,7 @@
   std::uint64_t deferred_removals = 0;  ///< A server may only have lapsed.
   std::uint64_t restored_removals = 0;  ///< It registered again in time.
   std::uint64_t expired_removals = 0;   ///< It did not: the server is gone.
+  std::uint64_t announced_leaving = 0;  ///< Servers that said that they leave.
 };
 
 /** Exponentially smoothed answer times of a service. */
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -7,6 +7,7 @@
 
 #include "src/hostd_base.h"
 #include "src/hostd_batch.h"
+#include "src/hostd_state.h"
 #include "src/net.h"
 
 namespace dogwood {
@@ -506,6 +507,9 @@
       entry->tokens = row.tokens;
       request.waiting.push_back(std::move(entry));
     }
+    for (const auto& id : host_.registrations->AnnouncedLeaving()) {
+      request.leaving.push_back(id.value);
+    }
     const auto link = host_.links.Get(to.address);
     if (link == nullptr) {
       co_return;
@@ -593,6 +597,9 @@
     held.push_back({ticket_id(entry->ticket), server_id(entry->server),
                     entry->batch ? work_class::kBatch : work_class::kOnline});
   }
+  for (const auto& id : request.leaving) {
+    host_.registrations->RecordLeaving(server_id(id));
+  }
   dispatcher_.ReconcileHeldSlots(host_id(request.host), held, now);
   dispatcher_.RecordReportedLoads(DecodeCounts(request.told), now);
   waiting_report waiting{.rows = {}, .last_grant = request.last_grant};
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -6,6 +6,7 @@
 #include "platform/adapter.h"
 #include "src/hostd_base.h"
 #include "src/hostd_placement.h"
+#include "src/hostd_state.h"
 #include "src/proxy.h"
 
 namespace dogwood {
@@ -226,6 +227,9 @@
       }
       ++i;
       answer_ = adapter::DecodeAnswer(*head);
+      if (answer_.is_leaving) {
+        host_.registrations->RecordLeaving(spec_.server.id);
+      }
       if (answer_.load) {
         host_.placement->RecordLoad(spec_.server.id, *answer_.load);
       }
@@ -502,7 +506,8 @@
     return servers;
   }
   for (const auto& [id, server] : host.servers) {
-    if (server.service == service && addresses.contains(server.address)) {
+    if (server.service == service && !server.leaving &&
+        addresses.contains(server.address)) {
       servers.push_back(id);
     }
   }
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -24,6 +24,9 @@
  * (the platform's pages, "Service discovery": about two seconds). */
 constexpr std::chrono::milliseconds kRegistrationGrace{2300};
 
+/** A server that has said that it leaves ends within seconds. */
+constexpr std::chrono::minutes kLeavingNoteTtl{10};
+
 }  // namespace
 
 auto ApplyState(host_state& host, const std::string& text) -> void {
@@ -108,30 +111,67 @@
              {{"server", id}});
   }
   auto decoded = adapter::DecodeServer(id, *text);
-  const auto known = host_.servers.find(server_id(id));
+  const auto known = registered_.find(server_id(id));
   if (!decoded) {
     Log(log_level::kDebug, log_category::kConfig,
         {decoded.error().message, decoded.error().step, decoded.error().peer});
-    journal_.Put(id, *text, known != host_.servers.end());
+    journal_.Put(id, *text, known != registered_.end());
+    registered_.erase(server_id(id));
     host_.servers.erase(server_id(id));
     return;
   }
   const bool is_change =
-      known == host_.servers.end() || known->second != decoded.value();
+      known == registered_.end() || known->second != decoded.value();
   journal_.Put(id, *text, is_change);
   if (!is_change) {
     return;
   }
-  if (known == host_.servers.end() ||
-      known->second.leaving != decoded->leaving) {
+  if (known == registered_.end() || known->second.leaving != decoded->leaving) {
     LogEvent(log_level::kInfo, log_category::kConfig, "server_listed",
              {{"server", id},
               {"address", decoded->address},
               {"leaving", decoded->leaving}});
   }
+  registered_[decoded->id] = decoded.value();
+  decoded->leaving = decoded->leaving || HasSaidLeaving(decoded.value());
   host_.servers[decoded->id] = std::move(decoded.value());
 }
 
+auto registration_table::HasSaidLeaving(const registered_server& server) const
+    -> bool {
+  const auto found = leaving_.find(server.id);
+  return found != leaving_.end() && found->second.start == server.start;
+}
+
+auto registration_table::RecordLeaving(const server_id& id) -> void {
+  const auto found = host_.servers.find(id);
+  if (found == host_.servers.end() || found->second.leaving) {
+    return;
+  }
+  const auto now = clock::now();
+  std::erase_if(leaving_, [now](const auto& entry) {
+    return now >= entry.second.expires;
+  });
+  leaving_[id] = {found->second.start, now + kLeavingNoteTtl};
+  found->second.leaving = true;
+  ++host_.feed.announced_leaving;
+  LogEvent(log_level::kInfo, log_category::kConfig, "server_announced_leaving",
+           {{"server", id.value}});
+  host_.placement->ServersChanged();
+}
+
+auto registration_table::AnnouncedLeaving() const -> std::vector<server_id> {
+  std::vector<server_id> ids;
+  for (const auto& [id, note] : leaving_) {
+    const auto found = registered_.find(id);
+    if (found != registered_.end() && !found->second.leaving &&
+        HasSaidLeaving(found->second)) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
 auto registration_table::NoteGap(time_point now) -> void {
   doubtful_until_ = now + kRegistrationGrace;
 }
@@ -152,6 +192,7 @@
 auto registration_table::Drop(const std::string& id) -> void {
   journal_.Remove(id);
   deferred_.erase(id);
+  registered_.erase(server_id(id));
   if (host_.servers.erase(server_id(id)) > 0) {
     LogEvent(log_level::kInfo, log_category::kConfig, "server_gone",
              {{"server", id}});
--- a/src/hostd_state.h
+++ b/src/hostd_state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "src/deployment.h"
 #include "src/fleet.h"
@@ -35,6 +36,12 @@
   /** Stores a registration, or removes it if there is no text. */
   auto Apply(const std::string& id, const std::optional<std::string>& text)
       -> void;
+  /** Records that a server has said in an answer, or to another host, that it
+   * leaves. It gets no new requests from then on, whatever its registration
+   * says, until it starts again. */
+  auto RecordLeaving(const server_id& id) -> void;
+  /** Returns the servers that leave, but whose registrations do not say so. */
+  auto AnnouncedLeaving() const -> std::vector<server_id>;
   /** Removes a registration for good. */
   auto Drop(const std::string& id) -> void;
   /** Removes all registrations but those of `present`. */
@@ -65,8 +72,18 @@
  private:
   auto Remove(const std::string& id) -> void;
 
+  /** A server's statement that it leaves. */
+  struct leaving_note {
+    std::uint64_t start = 0;  ///< Start of the server that said so.
+    time_point expires;       ///< The server has ended by then.
+  };
+  auto HasSaidLeaving(const registered_server& server) const -> bool;
+
   host_state& host_;
   registration_journal journal_;
+  /** Servers by their registrations alone. */
+  std::map<server_id, registered_server> registered_;
+  std::map<server_id, leaving_note> leaving_;
   std::uint64_t published_ = 0;  // Revision at the last Publish().
   /** Removals are deferred until then. */
   time_point doubtful_until_;
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -222,6 +222,12 @@
   cr_assert(adapter::DecodeAnswer({421, {}}).not_run);
   cr_assert_not(adapter::DecodeAnswer({503, {}}).not_run);
   cr_assert_not(adapter::DecodeAnswer({500, {}}).not_run);
+  cr_assert(
+      adapter::DecodeAnswer({503, {{{"Server-Leaving", "1"}}}}).is_leaving);
+  cr_assert_not(adapter::DecodeAnswer({200, {}}).is_leaving);
+  // Said by the server that took over the address.
+  cr_assert_not(
+      adapter::DecodeAnswer({421, {{{"Server-Leaving", "1"}}}}).is_leaving);
   const auto answer = adapter::DecodeAnswer(
       {200,
        {{{"X-Server-Load", "3,1,8"}, {"Keep-Alive", "timeout=5, max=9"}}}});
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -289,6 +289,8 @@
         self.gap_s = EVENT_GAP_S  # Pause before each event.
         self.copy_after_s = None  # Sends each plain answer once more, this much later.
         self.cut_plain = False  # Closes in the middle of plain answers.
+        self.says_it_leaves = False  # Announces in all answers that it leaves.
+        self.born = 1
         self.tokens = random.Random(name)
         self.http = HttpServer(self.handle)
 
@@ -300,20 +302,25 @@
     async def register(self, state):
         await self.store.put(SERVER_TOPIC, self.name, {
             "service": self.service, "address": f"{self.ip}:{self.told_port}", "zone": self.zone,
-            "version": "v1", "slots": self.slots, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1})
+            "version": "v1", "slots": self.slots, "state": state, "coldLeftMs": 0, "seq": 1,
+            "born": self.born})
 
     async def crash(self):
         await self.http.stop()
         await self.store.put(SERVER_TOPIC, self.name, None)
 
+    def fields(self):
+        """Fields of each answer."""
+        return {"Server_Leaving": "1"} if self.says_it_leaves else {}
+
     async def handle(self, request, reader, writer):
         method, path, query, headers, body = request
         attempt = headers.get("x-attempt-id", "")
         if headers.get("x-expect-instance", self.name) != self.name:
-            answer(writer, 421, X_Instance_Id=self.name)
+            answer(writer, 421, X_Instance_Id=self.name, **self.fields())
             return True
         if self.running >= self.slots and self.waiting >= self.queue_limit:
-            answer(writer, 503, X_Not_Executed="1", X_Attempt_Id=attempt)
+            answer(writer, 503, X_Not_Executed="1", X_Attempt_Id=attempt, **self.fields())
             return True
         self.waiting += 1
         try:
@@ -347,13 +354,14 @@
                 writer.write(head.encode() + b"echo " + body)
                 await writer.drain()
                 return False
-            answer(writer, 200, b"echo " + body, X_Attempt_Id=attempt, X_Server_Seal=seal)
+            answer(writer, 200, b"echo " + body, X_Attempt_Id=attempt, X_Server_Seal=seal, **self.fields())
             if self.copy_after_s is not None:
                 asyncio.get_running_loop().call_later(
                     self.copy_after_s, functools.partial(
                         answer, writer, 200, b"echo " + body, X_Attempt_Id=attempt, X_Server_Seal=seal))
             return True
-        writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {attempt}\r\n"
+        leaving = "Server-Leaving: 1\r\n" if self.says_it_leaves else ""
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {attempt}\r\n{leaving}"
                      f"X-Server-Seal: {seal}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
         count = event_count(attempt)
         first = int(headers.get("last-event-id", 0)) + 1
--- a/tests/site_feed.py
+++ b/tests/site_feed.py
@@ -15,6 +15,9 @@
 # Longest time from a state's confirmation to the last host (grown sites).
 SPREAD_S = 2.5
 READERS = 2
+# drainMs of the small sites: a host that has passed on an answer of a server that
+# leaves sends it nothing later than this.
+SHORT_DRAIN_S = 2.5
 
 
 async def metric(host, name):
@@ -73,5 +76,36 @@
         sh.check(copies < READERS + 1, f"{copies:.1f} copies of the state were sent to one data centre")
 
 
-SCENARIOS = {"removal": removal_behind_failing_calls, "narrow_link": state_over_narrow_link}
+async def announced_in_answers():
+    """A server says in its answers that it leaves; its registration, and the
+    store, say nothing. Each host that has passed on such an answer must keep
+    off the server, also after it has read the registration once more, until the
+    server starts again."""
+    async with sh.Fleet("announced_in_answers", hosts=3, engines=2) as fleet:
+        left = fleet.engines[0]
+        left.says_it_leaves = True
+        async def ask_all(rounds):
+            for _ in range(rounds):
+                answers = await asyncio.gather(*(fleet.ask(host, route) for host in fleet.hosts
+                                                 for route in ("stream", "read")))
+                sh.check(all(a.status == 200 for a in answers), f"statuses {[a.status for a in answers]}")
+        await ask_all(10)
+        sh.check(left.seen, "no request met the server")
+        await left.register("ready")
+        await fleet.store.put(sh.stand_in.SERVER_TOPIC, "other", {"service": "x"})
+        fleet.store.is_down = True
+        await asyncio.sleep(SHORT_DRAIN_S)
+        before = len(left.seen)
+        await ask_all(10)
+        late = len(left.seen) - before
+        sh.check(late == 0, f"{late} of 60 requests reached a server {SHORT_DRAIN_S} s after it had said that it leaves")
+        fleet.store.is_down = False
+        left.says_it_leaves, left.born = False, 2
+        await left.register("ready")
+        await asyncio.sleep(SHORT_DRAIN_S)
+        await ask_all(10)
+        sh.check(len(left.seen) > before, "the server has started again and gets no requests")
+
+
+SCENARIOS = {"announced": announced_in_answers, "removal": removal_behind_failing_calls, "narrow_link": state_over_narrow_link}
 sh.run(SCENARIOS[sys.argv[1]])
