Ask again for changes of registrations that could not be applied

Servers that registered or left could stay unknown to a host for good. Cause: a source that has lost its position in the log answers with offset 0; the host skipped such an answer, but took over its revision, so the source never sent those changes again. The cursor of a source advances only with what was applied.

--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -81,8 +81,8 @@
                                 ? 0
                                 : host_.deployment->state().version.value;
     request.generation = host_.view.generation;
-    request.source = source_;
-    request.revision = revision_;
+    request.source = cursor_.source;
+    request.revision = cursor_.revision;
     request.wait_us = microseconds(wait).count();
     auto message = MakeMessage(request);
     auto reply = co_await link->Call(std::move(message),
@@ -94,9 +94,7 @@
            address});
       co_return false;
     }
-    ApplyPeerView(host_, *view);
-    source_ = view->source;
-    revision_ = view->revision;
+    ApplyPeerView(host_, *view, cursor_);
     const auto now = clock::now();
     const auto confirmed = std::min(TimeBefore(now, view->state_age_us),
                                     TimeBefore(now, view->servers_age_us));
@@ -117,8 +115,7 @@
 
  private:
   host_state& host_;
-  std::uint64_t source_ = 0;    // Process of the newest answer.
-  std::uint64_t revision_ = 0;  // Revision of the registrations there.
+  feed_cursor cursor_;
 };
 
 /** Returns the address of a random host to ask for want of a store: mostly one
@@ -344,7 +341,9 @@
   }
 }
 
-auto ApplyPeerView(host_state& host, const wire::view_replyT& reply) -> void {
+auto ApplyPeerView(host_state& host,
+                   const wire::view_replyT& reply,
+                   feed_cursor& cursor) -> void {
   const auto now = clock::now();
   if (!reply.state.empty()) {
     ApplyState(host, reply.state);
@@ -358,6 +357,7 @@
   if (reply.has_servers &&
       (!host.server_feed.next || servers_next >= *host.server_feed.next)) {
     ApplyRegistrations(host, reply);
+    cursor = {.source = reply.source, .revision = reply.revision};
     Advance(host.server_feed, servers_next,
             TimeBefore(now, reply.servers_age_us));
   } else if (reply.has_servers) {
--- a/src/hostd_feed.h
+++ b/src/hostd_feed.h
@@ -9,6 +9,7 @@
 #define SRC_HOSTD_FEED_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -29,8 +30,19 @@
 auto AnswerView(host_state& host, wire::view_requestT request)
     -> boost::asio::awaitable<wire::view_replyT>;
 
-/** Applies what another host knows, where it is newer. */
-auto ApplyPeerView(host_state& host, const wire::view_replyT& reply) -> void;
+/** What a host has from another one: asked for with this, the other host sends
+ * only what is newer. */
+struct feed_cursor {
+  std::uint64_t source = 0;    ///< Process of the other host.
+  std::uint64_t revision = 0;  ///< Of its registrations.
+};
+
+/** Applies what another host knows, where it is newer. `cursor` advances only
+ * if the registrations of the answer were applied, since the other host sends
+ * no change twice. */
+auto ApplyPeerView(host_state& host,
+                   const wire::view_replyT& reply,
+                   feed_cursor& cursor) -> void;
 
 /** Returns the link addresses of configured peers and members, without this
  * host. */
--- /dev/null
+++ b/tests/feed_test.cc
@@ -0,0 +1,71 @@
+/** Tests of what a host keeps of the answers of other hosts and of the store.
+ */
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "src/hostd_base.h"
+#include "src/hostd_feed.h"
+#include "src/hostd_setting.h"
+#include "src/hostd_state.h"
+
+// Last: macros of Criterion clash with Boost headers that follow it.
+#include <criterion/criterion.h>
+
+namespace dogwood::testing {
+namespace {
+
+/** A host that has no connections. */
+class feed_fixture {
+ public:
+  feed_fixture() : host_(io_, hostd_options()) {}
+
+  auto host() -> host_state& { return host_; }
+
+  /** Returns an answer with registrations that lead to offset `next` of the
+   * log. */
+  static auto Answer(std::uint64_t next, std::uint64_t revision)
+      -> wire::view_replyT {
+    wire::view_replyT reply;
+    reply.has_servers = true;
+    reply.source = 7;
+    reply.revision = revision;
+    reply.servers_next = next;
+    return reply;
+  }
+
+  /** Returns a registration as "id\nJSON". */
+  static auto Entry(const std::string& id, const std::string& state)
+      -> std::string {
+    return id + R"(
+{"service":"llm","address":"127.0.0.1:1","slots":8,"state":")" +
+           state + R"("})";
+  }
+
+  auto Knows(const std::string& id) const -> bool {
+    return host_.servers.contains(server_id(id));
+  }
+
+ private:
+  boost::asio::io_context io_;
+  host_state host_;
+};
+
+}  // namespace
+
+// A source that lost its position answers with an older one. Guards against
+// changes that are skipped and never sent again.
+Test(feed, skipped_changes_are_asked_for_again) {
+  feed_fixture f;
+  feed_cursor cursor;
+  auto first = feed_fixture::Answer(10, 1);
+  first.is_complete = true;
+  first.servers = {feed_fixture::Entry("a", "ready")};
+  ApplyPeerView(f.host(), first, cursor);
+  auto behind = feed_fixture::Answer(0, 2);
+  behind.servers = {feed_fixture::Entry("b", "ready")};
+  ApplyPeerView(f.host(), behind, cursor);
+  cr_assert_not(f.Knows("b"));
+  cr_assert_eq(cursor.revision, 1);
+}
+
+}  // namespace dogwood::testing
