Take no older registrations while the own position is lost

A server that had left could get requests again. A position now remembers how far it has been, and older answers are refused. The new test fails with the former condition (1 of 2) and passes.

--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -45,8 +45,10 @@
  * another host. */
 struct feed_position {
   std::optional<log_offset> next;  ///< Offset of the next record, if known.
-  time_point confirmed;            ///< When the store confirmed the position.
-  time_point progress;             ///< Arrival of the newest part of a read.
+  /** Highest offset that was ever reached; kept when the position is lost. */
+  log_offset reached;
+  time_point confirmed;  ///< When the store confirmed the position.
+  time_point progress;   ///< Arrival of the newest part of a read.
 };
 
 /** Events of following the store's logs, for metrics. */
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -286,6 +286,7 @@
 auto Advance(feed_position& position, log_offset next, time_point confirmed)
     -> void {
   position.next = std::max(position.next.value_or(next), next);
+  position.reached = std::max(position.reached, next);
   position.confirmed = std::max(position.confirmed, confirmed);
 }
 
@@ -352,10 +353,10 @@
     Advance(host.state_feed, log_offset(reply.state_next),
             TimeBefore(now, reply.state_age_us));
   }
-  // What this host has read itself may be newer than the answer.
+  // What this host has read itself may be newer than the answer, also if it
+  // has lost its position since.
   const log_offset servers_next(reply.servers_next);
-  if (reply.has_servers &&
-      (!host.server_feed.next || servers_next >= *host.server_feed.next)) {
+  if (reply.has_servers && servers_next >= host.server_feed.reached) {
     ApplyRegistrations(host, reply);
     cursor = {.source = reply.source, .revision = reply.revision};
     Advance(host.server_feed, servers_next,
@@ -364,7 +365,7 @@
     ++host.feed.skipped_answers;
     LogEvent(log_level::kInfo, log_category::kConfig, "answer_skipped",
              {{"position", servers_next.value},
-              {"own_position", host.server_feed.next->value},
+              {"own_position", host.server_feed.reached.value},
               {"complete", reply.is_complete},
               {"changes", reply.servers.size() + reply.removed.size()}});
   }
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -155,6 +155,7 @@
     follower.HandleGap(now);
   }
   position.next = next;
+  position.reached = std::max(position.reached, next);
   position.confirmed = now;
 }
 
--- a/tests/feed_test.cc
+++ b/tests/feed_test.cc
@@ -68,4 +68,25 @@
   cr_assert_eq(cursor.revision, 1);
 }
 
+// The store deletes old records, and the host has to read all registrations
+// anew. Guards against a server that has left and is in use again because
+// another host still lists it.
+Test(feed, older_answers_change_nothing_after_the_position_is_lost) {
+  feed_fixture f;
+  feed_cursor cursor;
+  auto first = feed_fixture::Answer(10, 1);
+  first.is_complete = true;
+  first.servers = {feed_fixture::Entry("a", "draining")};
+  ApplyPeerView(f.host(), first, cursor);
+  f.host().server_feed.next.reset();
+  auto old = feed_fixture::Answer(5, 3);
+  old.source = 8;
+  old.is_complete = true;
+  old.servers = {feed_fixture::Entry("a", "ready"),
+                 feed_fixture::Entry("gone", "ready")};
+  ApplyPeerView(f.host(), old, cursor);
+  cr_assert(f.host().servers.at(server_id("a")).leaving);
+  cr_assert_not(f.Knows("gone"));
+}
+
 }  // namespace dogwood::testing
