Keep a position of the log and its confirmation together

A host could take old data for current. Cause: position and confirmation rose apart from each other, so that the position of one source could carry the confirmation of another; and a page in the middle of a log counted as a confirmation of its end. One method moves both.

--- a/src/hostd_base.cc
+++ b/src/hostd_base.cc
@@ -36,6 +36,16 @@
 
 }  // namespace
 
+auto feed_position::Advance(log_offset offset,
+                            std::optional<time_point> confirmed_at) -> void {
+  if (offset < reached) {
+    return;
+  }
+  next = offset;
+  reached = offset;
+  confirmed = std::max(confirmed, confirmed_at.value_or(confirmed));
+}
+
 host_state::host_state(boost::asio::io_context& context, hostd_options values)
     : io(context),
       options(std::move(values)),
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -49,6 +49,12 @@
   log_offset reached;
   time_point confirmed;  ///< When the store confirmed the position.
   time_point progress;   ///< Arrival of the newest part of a read.
+
+  /** Moves to `offset`. `confirmed_at` is when the store confirmed that no
+   * record follows; nothing if more follow. What lies behind this position
+   * changes nothing: it was confirmed for older content. */
+  auto Advance(log_offset offset, std::optional<time_point> confirmed_at)
+      -> void;
 };
 
 /** Events of following the store's logs, for metrics. */
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -282,14 +282,6 @@
   host.registrations->Publish();
 }
 
-/** Moves a position to where the answer of a peer leads. */
-auto Advance(feed_position& position, log_offset next, time_point confirmed)
-    -> void {
-  position.next = std::max(position.next.value_or(next), next);
-  position.reached = std::max(position.reached, next);
-  position.confirmed = std::max(position.confirmed, confirmed);
-}
-
 /** Returns the view of the members in an answer; nothing if it has none that is
  * newer and readable. */
 auto NewerView(const host_state& host, const wire::view_replyT& reply)
@@ -350,8 +342,8 @@
     ApplyState(host, reply.state);
   }
   if (reply.has_state) {
-    Advance(host.state_feed, log_offset(reply.state_next),
-            TimeBefore(now, reply.state_age_us));
+    host.state_feed.Advance(log_offset(reply.state_next),
+                            TimeBefore(now, reply.state_age_us));
   }
   // What this host has read itself may be newer than the answer, also if it
   // has lost its position since.
@@ -359,8 +351,8 @@
   if (reply.has_servers && servers_next >= host.server_feed.reached) {
     ApplyRegistrations(host, reply);
     cursor = {.source = reply.source, .revision = reply.revision};
-    Advance(host.server_feed, servers_next,
-            TimeBefore(now, reply.servers_age_us));
+    host.server_feed.Advance(servers_next,
+                             TimeBefore(now, reply.servers_age_us));
   } else if (reply.has_servers) {
     ++host.feed.skipped_answers;
     LogEvent(log_level::kInfo, log_category::kConfig, "answer_skipped",
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -144,19 +144,18 @@
   follower.HandleRecords(records);
 };
 
-/** Moves the position after a read, and tells the follower if the log was not
- * followed up to it. */
+/** Moves the position after a read of a log that ends at `end`, and tells the
+ * follower if the log was not followed up to it. */
 template <log_follower T>
-auto MovePosition(T& follower, log_offset next) -> void {
+auto MovePosition(T& follower, log_offset next, log_offset end) -> void {
   const auto now = clock::now();
   auto& position = follower.Position();
   const bool is_first = position.confirmed == time_point();
   if (!is_first && now - position.confirmed > kMaxLogGap) {
     follower.HandleGap(now);
   }
-  position.next = next;
-  position.reached = std::max(position.reached, next);
-  position.confirmed = now;
+  position.Advance(next,
+                   next >= end ? std::optional<time_point>(now) : std::nullopt);
 }
 
 /** Reads the newest record of each key. Returns false if the store does not
@@ -174,7 +173,8 @@
   }
   auto& position = follower.Position();
   if (!position.next) {
-    MovePosition(follower, snapshot->end);
+    position.reached = std::min(position.reached, snapshot->end);
+    MovePosition(follower, snapshot->end, snapshot->end);
     follower.HandleSnapshot(snapshot.value());
   }
   co_return true;
@@ -207,7 +207,8 @@
               {"first", page->first.value}});
     co_return true;
   }
-  MovePosition(follower, log_offset(from.value + page->records.size()));
+  MovePosition(follower, log_offset(from.value + page->records.size()),
+               page->end);
   std::vector<keyed_record> records;
   for (const auto& record : page->records) {
     if (auto keyed = adapter::SplitKeyedRecord(record)) {
--- a/tests/feed_test.cc
+++ b/tests/feed_test.cc
@@ -89,4 +89,22 @@
   cr_assert_not(f.Knows("gone"));
 }
 
+// Guards against a position of one source that carries the confirmation of
+// another one, and against a page in the middle of a log that confirms it.
+Test(feed, a_confirmation_belongs_to_its_position) {
+  const auto at = [](int seconds) {
+    return time_point(std::chrono::seconds(seconds));
+  };
+  feed_position position;
+  position.Advance(log_offset(10), at(1));
+  position.Advance(log_offset(8), at(5));
+  cr_assert_eq(position.next->value, 10);
+  cr_assert(position.confirmed == at(1));
+  position.Advance(log_offset(20), std::nullopt);
+  cr_assert_eq(position.next->value, 20);
+  cr_assert(position.confirmed == at(1));
+  position.Advance(log_offset(20), at(7));
+  cr_assert(position.confirmed == at(7));
+}
+
 }  // namespace dogwood::testing
