Apply the newest state that can be read, not only the last record

A declared state could stay unknown until the next one. Cause: of a page of records only the last one was decoded; if that one was unreadable or older, a newer one before it was lost. A peer without a position answers with offset 0, which no longer counts as one.

--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -341,7 +341,8 @@
   if (!reply.state.empty()) {
     ApplyState(host, reply.state);
   }
-  if (reply.has_state) {
+  // An offset of 0 stands for a host that has no position.
+  if (reply.has_state && reply.state_next > 0) {
     host.state_feed.Advance(log_offset(reply.state_next),
                             TimeBefore(now, reply.state_age_us));
   }
@@ -351,8 +352,10 @@
   if (reply.has_servers && servers_next >= host.server_feed.reached) {
     ApplyRegistrations(host, reply);
     cursor = {.source = reply.source, .revision = reply.revision};
-    host.server_feed.Advance(servers_next,
-                             TimeBefore(now, reply.servers_age_us));
+    if (reply.servers_next > 0) {
+      host.server_feed.Advance(servers_next,
+                               TimeBefore(now, reply.servers_age_us));
+    }
   } else if (reply.has_servers) {
     ++host.feed.skipped_answers;
     LogEvent(log_level::kInfo, log_category::kConfig, "answer_skipped",
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -29,17 +29,17 @@
 
 }  // namespace
 
-auto ApplyState(host_state& host, const std::string& text) -> void {
+auto ApplyState(host_state& host, const std::string& text) -> bool {
   auto decoded = adapter::DecodeState(text);
   if (!decoded) {
     Log(log_level::kError, log_category::kConfig,
         {decoded.error().message, decoded.error().step, "store"});
-    return;
+    return false;
   }
   const auto version = decoded->version;
   if (host.deployment != nullptr &&
       version <= host.deployment->state().version) {
-    return;
+    return version == host.deployment->state().version;
   }
   LogEvent(log_level::kInfo, log_category::kConfig, "state_applied",
            {{"state_version", version.value},
@@ -60,6 +60,19 @@
   host.batch->StateChanged();
   host.readiness_changed.Notify();
   host.feed_changed.Notify();
+  return true;
+}
+
+auto ApplyNewestState(host_state& host,
+                      const std::vector<keyed_record>& records) -> void {
+  // Only the newest state counts; decoding every state of a burst of updates
+  // would cost time.
+  for (auto record = records.rbegin(); record != records.rend(); ++record) {
+    if (record->key == adapter::StateKey() && record->value &&
+        ApplyState(host, *record->value)) {
+      return;
+    }
+  }
 }
 
 auto ApplyView(host_state& host, fleet_view view) -> void {
--- a/src/hostd_state.h
+++ b/src/hostd_state.h
@@ -17,8 +17,14 @@
 
 struct host_state;
 
-/** Applies a declared state if it is newer than the current one. */
-auto ApplyState(host_state& host, const std::string& text) -> void;
+/** Applies a declared state if it is newer than the current one. Returns false
+ * if it is older or cannot be read. */
+auto ApplyState(host_state& host, const std::string& text) -> bool;
+
+/** Applies the newest declared state of consecutive records that can be read.
+ */
+auto ApplyNewestState(host_state& host,
+                      const std::vector<keyed_record>& records) -> void;
 
 /** Applies a view of the members: partitions, dispatcher and feed sources. */
 auto ApplyView(host_state& host, fleet_view view) -> void;
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -89,17 +89,7 @@
     HandleRecords(snapshot.records);
   }
   auto HandleRecords(const std::vector<keyed_record>& records) -> void {
-    // Only the newest state counts; decoding every state of a burst of updates
-    // would cost time.
-    const keyed_record* newest = nullptr;
-    for (const auto& record : records) {
-      if (record.key == adapter::StateKey() && record.value) {
-        newest = &record;
-      }
-    }
-    if (newest != nullptr) {
-      ApplyState(host_, *newest->value);
-    }
+    ApplyNewestState(host_, records);
   }
 
  private:
--- a/tests/feed_test.cc
+++ b/tests/feed_test.cc
@@ -107,4 +107,19 @@
   cr_assert(position.confirmed == at(7));
 }
 
+// Guards against a newer state that is lost because the last record of its page
+// cannot be read, or is older.
+Test(feed, an_unreadable_record_hides_no_state) {
+  feed_fixture f;
+  const auto state = [](int version) {
+    return keyed_record{"config", R"({"routes":[],"services":[],"version":)" +
+                                      std::to_string(version) + "}"};
+  };
+  ApplyNewestState(f.host(), {state(1)});
+  ApplyNewestState(f.host(), {state(3), keyed_record{"config", "{"}});
+  cr_assert_eq(f.host().deployment->state().version.value, 3);
+  ApplyNewestState(f.host(), {state(5), state(2)});
+  cr_assert_eq(f.host().deployment->state().version.value, 5);
+}
+
 }  // namespace dogwood::testing
