Show by a test that fails how one kind of request crashes all servers

Sound callers were served by half or less: requests with one part in their prompts crash each server that begins to answer them, and each is retried at other servers (BUDGET, LOST).

--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -18,6 +18,7 @@
 DRIP_GAP_S = 0.05
 FLOOD_BYTES = 65536
 EVENT_GAP_S = 0.02
+CRASH_S = 2
 STATE_TOPIC = "keyed.op"
 SERVER_TOPIC = "keyed.servers"
 
@@ -289,9 +290,12 @@
         self.gap_s = EVENT_GAP_S  # Pause before each event.
         self.copy_after_s = None  # Sends each plain answer once more, this much later.
         self.cut_plain = False  # Closes in the middle of plain answers.
+        self.deadly_part = None  # Crashes when it begins a request with this part of a prompt.
+        self.crashes = []  # Times of these crashes.
         self.says_it_leaves = False  # Announces in all answers that it leaves.
         self.born = 1
         self.tokens = random.Random(name)
+        self.tasks = []
         self.http = HttpServer(self.handle)
 
     async def start(self, state="ready"):
@@ -336,8 +340,21 @@
             self.running -= 1
             self.free.notify()
 
+    async def crash_for(self, seconds):
+        """Loses all connections, and is back later."""
+        self.crashes.append(time.monotonic())
+        await self.http.stop()
+        await asyncio.sleep(seconds)
+        await self.http.start(self.ip, self.port)
+
     async def run(self, attempt, path, headers, body, reader, writer):
         seal = f"seal-{self.name}"
+        parts = [part.split(":")[0] for part in headers.get("x-prompt-prefix", "").split(",")]
+        if self.deadly_part in parts[:-1]:
+            await asyncio.sleep(EVENT_GAP_S)
+            if self.http.server is not None:
+                self.tasks.append(asyncio.ensure_future(self.crash_for(CRASH_S)))
+            return False
         if self.flood is not None:
             await self.send_flood(attempt, seal, writer)
             return False
