Keep prompts that crash servers away from them, by a part that is found out

Cause: nothing connected the failure of one request with that of another; each was retried at other servers, at any host. Class: one caller's input is a fault that all share. A host now tells the dispatcher if a server broke off before its second event, which may have been a crash. A shared part that was there at three crashes of two requests, that no server has answered for a minute, and whose crashes no other part explains is put under quarantine: such requests are refused with 503 at once, by all hosts and by the next dispatcher. One complete answer refutes it.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -3,7 +3,8 @@
 dogwood_library(deployment SOURCES deployment_journal.cc deployment_query.cc
                 LIBS dogwood_core)
 dogwood_library(dispatch
-                SOURCES dispatch_cmd.cc dispatch_local.cc dispatch_return.cc
+                SOURCES dispatch_cmd.cc dispatch_local.cc dispatch_quarantine.cc
+                        dispatch_return.cc
                         dispatch_wait.cc
                 LIBS dogwood_core)
 dogwood_library(batch SOURCES batch_projection.cc batch_queue.cc batch_quota.cc
@@ -29,6 +30,7 @@
 dogwood_test(deployment dogwood_deployment)
 dogwood_test(dispatch dogwood_dispatch)
 dogwood_test(dispatch_local dogwood_dispatch)
+dogwood_test(dispatch_quarantine dogwood_dispatch)
 dogwood_test(dispatch_return dogwood_dispatch)
 dogwood_test(dispatch_wait dogwood_dispatch)
 dogwood_test(batch dogwood_batch)
--- a/src/caller_type.h
+++ b/src/caller_type.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "src/http_type.h"
+#include "src/prompt_type.h"
 #include "src/unit_type.h"
 
 namespace dogwood {
@@ -34,6 +35,7 @@
   std::optional<std::chrono::milliseconds> time_remaining;
   /** Last event that the caller has received; 0: none. */
   std::uint64_t resume_after = 0;
+  prompt_parts prompt;  ///< Parts of its prompt, if it names them.
   std::string job;   ///< Job identifier of kJobResults, kJobItem and kJobEnd.
   std::string item;  ///< Item identifier of kJobItem.
   std::uint64_t position = 0;  ///< First position of kJobResults.
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -5,6 +5,7 @@
 
 #include "src/dispatch_base.h"
 #include "src/dispatch_local.h"
+#include "src/dispatch_quarantine.h"
 #include "src/dispatch_return.h"
 #include "src/dispatch_type.h"
 #include "src/dispatch_wait.h"
--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -21,6 +21,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/dispatch_quarantine.h"
 #include "src/dispatch_type.h"
 
 namespace dogwood {
@@ -61,6 +62,11 @@
    * that cannot reach this dispatcher, or that their callers have abandoned. */
   auto RecordReportedLoads(std::span<const server_count> reported,
                            time_point now) -> void;
+  /** Takes over the parts of prompts that other hosts have under quarantine. */
+  auto MergeQuarantine(std::span<const quarantined_part> found, time_point now)
+      -> void;
+  /** As a host that is not the dispatcher: takes over its quarantine. */
+  auto ReplaceQuarantine(std::span<const quarantined_part> found) -> void;
   /** Releases the slots of hosts that have timed out, refuses overdue requests
    * and serves the queues. */
   auto Advance(time_point now) -> void;
@@ -72,6 +78,14 @@
   // Queries.
 
   auto IsReady(time_point now) const -> bool { return now >= ready_at_; }
+  /** Whether a part of the prompt crashes servers. */
+  auto IsQuarantined(const prompt_parts& prompt, time_point now) const -> bool {
+    return quarantine_.Contains(prompt, now);
+  }
+  /** Parts of prompts that crash servers. */
+  auto Quarantine(time_point now) const -> std::vector<quarantined_part> {
+    return quarantine_.Entries(now);
+  }
   /** Slots in use on each server. */
   auto Counts() const -> std::vector<server_count>;
   /** External load of all servers, as reported by them. */
@@ -89,6 +103,7 @@
     work_class work = work_class::kOnline;
     bool is_preempted = false;  ///< Still running, but its slot is given away.
     time_point granted_at;
+    prompt_parts prompt = {};  ///< Of the request, if it was placed here.
   };
   /** Highest count of the last one to two intervals of reported_load_ttl. Loads
    * are compared with it because they arrive late. */
@@ -163,6 +178,8 @@
   std::list<placement_request> batch_;   // In queue order.
   /** When refused callers are expected to retry; they have precedence then. */
   std::map<service_id, std::multiset<time_point>> expected_retries_;
+  /** Kept when another host becomes dispatcher, and over Start(). */
+  prompt_quarantine quarantine_;
   std::vector<placement_notice> notices_;
   std::vector<preemption> preemptions_;
   double run_seconds_;  // Moving average of the duration of an online run.
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -194,7 +194,7 @@
                        server_row& row,
                        time_point now) -> void {
   const slot_key key(request.host, request.ticket);
-  slots_[key] = {row.info.id, request.work, false, now};
+  slots_[key] = {row.info.id, request.work, false, now, request.prompt};
   ++row.used;
   RecordPeak(row, now);
   if (request.work == work_class::kBatch) {
@@ -361,6 +361,11 @@
     Refuse(request, placement_verdict::kNoServer, now);
     return;
   }
+  if (quarantine_.Contains(request.prompt, now)) {
+    request.takes_token = false;
+    Refuse(request, placement_verdict::kQuarantined, now);
+    return;
+  }
   if (!ConsumeToken(request, rate, now)) {
     Refuse(request, placement_verdict::kOverLimit, now);
     return;
@@ -431,6 +436,11 @@
       server.last_backoff = duration();
     }
   }
+  if (end.outcome == run_outcome::kComplete) {
+    quarantine_.RecordAnswer(found->second.prompt, now);
+  } else if (end.may_have_crashed) {
+    quarantine_.RecordCrash(found->second.prompt, found->second.server, now);
+  }
   if (end.outcome == run_outcome::kComplete &&
       found->second.work == work_class::kOnline) {
     const auto seconds = Seconds(now - found->second.granted_at);
@@ -472,12 +482,25 @@
   }
 }
 
+auto dispatcher::MergeQuarantine(std::span<const quarantined_part> found,
+                                 time_point now) -> void {
+  quarantine_.Merge(found, now);
+}
+
+auto dispatcher::ReplaceQuarantine(std::span<const quarantined_part> found)
+    -> void {
+  quarantine_.Replace(found);
+}
+
 auto dispatcher::RefuseOverdue(std::list<placement_request>& queue,
                                time_point now) -> void {
   for (auto it = queue.begin(); it != queue.end();) {
     if (now >= it->latest_start) {
       Refuse(*it, placement_verdict::kNoCapacity, now);
       it = queue.erase(it);
+    } else if (quarantine_.Contains(it->prompt, now)) {
+      Refuse(*it, placement_verdict::kQuarantined, now);
+      it = queue.erase(it);
     } else {
       ++it;
     }
@@ -522,6 +545,7 @@
   for (const auto& key : expired) {
     Release(key);
   }
+  quarantine_.Decide(now);
   // Both queues, even while only one is served: a host that gets no answer to a
   // placement request in time considers this dispatcher dead.
   RefuseOverdue(online_, now);
--- a/src/dispatch_type.h
+++ b/src/dispatch_type.h
@@ -8,6 +8,7 @@
 
 #include "src/deployment_type.h"
 #include "src/limit_type.h"
+#include "src/prompt_type.h"
 #include "src/unit_type.h"
 
 namespace dogwood {
@@ -44,15 +45,17 @@
   std::vector<server_id> avoided;         ///< Servers that must not be chosen.
   /** Servers to which the host has idle connections that it may use. */
   std::vector<server_id> connected;
+  prompt_parts prompt;  ///< Empty if the request names none.
 };
 
 /** Outcome of a placement request. */
 enum class placement_verdict : std::uint8_t {
-  kGranted,     ///< A slot on `server` is reserved.
-  kOverLimit,   ///< The workspace is at its limit.
-  kNoCapacity,  ///< No slot is expected to be free in time.
-  kNoServer,    ///< No server of the service is known.
-  kNotReady,    ///< The dispatcher is warming up or has been stopped.
+  kGranted,      ///< A slot on `server` is reserved.
+  kOverLimit,    ///< The workspace is at its limit.
+  kNoCapacity,   ///< No slot is expected to be free in time.
+  kNoServer,     ///< No server of the service is known.
+  kNotReady,     ///< The dispatcher is warming up or has been stopped.
+  kQuarantined,  ///< A part of the prompt crashes servers.
 };
 
 /** Answer to a placement request. */
@@ -86,6 +89,9 @@
 struct run_end_report {
   ticket_id ticket;
   run_outcome outcome = run_outcome::kComplete;
+  /** The server broke off before it had sent two events, as one does that
+   * crashes on the request. */
+  bool may_have_crashed = false;
 };
 
 /** A slot that a host reports as in use. */
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -32,6 +32,8 @@
  * it. */
 constexpr milliseconds kFailedRunBackoff{300};
 constexpr milliseconds kNotRunBackoff{50};
+/** Backoff of an item with a prompt that crashes servers. */
+constexpr milliseconds kQuarantineBackoff{5000};
 /** Maximum duration of an item's run. */
 constexpr std::chrono::seconds kMaxRunTime{40};
 /** Assumed duration of a complete run before any was measured. */
@@ -196,6 +198,7 @@
     RecordResult(ref, batch_item_outcome::kAbandoned, "");
     co_return;
   }
+  const auto* item = job->FindItem(ref.item);
   const auto now = clock::now();
   const auto ticket = host_.placement->NewTicket();
   placement_request request{
@@ -211,18 +214,23 @@
       .latest_on_time_start = queued->due,
       .latest_start = now + kPlacementRequestTtl,
       .avoided = {},
-      .connected = ConnectedServers(host_, queued->service, true)};
+      .connected = ConnectedServers(host_, queued->service, true),
+      .prompt = item == nullptr ? prompt_parts()
+                                : adapter::DecodePrompt(item->headers)};
   ++awaiting_slot_;
   auto placed = co_await host_.placement->Place(std::move(request));
   --awaiting_slot_;
   if (placed.verdict != placement_verdict::kGranted) {
-    queue_.Requeue(ref, clock::now() + kNotRunBackoff);
+    const bool is_quarantined =
+        placed.verdict == placement_verdict::kQuarantined;
+    queue_.Requeue(ref, clock::now() + (is_quarantined ? kQuarantineBackoff
+                                                       : kNotRunBackoff));
     co_return;
   }
   const auto* found = host_.placement->FindServer(placed.server);
   if (found == nullptr || found->leaving || queue_.Find(ref) == nullptr ||
       host_.draining) {
-    host_.placement->End(ticket, run_outcome::kUnused);
+    host_.placement->End({ticket, run_outcome::kUnused});
     queue_.Requeue(ref, clock::now());
     co_return;
   }
@@ -239,7 +247,7 @@
   const auto* job = FindJob(ref);
   const auto* item = job == nullptr ? nullptr : job->FindItem(ref.item);
   if (item == nullptr) {
-    host_.placement->End(ticket, run_outcome::kUnused);
+    host_.placement->End({ticket, run_outcome::kUnused});
     queue_.Remove(ref);
     co_return;
   }
@@ -270,7 +278,7 @@
   auto result = co_await RunAttempt(host_, spec, progress, handle, sink);
   --running_;
   runs_.erase(ref);
-  host_.placement->End(ticket, result.outcome);
+  host_.placement->End({ticket, result.outcome, result.may_have_crashed});
   if (result.is_complete && is_first_run) {
     const auto seconds =
         std::chrono::duration<double>(clock::now() - started).count();
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -63,6 +63,21 @@
   caller_watch::entry& watch_;
 };
 
+/** Returns why a placement request was refused. */
+auto ReasonOf(placement_verdict verdict) -> std::string {
+  using enum placement_verdict;
+  switch (verdict) {
+    case kOverLimit:
+      return "workspace is at its limit";
+    case kNoServer:
+      return "service has no server";
+    case kQuarantined:
+      return "a part of the prompt crashes servers";
+    default:
+      return "no slot is free in time";
+  }
+}
+
 /** Serves one request: placement, attempts at servers, retries and the answer.
  */
 class request_run {
@@ -163,7 +178,8 @@
         .latest_on_time_start = limits.latest_on_time_start,
         .latest_start = limits.latest_start,
         .avoided = avoided_,
-        .connected = ConnectedServers(host_, service_, IsRepeatable())};
+        .connected = ConnectedServers(host_, service_, IsRepeatable()),
+        .prompt = caller_.prompt};
     watch_.OnDisconnect([this] { host_.placement->Withdraw(ticket_); });
     auto answer = co_await host_.placement->Place(std::move(request));
     watch_.OnDisconnect({});
@@ -175,7 +191,7 @@
 
   auto ReleaseUnused(const placement_answer& placed) -> void {
     if (placed.verdict == placement_verdict::kGranted) {
-      host_.placement->End(ticket_, run_outcome::kUnused);
+      host_.placement->End({ticket_, run_outcome::kUnused});
     }
   }
 
@@ -203,7 +219,7 @@
     watch_.OnDisconnect([&handle] { handle.Abort(); });
     auto result = co_await RunAttempt(host_, spec, progress_, handle, sink_);
     watch_.OnDisconnect({});
-    host_.placement->End(ticket_, result.outcome);
+    host_.placement->End({ticket_, result.outcome, result.may_have_crashed});
     if (result.is_complete && attempts_ == 0 && caller_.resume_after == 0) {
       RecordRunTime();
     }
@@ -281,10 +297,7 @@
     const bool is_over = placed.verdict == kOverLimit;
     auto error = NotRunFailure(
         is_over ? error_code::kTooManyRequests : error_code::kUnavailable,
-        is_over ? "workspace is at its limit"
-                : (placed.verdict == kNoServer ? "service has no server"
-                                               : "no slot is free in time"),
-        "place request");
+        ReasonOf(placed.verdict), "place request");
     error.message += "; " + std::to_string(placed.waiting) + " wait, " +
                      std::to_string(placed.free) + " slots free";
     const auto now = clock::now();
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -107,6 +107,8 @@
          {"dogwood_removals_expired", count(host.feed.expired_removals)},
          {"dogwood_servers_announced_leaving",
           count(host.feed.announced_leaving)},
+         {"dogwood_prompts_quarantined",
+          count(host.placement->QuarantinedCount())},
          {"dogwood_draining", host.draining ? 1 : 0}});
     response.body += PrintLinkTotals();
     co_await exchange.Respond(std::move(response));
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -3,7 +3,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <set>
 
 #include "src/hostd_base.h"
 #include "src/hostd_batch.h"
@@ -90,6 +89,10 @@
   for (const auto& server : request.connected) {
     message.connected.push_back(server.value);
   }
+  for (const auto& part : request.prompt.shared) {
+    message.prompt.push_back(part.value);
+  }
+  message.prompt_own = request.prompt.own.value;
   return message;
 }
 
@@ -109,16 +112,45 @@
       .latest_on_time_start = now + microseconds(message.start_by_us),
       .latest_start = now + microseconds(message.useless_after_us),
       .avoided = {},
-      .connected = {}};
+      .connected = {},
+      .prompt = {.shared = {}, .own = prompt_part_id(message.prompt_own)}};
   for (const auto& server : message.avoided) {
     request.avoided.emplace_back(server);
   }
   for (const auto& server : message.connected) {
     request.connected.emplace_back(server);
   }
+  for (const auto part : message.prompt) {
+    request.prompt.shared.emplace_back(part);
+  }
   return request;
 }
 
+/** Parts of prompts under quarantine, as carried by messages. */
+using wire_quarantine = std::vector<std::unique_ptr<wire::quarantined_rowT>>;
+
+auto EncodeQuarantine(const std::vector<quarantined_part>& parts,
+                      time_point now) -> wire_quarantine {
+  wire_quarantine rows;
+  for (const auto& entry : parts) {
+    auto row = std::make_unique<wire::quarantined_rowT>();
+    row->part = entry.part.value;
+    row->remaining_us = MicrosUntil(entry.until, now);
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+auto DecodeQuarantine(const wire_quarantine& rows, time_point now)
+    -> std::vector<quarantined_part> {
+  std::vector<quarantined_part> parts;
+  for (const auto& row : rows) {
+    parts.push_back(
+        {prompt_part_id(row->part), now + microseconds(row->remaining_us)});
+  }
+  return parts;
+}
+
 /** Request counts of servers, as carried by messages. */
 using wire_counts = std::vector<std::unique_ptr<wire::server_loadT>>;
 
@@ -186,6 +218,11 @@
     -> asio::awaitable<placement_answer> {
   request.host = host_id(host_.self.name);
   std::optional<placement_answer> answer;
+  if (dispatcher_.IsQuarantined(request.prompt, clock::now())) {
+    answer = placement_answer{.verdict = placement_verdict::kQuarantined,
+                              .server = {},
+                              .retry_at = request.latest_start};
+  }
   while (!answer) {
     if (HasDispatcher()) {
       const auto to = active_;
@@ -330,18 +367,18 @@
   }
 }
 
-auto placement_service::End(ticket_id ticket, run_outcome outcome) -> void {
-  const auto found = held_.find(ticket);
+auto placement_service::End(const run_end_report& end) -> void {
+  const auto found = held_.find(end.ticket);
   if (found == held_.end()) {
     return;
   }
   const auto [server, work, preempt] = std::move(found->second);
   held_.erase(found);
   local_.RecordRunEnd(server, work);
-  if (outcome == run_outcome::kUnreachable) {
+  if (end.outcome == run_outcome::kUnreachable) {
     local_.Pause(server, clock::now() + kUnreachableBackoff);
   }
-  QueueEnd({ticket, outcome});
+  QueueEnd(end);
 }
 
 auto placement_service::QueueEnd(const run_end_report& end) -> void {
@@ -366,6 +403,7 @@
     auto entry = std::make_unique<wire::ticket_endT>();
     entry->ticket = end.ticket.value;
     entry->outcome = static_cast<std::uint8_t>(end.outcome);
+    entry->may_have_crashed = end.may_have_crashed;
     request.ends.push_back(std::move(entry));
   }
   for (const auto& ticket : std::exchange(withdrawn_, {})) {
@@ -439,6 +477,26 @@
   }
 }
 
+auto placement_service::LogQuarantine(time_point now) -> void {
+  std::set<prompt_part_id> current;
+  for (const auto& entry : dispatcher_.Quarantine(now)) {
+    current.insert(entry.part);
+    if (!logged_quarantine_.contains(entry.part)) {
+      LogEvent(log_level::kWarning, log_category::kRoute, "prompt_quarantined",
+               {{"part", entry.part.value},
+                {"dispatcher", is_dispatcher_},
+                {"ms", MicrosUntil(entry.until, now) / 1000}});
+    }
+  }
+  for (const auto part : logged_quarantine_) {
+    if (!current.contains(part)) {
+      LogEvent(log_level::kInfo, log_category::kRoute, "prompt_released",
+               {{"part", part.value}});
+    }
+  }
+  logged_quarantine_ = std::move(current);
+}
+
 auto placement_service::RunTicker() -> asio::awaitable<void> {
   while (true) {
     const auto now = clock::now();
@@ -447,6 +505,7 @@
     }
     dispatcher_.Advance(now);
     DeliverAnswers();
+    LogQuarantine(now);
     const bool is_busy = dispatcher_.WaitingCount(work_class::kOnline) > 0 ||
                          dispatcher_.WaitingCount(work_class::kBatch) > 0;
     co_await Sleep(is_busy ? kBusyTick : kIdleTick);
@@ -507,6 +566,7 @@
       entry->tokens = row.tokens;
       request.waiting.push_back(std::move(entry));
     }
+    request.quarantine = EncodeQuarantine(dispatcher_.Quarantine(now), now);
     for (const auto& id : host_.registrations->AnnouncedLeaving()) {
       request.leaving.push_back(id.value);
     }
@@ -531,6 +591,9 @@
   if (!reply.ready) {
     co_return;
   }
+  if (!to.address.empty()) {
+    dispatcher_.ReplaceQuarantine(DecodeQuarantine(reply.quarantine, answered));
+  }
   if (candidate_.name == to.name && active_.name != to.name) {
     Log(log_level::kInfo, log_category::kRoute,
         {"placement requests go to a new dispatcher", "choose dispatcher",
@@ -579,9 +642,11 @@
   const auto now = clock::now();
   const host_id host(request.host);
   for (const auto& end : request.ends) {
-    dispatcher_.End(
-        host, {ticket_id(end->ticket), static_cast<run_outcome>(end->outcome)},
-        now);
+    dispatcher_.End(host,
+                    {.ticket = ticket_id(end->ticket),
+                     .outcome = static_cast<run_outcome>(end->outcome),
+                     .may_have_crashed = end->may_have_crashed},
+                    now);
   }
   for (const auto ticket : request.withdrawn) {
     dispatcher_.Withdraw(host, ticket_id(ticket));
@@ -600,6 +665,7 @@
   for (const auto& id : request.leaving) {
     host_.registrations->RecordLeaving(server_id(id));
   }
+  dispatcher_.MergeQuarantine(DecodeQuarantine(request.quarantine, now), now);
   dispatcher_.ReconcileHeldSlots(host_id(request.host), held, now);
   dispatcher_.RecordReportedLoads(DecodeCounts(request.told), now);
   waiting_report waiting{.rows = {}, .last_grant = request.last_grant};
@@ -610,6 +676,7 @@
   quota_.Report(host_id(request.host), std::move(waiting), now + kWaitingTtl);
   wire::held_replyT reply;
   reply.ready = dispatcher_.IsReady(now);
+  reply.quarantine = EncodeQuarantine(dispatcher_.Quarantine(now), now);
   if (request.wants_loads) {
     reply.loads = EncodeCounts(dispatcher_.Counts());
   }
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,7 +43,7 @@
    * returns soon. */
   auto Withdraw(ticket_id ticket) -> void;
   /** Releases a slot and reports the outcome of the run to the dispatcher. */
-  auto End(ticket_id ticket, run_outcome outcome) -> void;
+  auto End(const run_end_report& end) -> void;
   /** Registers `abort`, which is called if the run is preempted. */
   auto OnPreempt(ticket_id ticket, std::function<void()> abort) -> void;
 
@@ -78,6 +79,10 @@
   auto WaitingCount(work_class work) const -> std::size_t {
     return dispatcher_.WaitingCount(work);
   }
+  /** Number of parts of prompts that are known to crash servers. */
+  auto QuarantinedCount() const -> std::size_t {
+    return dispatcher_.Quarantine(clock::now()).size();
+  }
   /** Number of requests on servers that were not placed by this dispatcher. */
   auto ExternalCount() const -> std::size_t {
     return dispatcher_.ExternalCount(clock::now());
@@ -124,6 +129,8 @@
   auto SendPreemptions() -> void;
   auto FlushEnds() -> boost::asio::awaitable<void>;
   auto QueueEnd(const run_end_report& end) -> void;
+  /** Logs the parts of prompts that came under quarantine or left it. */
+  auto LogQuarantine(time_point now) -> void;
   auto RunTicker() -> boost::asio::awaitable<void>;
   auto RunReports() -> boost::asio::awaitable<void>;
   auto ReportHeld(target to) -> boost::asio::awaitable<void>;
@@ -153,6 +160,7 @@
   target candidate_;
   std::vector<run_end_report> ends_;
   std::vector<ticket_id> withdrawn_;
+  std::set<prompt_part_id> logged_quarantine_;
   bool flushing_ = false;
 };
 
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -120,6 +120,7 @@
   auto Fail(const failure& error, run_outcome outcome) -> void {
     result_.error = error;
     result_.outcome = outcome;
+    was_cut_ = false;
     if (handle_.aborted) {
       result_.outcome = run_outcome::kCancelled;
       result_.error.message = "ended by this host";
@@ -216,6 +217,7 @@
       auto head = co_await handle_.connection->ReadHead(until);
       if (!head) {
         Fail(head.error(), run_outcome::kUnreachable);
+        was_cut_ = IsCut(head.error());
         co_return std::nullopt;
       }
       if (head->status / 100 == 1 && ++interim <= kMaxInterimResponses) {
@@ -260,6 +262,7 @@
       auto part = co_await handle_.connection->ReadSome(spec_.deadline);
       if (!part) {
         Fail(part.error(), run_outcome::kFailed);
+        was_cut_ = IsCut(part.error());
         co_return std::nullopt;
       }
       if (part->empty()) {
@@ -368,12 +371,14 @@
             part.error().code == error_code::kDeadlineExceeded;
         Fail(part.error(),
              is_silent ? run_outcome::kUnreachable : run_outcome::kFailed);
+        was_cut_ = IsCut(part.error());
         co_return;
       }
       if (part->empty()) {
         if (parser.HasPartialEvent()) {
           Fail(LocalFailure("stream ends within an event", "read event"),
                run_outcome::kFailed);
+          was_cut_ = true;
           co_return;
         }
         result_.is_complete = true;
@@ -394,6 +399,7 @@
         continue;
       }
       RecordEventTime();
+      event_count_ += events->size();
       std::string passed;
       const bool in_order = FilterEvents(events.value(), passed);
       bool is_wanted = true;
@@ -455,6 +461,22 @@
            result_.error.code != error_code::kDeadlineExceeded;
   }
 
+  /** Whether the server closed the connection, as opposed to being silent. */
+  static auto IsCut(const failure& error) -> bool {
+    return error.code != error_code::kDeadlineExceeded;
+  }
+
+  /** Whether the server may have crashed on the request. A pooled connection
+   * that was closed may have been idle for too long, unless the server accepts
+   * no other one. */
+  auto MayHaveCrashed(bool was_stale) const -> bool {
+    const bool is_refused = was_stale &&
+                            result_.outcome == run_outcome::kUnreachable &&
+
+                            IsCut(result_.error);
+    return (was_cut_ || is_refused) && !handle_.aborted && event_count_ < 2;
+  }
+
   /** Handles the answer that begins with `head`. */
   auto HandleAnswer(http_head head) -> asio::awaitable<void> {
     if (answer_.is_stream && head.status == 200 && answer_.has_proof) {
@@ -469,9 +491,11 @@
     const bool was_stale = !head && WasStaleConnection();
     if (was_stale && spec_.is_repeatable) {
       result_ = {};
+      was_cut_ = false;
       head = co_await Begin(false);
     } else if (was_stale) {
       result_.outcome = run_outcome::kFailed;
+      was_cut_ = false;
     }
     if (head) {
       co_await HandleAnswer(std::move(*head));
@@ -479,6 +503,7 @@
     // Even if the second try failed, the server may have run the request that
     // was sent on the stale connection.
     result_.may_have_run = result_.may_have_run || was_stale;
+    result_.may_have_crashed = MayHaveCrashed(was_stale);
   }
 
   host_state& host_;
@@ -491,6 +516,8 @@
   time_point sent_at_;
   time_point last_event_at_;
   bool is_reused_ = false;  // The connection came from the pool.
+  bool was_cut_ = false;    // The server closed it within the answer.
+  std::size_t event_count_ = 0;
 };
 
 }  // namespace
--- a/src/hostd_relay.h
+++ b/src/hostd_relay.h
@@ -68,7 +68,9 @@
   /** Outcome reported to the placement. */
   run_outcome outcome = run_outcome::kComplete;
   bool may_have_run = false;  ///< The server may have run the request.
-  bool is_complete = false;   ///< The answer arrived completely.
+  /** The server broke off as one does that crashes on the request. */
+  bool may_have_crashed = false;
+  bool is_complete = false;  ///< The answer arrived completely.
   /** Complete answer that is not a stream. */
   std::optional<http_response> answer;
   failure error;           ///< Why no complete or successful answer arrived.
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -236,6 +236,21 @@
   cr_assert_eq(*answer.keep_alive_s, 5);
 }
 
+// Guards against a part of a prompt that is taken for another one, or for the
+// last part, which is the request's own.
+Test(adapter, parts_of_prompts_are_told_apart) {
+  const auto parts = [](std::string_view text) {
+    return adapter::DecodePrompt({{{"X-Prompt-Prefix", std::string(text)}}});
+  };
+  const auto prompt = parts("5c1e:800,91bd:410,e440:250");
+  cr_assert_eq(prompt.shared.size(), 2);
+  cr_assert(prompt.shared[0] == parts("5c1e:9").own);
+  cr_assert(prompt.own == parts("91bd:1, e440:7").own);
+  cr_assert(parts("").shared.empty());
+  cr_assert(parts("a:1").shared.empty());
+  cr_assert(parts(",,a:1,").shared.empty());
+}
+
 // Guards against items that are sent to a server with a wrong body or wrong
 // fields.
 Test(adapter, items_are_decoded_and_sent_as_submitted) {
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -59,7 +59,8 @@
           .latest_on_time_start = now + milliseconds(200),
           .latest_start = now + seconds(5),
           .avoided = {},
-          .connected = {}};
+          .connected = {},
+          .prompt = {}};
 }
 
 }  // namespace dogwood::testing
