Trust no answer on a used connection that names no request

A caller was told "not run, try again" for a request that ran (REFUSED). Cause: a faulty server wrote an earlier refusal once more on a kept connection. Copies that name their request were skipped already; one without a name was taken for the answer to the request in flight.

--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -235,7 +235,15 @@
       if (answer_.load) {
         host_.placement->RecordLoad(spec_.server.id, *answer_.load);
       }
-      if (answer_.attempt.value.empty() || answer_.attempt == spec_.attempt) {
+      const bool is_unnamed = answer_.attempt.value.empty();
+      if (is_unnamed && is_reused_) {
+        // It may be a copy of an earlier answer.
+        Fail(LocalFailure("answer on a used connection names no request",
+                          "read head"),
+             run_outcome::kFailed);
+        co_return std::nullopt;
+      }
+      if (is_unnamed || answer_.attempt == spec_.attempt) {
         co_return std::move(head.value());
       }
       Log(log_level::kWarning, log_category::kRoute,
@@ -280,8 +288,13 @@
     }
   }
 
-  /** Returns the connection to the pool if it can be reused. */
+  /** Returns the connection to the pool if it can be reused. Not after a
+   * refusal, which a faulty server may repeat for a request that it runs, and
+   * not if answers on it cannot be told apart. */
   auto ReturnToPool() -> void {
+    if (answer_.not_run || answer_.attempt.value.empty()) {
+      return;
+    }
     const auto idle_timeout =
         answer_.keep_alive_s
             ? milliseconds(*answer_.keep_alive_s * 1000) - kIdleMargin
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -11,6 +11,7 @@
 import functools
 import json
 import random
+import socket
 import struct
 import time
 import urllib.parse
@@ -290,6 +291,15 @@
         self.gap_s = EVENT_GAP_S  # Pause before each event.
         self.copy_after_s = None  # Sends each plain answer once more, this much later.
         self.cut_plain = False  # Closes in the middle of plain answers.
+        self.cut_head = False  # Closes in the middle of the head of each answer.
+        self.is_unframed = False  # Sends answers without length or chunks, and closes.
+        self.cut_unframed = None  # How it ends them too early: "close" or "reset".
+        self.fails_with = None  # Status of its answer to each request that it runs.
+        self.refuses = set()  # Requests to refuse; a refusal comes again on a kept connection.
+        self.copies_have_id = True
+        self.stale_refusals = []  # Names of the requests in refusals that are to come again.
+        self.kept = set()  # Connections that have been used.
+        self.refusals_repeated = 0
         self.deadly_part = None  # Crashes when it begins a request with this part of a prompt.
         self.crashes = []  # Times of these crashes.
         self.says_it_leaves = False  # Announces in all answers that it leaves.
@@ -326,6 +336,15 @@
         if self.running >= self.slots and self.waiting >= self.queue_limit:
             answer(writer, 503, X_Not_Executed="1", X_Attempt_Id=attempt, **self.fields())
             return True
+        if attempt in self.refuses:
+            name = {"X_Attempt_Id": attempt} if self.copies_have_id else {}
+            answer(writer, 503, X_Not_Executed="1", X_Attempt_Id=attempt)
+            self.stale_refusals.append(name)
+            return True
+        if self.stale_refusals and writer in self.kept:
+            answer(writer, 503, X_Not_Executed="1", **self.stale_refusals.pop())
+            self.refusals_repeated += 1
+        self.kept.add(writer)
         self.waiting += 1
         try:
             while self.running >= self.slots:
@@ -355,6 +374,15 @@
             if self.http.server is not None:
                 self.tasks.append(asyncio.ensure_future(self.crash_for(CRASH_S)))
             return False
+        if self.cut_head:
+            writer.write(f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Se".encode())
+            await writer.drain()
+            return False
+        if self.fails_with is not None:
+            answer(writer, self.fails_with, b"error text", X_Attempt_Id=attempt, X_Server_Seal=seal)
+            return True
+        if self.is_unframed:
+            return await self.run_unframed(attempt, path, headers, body, writer)
         if self.flood is not None:
             await self.send_flood(attempt, seal, writer)
             return False
@@ -405,6 +433,32 @@
         await writer.drain()
         return True
 
+    async def run_unframed(self, attempt, path, headers, body, writer):
+        """Answers with neither length nor chunks; the end is that of the connection."""
+        is_plain = "plain" in path
+        kind = "text/plain" if is_plain else "text/event-stream"
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nX-Attempt-Id: {attempt}\r\n"
+                     f"X-Server-Seal: seal-{self.name}\r\n\r\n".encode())
+        events = range(int(headers.get("last-event-id", 0)) + 1, event_count(attempt) + 1)
+        parts = [b"echo ", body] if is_plain else [
+            f"id: {event}\ndata: {event_data(attempt, event)}\n\n".encode() for event in events]
+        for part in parts[:-1]:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(self.gap_s)
+        if self.cut_unframed is None:
+            writer.write(parts[-1])
+        elif not is_plain:
+            writer.write(parts[-1][:8])
+        await writer.drain()
+        if self.cut_unframed == "reset":
+            await asyncio.sleep(self.gap_s)
+            # Without lingering the connection is reset instead of closed.
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+        return False
+
     async def send_flood(self, attempt, seal, writer):
         """Sends bytes that are no answer until the caller closes."""
         sealed = f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {seal}\r\n".encode()
