--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,6 +4,7 @@
 checks what callers and servers observe; docs/invariants.md lists the assertions.
 
     tests/soak.py --seed 1 --seconds 20 --hosts 4
+    tests/soak.py --fresh 2 --hosts 60   # as many processes as the machine bears
     tests/soak.py --fresh 10        # ten new random seeds
     tests/soak.py --kept            # seeds that have failed before
 """
@@ -105,6 +106,8 @@
         self.fleet, self.random, self.end = fleet, random.Random(seed), time.monotonic() + seconds
         self.requests, self.jobs, self.counts = {}, {}, {}
         self.faulty_hosts = set()  # Hosts that are being stopped, restarted or paused.
+        self.hard_faults = []  # (host, begin, end) of kills and pauses.
+        self.cut_requests = []  # (host, sent, attempt) on kept connections that ended without an answer.
 
     def count(self, what):
         self.counts[what] = self.counts.get(what, 0) + 1
@@ -136,6 +139,37 @@
         sh.check(events == expected[: len(events)], f"{attempt}: events {events}")
         sh.check(not answer.is_whole or len(events) == len(expected), f"{attempt}: complete before its last event")
 
+    async def keeping_caller(self):
+        """Uses each connection until the host closes it or is gone."""
+        while time.monotonic() < self.end:
+            host = self.random.choice(self.fleet.hosts)
+            with contextlib.suppress(*CONNECTION_ERRORS):
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(host.ip, sh.FRONT), 2)
+                try:
+                    while time.monotonic() < self.end and await self.ask_on(host, reader, writer):
+                        await asyncio.sleep(self.random.uniform(0, 0.2))
+                finally:
+                    writer.close()
+            await asyncio.sleep(0.05)
+
+    async def ask_on(self, host, reader, writer):
+        """Sends one request. Returns whether the connection can be used again."""
+        kind = self.random.choice(["call/plain", "read/plain"])
+        attempt, sent = self.fleet.new_id("k"), time.monotonic()
+        writer.write(f"POST /{kind} HTTP/1.1\r\nHost: {sh.HOST_NAME}\r\nX-Attempt-Id: {attempt}\r\n"
+                     f"X-Deadline-Ms: 3000\r\nX-Key: {sh.KEY}\r\nContent-Length: 5\r\n\r\nhello".encode())
+        self.requests[attempt] = (kind, None)
+        try:
+            answer = await asyncio.wait_for(sh.read_answer(reader), 10)
+        except asyncio.IncompleteReadError as error:
+            if not error.partial:
+                self.cut_requests.append((host.index, sent, attempt))
+            return False
+        self.requests[attempt] = (kind, answer.status)
+        self.check_answer(kind, attempt, answer)
+        self.count(f"kept {answer.status}")
+        return answer.is_whole and answer.headers.get("connection", "").lower() != "close"
+
     async def job_caller(self):
         while time.monotonic() < self.end:
             job, statuses = self.fleet.new_id("job"), []
@@ -157,7 +191,8 @@
         while time.monotonic() < self.end:
             fault = self.random.choice([self.disturb_proxy, self.disturb_proxy, self.kill, self.pause, self.stop,
                                         self.store_down, self.lose_appends, self.crash_engine, self.drain_engine,
-                                        self.change_state, self.disturb_engine])
+                                        self.change_state, self.disturb_engine, self.signal_series,
+                                        self.change_series, self.announce_leaving])
             self.count(fault.__name__)
             await fault(self.random.uniform(0.3, 3))
             await asyncio.sleep(self.random.uniform(0, 0.5))
@@ -192,7 +227,10 @@
         with self.reserve_host() as host:
             if host is not None:
                 sh.check(host.process.returncode is None, f"host {host.index} ended without a fault")
+                begun = time.monotonic()
                 await host.end(how)
+                if how == signal.SIGKILL:
+                    self.hard_faults.append((host.index, begun, time.monotonic()))
                 await asyncio.sleep(seconds / 3)
                 await host.start()
 
@@ -205,9 +243,37 @@
     async def pause(self, seconds):
         with self.reserve_host() as host:
             if host is not None:
+                begun = time.monotonic()
                 host.process.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(seconds)
                 host.process.send_signal(signal.SIGCONT)
+                self.hard_faults.append((host.index, begun, time.monotonic()))
+
+    async def signal_series(self, seconds):
+        """Several signals to one host, and several restarts one after the other."""
+        with self.reserve_host() as host:
+            for _ in range(self.random.randrange(1, 4) if host is not None else 0):
+                for _ in range(self.random.randrange(0, 3)):
+                    host.process.send_signal(signal.SIGHUP)
+                    await asyncio.sleep(self.random.uniform(0, 0.1))
+                host.process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(self.random.uniform(0, 0.1))
+                await host.end(self.random.choice([signal.SIGTERM, signal.SIGHUP]))
+                await host.start()
+                await asyncio.sleep(seconds / 3)
+
+    async def change_series(self, seconds):
+        for _ in range(self.random.randrange(2, 6)):
+            await self.change_state(seconds)
+            await asyncio.sleep(seconds / 6)
+
+    async def announce_leaving(self, seconds):
+        engine = self.random.choice(self.fleet.engines)
+        engine.says_it_leaves = True
+        await asyncio.sleep(seconds)
+        engine.says_it_leaves = False
+        engine.born += 1
+        await engine.register("ready")
 
     async def store_down(self, seconds):
         self.fleet.store.is_down = True
@@ -231,10 +297,14 @@
 
     async def disturb_engine(self, seconds):
         engine = self.random.choice(self.fleet.engines)
-        fault = self.random.choice(["cut_after", "silent_after"])
-        setattr(engine, fault, self.random.randrange(0, 4))
+        fault, value = self.random.choice([
+            ("cut_after", self.random.randrange(0, 4)), ("silent_after", self.random.randrange(0, 4)),
+            ("drip_after", self.random.randrange(0, 4)), ("cut_plain", True), ("cut_head", True),
+            ("is_unframed", True), ("flood", self.random.choice(["head", "interim", "plain", "event"]))])
+        before = getattr(engine, fault)
+        setattr(engine, fault, value)
         await asyncio.sleep(seconds)
-        setattr(engine, fault, None)
+        setattr(engine, fault, before)
 
     async def change_state(self, seconds):
         self.version = getattr(self, "version", 1) + self.random.randrange(1, 4)
@@ -256,6 +326,11 @@
                 sh.check(runs.get(attempt, 0) <= 1, f"{attempt} ({kind}) ran {runs.get(attempt)} times")
                 if status in REFUSALS:
                     sh.check(runs.get(attempt, 0) == 0, f"{attempt} ({kind}) was refused with {status} and ran")
+        for index, sent, attempt in self.cut_requests:
+            is_lost = any(host == index and sent < end + 1 and begin < sent + 10
+                          for host, begin, end in self.hard_faults)
+            sh.check(is_lost or attempt not in runs,
+                     f"{attempt} ran, but host {index} closed its connection without an answer")
         for job, statuses in self.jobs.items():
             if all(s in REFUSALS for s in statuses):
                 ran = [a for a in runs if a.startswith(job + "-")]
@@ -271,6 +346,7 @@
 
     async def run(self):
         tasks = [self.caller() for _ in range(6)] + [self.job_caller() for _ in range(2)]
+        tasks += [self.keeping_caller() for _ in range(max(4, len(self.fleet.hosts)))]
         await asyncio.gather(*tasks, *(self.inject_faults() for _ in range(3)))
         await self.fleet.settled(len(self.fleet.hosts))
         accepted = await self.check_jobs()
