Examine the evidence on harmful prompts every 20 ms, and end a soak whole

The dispatcher went through all suspects at each end of a run: after a crash of many servers that would cost processor time of all requests. After a failure a fault that was still running started its host once more; tasks are cancelled before the end.

--- a/src/dispatch_quarantine.cc
+++ b/src/dispatch_quarantine.cc
@@ -18,6 +18,8 @@
 /** The hosts whose requests one crash has broken off report it within this
  * time. */
 constexpr std::chrono::milliseconds kReportTime{150};
+/** Interval at which the evidence is examined. */
+constexpr std::chrono::milliseconds kDecideInterval{20};
 /** Requests that break off at a server within this time belong to one crash. */
 constexpr std::chrono::milliseconds kCrashSpan{1500};
 constexpr std::chrono::seconds kSuspicionTtl{30};
@@ -97,6 +99,11 @@
 }
 
 auto prompt_quarantine::Decide(time_point now) -> bool {
+  if (now < decide_due_) {
+    return false;
+  }
+  decide_due_ = now + kDecideInterval;
+  Prune(now);
   bool is_found = false;
   for (const auto& [part, evidence] : suspects_) {
     if (evidence.crashes.size() < kMinCrashes ||
--- a/src/dispatch_quarantine.h
+++ b/src/dispatch_quarantine.h
@@ -68,6 +68,7 @@
   /** End of the quarantine by part. A part that is let out stays listed for a
    * while, and a single crash puts it back. */
   std::map<prompt_part_id, time_point> quarantined_;
+  time_point decide_due_;  ///< When the evidence is examined next.
 };
 
 }  // namespace dogwood
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -424,6 +424,8 @@
                     return False
                 writer.write(b"1\r\n:\r\n")
                 await asyncio.sleep(DRIP_GAP_S)
+                if self.drip_after is None:
+                    writer.write(b"1\r\n\n\r\n")  # The comment ends.
             text = f"id: {event}\ndata: {event_data(attempt, event)}\n\n".encode()
             writer.write(f"{len(text):x}\r\n".encode() + text + b"\r\n")
             await writer.drain()
--- a/tests/site_helper.py
+++ b/tests/site_helper.py
@@ -118,6 +118,7 @@
         found = []
         for event in self.body.decode().split("\n\n")[:-1]:
             fields = dict(line.split(": ", 1) for line in event.split("\n") if ": " in line)
+            check("id" in fields, f"event without a number: {event!r}")
             found.append((int(fields["id"]), fields["data"]))
         return found
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -347,7 +347,14 @@
     async def run(self):
         tasks = [self.caller() for _ in range(6)] + [self.job_caller() for _ in range(2)]
         tasks += [self.keeping_caller() for _ in range(max(4, len(self.fleet.hosts)))]
-        await asyncio.gather(*tasks, *(self.inject_faults() for _ in range(3)))
+        running = [asyncio.ensure_future(task) for task in (*tasks, *(self.inject_faults() for _ in range(3)))]
+        try:
+            await asyncio.gather(*running)
+        finally:
+            # A fault that goes on after a failure would start its host once more.
+            for task in running:
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
         await self.fleet.settled(len(self.fleet.hosts))
         accepted = await self.check_jobs()
         self.check_servers()
