Separate what a host does with a page of a log from reading it

hostd_watch had the followers of the two logs beside its input and output, so that neither could be tested without a store.

--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -2,13 +2,12 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <concepts>
-#include <set>
 #include <utility>
 
 #include "platform/adapter.h"
 #include "src/hostd_base.h"
 #include "src/hostd_feed.h"
+#include "src/hostd_follow.h"
 #include "src/hostd_state.h"
 
 namespace dogwood {
@@ -34,10 +33,6 @@
 constexpr milliseconds kStateReadInterval{40};
 /** Renewals of a membership within its lifetime. */
 constexpr int kRenewalsPerTtl = 3;
-/** A log that was not confirmed for longer than this has a gap: the store may
- * have been away, and registrations may have lapsed meanwhile. Shorter than
- * their lifetime less one interval of their renewals. */
-constexpr milliseconds kMaxLogGap{2000};
 /** Longest interval at which a host that gets its data from others looks
  * whether it has to read the store itself. */
 constexpr milliseconds kRoleCheckInterval{200};
@@ -78,76 +73,6 @@
                   call ? std::string() : call.error().message);
 }
 
-/** Applies what the log of the declared state says. */
-class state_follower {
- public:
-  explicit state_follower(host_state& host) : host_(host) {}
-
-  auto Position() -> feed_position& { return host_.state_feed; }
-  auto HandleGap(time_point) -> void {}
-  auto HandleSnapshot(const store_snapshot& snapshot) -> void {
-    HandleRecords(snapshot.records);
-  }
-  auto HandleRecords(const std::vector<keyed_record>& records) -> void {
-    ApplyNewestState(host_, records);
-  }
-
- private:
-  host_state& host_;
-};
-
-/** Applies what the log of the registrations says. */
-class server_follower {
- public:
-  explicit server_follower(host_state& host) : host_(host) {}
-
-  auto Position() -> feed_position& { return host_.server_feed; }
-  auto HandleGap(time_point now) -> void { host_.registrations->NoteGap(now); }
-  auto HandleSnapshot(const store_snapshot& snapshot) -> void {
-    std::set<std::string> present;
-    for (const auto& record : snapshot.records) {
-      present.insert(record.key);
-    }
-    host_.registrations->RemoveAbsent(present);
-    HandleRecords(snapshot.records);
-  }
-  auto HandleRecords(const std::vector<keyed_record>& records) -> void {
-    for (const auto& record : records) {
-      host_.registrations->Apply(record.key, record.value);
-    }
-    host_.registrations->Expire(clock::now());
-    host_.registrations->Publish();
-  }
-
- private:
-  host_state& host_;
-};
-
-/** Applies the records of a keyed topic. */
-template <typename T>
-concept log_follower = requires(T follower,
-                                const store_snapshot& snapshot,
-                                const std::vector<keyed_record>& records) {
-  { follower.Position() } -> std::same_as<feed_position&>;
-  follower.HandleGap(time_point());
-  follower.HandleSnapshot(snapshot);
-  follower.HandleRecords(records);
-};
-
-/** Moves the position after a read of a log that ends at `end`, and tells the
- * follower if the log was not followed up to it. */
-template <log_follower T>
-auto MovePosition(T& follower, log_offset next, log_offset end) -> void {
-  const auto now = clock::now();
-  auto& position = follower.Position();
-  const bool is_first = position.confirmed == time_point();
-  if (!is_first && now - position.confirmed > kMaxLogGap) {
-    follower.HandleGap(now);
-  }
-  position.Advance(next,
-                   next >= end ? std::optional<time_point>(now) : std::nullopt);
-}
-
 /** Reads the newest record of each key. Returns false if the store does not
  * answer. */
 template <log_follower T>
@@ -161,12 +86,7 @@
     LogFailedRead(where, snapshot.error());
     co_return false;
   }
-  auto& position = follower.Position();
-  if (!position.next) {
-    position.reached = std::min(position.reached, snapshot->end);
-    MovePosition(follower, snapshot->end, snapshot->end);
-    follower.HandleSnapshot(snapshot.value());
-  }
+  ApplySnapshot(follower, snapshot.value());
   co_return true;
 }
 
@@ -176,8 +96,7 @@
               adapter::store_client& client,
               const log_partition& where,
               T& follower) -> asio::awaitable<bool> {
-  auto& position = follower.Position();
-  const auto from = *position.next;
+  const auto from = *follower.Position().next;
   auto page = co_await client.Read(where, from, kReadWait,
                                    clock::now() + kReadWait + kReadSlack);
   RecordCall(host, page);
@@ -185,27 +104,13 @@
     LogFailedRead(where, page.error());
     co_return false;
   }
-  if (position.next != from) {
-    co_return true;  // Another host has told more meanwhile.
-  }
-  if (page->first > from) {
-    position.next.reset();  // The records were deleted.
+  if (ApplyPage(follower, from, page.value()) == page_outcome::kDeleted) {
     ++host.feed.lost_positions;
     LogEvent(log_level::kInfo, log_category::kConfig, "position_lost",
              {{"topic", where.topic},
               {"position", from.value},
               {"first", page->first.value}});
-    co_return true;
-  }
-  MovePosition(follower, log_offset(from.value + page->records.size()),
-               page->end);
-  std::vector<keyed_record> records;
-  for (const auto& record : page->records) {
-    if (auto keyed = adapter::SplitKeyedRecord(record)) {
-      records.push_back(std::move(*keyed));
-    }
   }
-  follower.HandleRecords(records);
   co_return true;
 }
 
