Ask for all registrations after own reads, found by a model check

A server could stay in use, or out of use, as an older registration said. Cause: a host asked for the changes since its last answer of a source although it had read on by itself meanwhile. Found by the new model check: random steps of one log with deletions, and of four hosts that read it, ask each other and restart; what a host knows must equal the log up to its position. The cursor now names the offset to which it led.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -38,6 +38,7 @@
 dogwood_test(adapter dogwood_platform_adapter)
 dogwood_test(hostd dogwood_hostd_lib)
 dogwood_test(feed dogwood_hostd_lib)
+dogwood_test(feed_model dogwood_hostd_lib)
 
 # Process-level tests of hostd against the fake of the users' platform. They use
 # the same addresses, so they run one at a time.
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -76,13 +76,7 @@
     if (link == nullptr) {
       co_return false;
     }
-    wire::view_requestT request;
-    request.state_version = host_.deployment == nullptr
-                                ? 0
-                                : host_.deployment->state().version.value;
-    request.generation = host_.view.generation;
-    request.source = cursor_.source;
-    request.revision = cursor_.revision;
+    auto request = MakeViewRequest(host_, cursor_);
     request.wait_us = microseconds(wait).count();
     auto message = MakeMessage(request);
     auto reply = co_await link->Call(std::move(message),
@@ -306,6 +300,18 @@
 
 }  // namespace
 
+auto MakeViewRequest(const host_state& host, const feed_cursor& cursor)
+    -> wire::view_requestT {
+  wire::view_requestT request;
+  request.state_version =
+      host.deployment == nullptr ? 0 : host.deployment->state().version.value;
+  request.generation = host.view.generation;
+  request.source = cursor.source;
+  const bool is_valid = cursor.reached == host.server_feed.reached;
+  request.revision = is_valid ? cursor.revision : 0;
+  return request;
+}
+
 auto ReadsStore(const host_state& host, time_point now) -> bool {
   if (host.view.members.empty()) {
     return host.is_small_fleet || now >= host.started + kViewTimeout;
@@ -351,11 +357,13 @@
   const log_offset servers_next(reply.servers_next);
   if (reply.has_servers && servers_next >= host.server_feed.reached) {
     ApplyRegistrations(host, reply);
-    cursor = {.source = reply.source, .revision = reply.revision};
     if (reply.servers_next > 0) {
       host.server_feed.Advance(servers_next,
                                TimeBefore(now, reply.servers_age_us));
     }
+    cursor = {.source = reply.source,
+              .revision = reply.revision,
+              .reached = host.server_feed.reached};
   } else if (reply.has_servers) {
     ++host.feed.skipped_answers;
     LogEvent(log_level::kInfo, log_category::kConfig, "answer_skipped",
--- a/src/hostd_feed.h
+++ b/src/hostd_feed.h
@@ -35,8 +35,15 @@
 struct feed_cursor {
   std::uint64_t source = 0;    ///< Process of the other host.
   std::uint64_t revision = 0;  ///< Of its registrations.
+  /** Offset to which the answer led. A host that has read on by itself needs
+   * all registrations: the other one may have gone over what this one read. */
+  log_offset reached;
 };
 
+/** Returns the query for what another host knows beyond `cursor`. */
+auto MakeViewRequest(const host_state& host, const feed_cursor& cursor)
+    -> wire::view_requestT;
+
 /** Applies what another host knows, where it is newer. `cursor` advances only
  * if the registrations of the answer were applied, since the other host sends
  * no change twice. */
