--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -24,6 +24,13 @@
 SERVER_TOPIC = "keyed.servers"
 
 
+def reset(writer):
+    """Resets a connection. Without lingering, since it is closed otherwise."""
+    if not writer.transport.is_closing():
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class HttpServer:
     """A minimal HTTP/1.1 server: it reads complete requests; handlers write the answers."""
 
@@ -42,7 +49,7 @@
             self.server.close()
             self.server = None
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -51,7 +58,7 @@
                 idle_since = time.monotonic()
                 request = await read_request(reader)
                 if self.idle_limit_s is not None and time.monotonic() - idle_since > self.idle_limit_s:
-                    writer.transport.abort()
+                    reset(writer)
                     break
                 if request is None or not await self.handler(request, reader, writer):
                     break
@@ -196,7 +203,7 @@
         await self.append(query["topic"], query["part"], records)
         if self.lose_appends > 0:
             self.lose_appends -= 1
-            writer.transport.abort()
+            reset(writer)
             return
         answer(writer, 200, {"offset": first, "end": len(log)})
 
@@ -228,7 +235,7 @@
         group = self.groups.setdefault(call["group"], {"generation": 0, "members": {}, "owners": {}})
         await asyncio.sleep(self.group_delay_s)
         if call["member"] in self.refused_members:
-            writer.transport.abort()
+            reset(writer)
             return
         group["members"][call["member"]] = time.monotonic() + call["ttlMs"] / 1000
         self.assign_partitions(group, call["topics"])
@@ -413,7 +420,7 @@
         for number, event in enumerate(range(first, count + 1)):
             await asyncio.sleep(self.gap_s)
             if self.cut_after is not None and number >= self.cut_after:
-                writer.transport.abort()
+                reset(writer)
                 return False
             while self.silent_after is not None and number >= self.silent_after:
                 if reader.at_eof() or writer.transport.is_closing():
@@ -455,10 +462,7 @@
         await writer.drain()
         if self.cut_unframed == "reset":
             await asyncio.sleep(self.gap_s)
-            # Without lingering the connection is reset instead of closed.
-            writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.transport.abort()
+            reset(writer)
         return False
 
     async def send_flood(self, attempt, seal, writer):
--- a/tests/feed_model_test.cc
+++ b/tests/feed_model_test.cc
@@ -46,6 +46,9 @@
   auto Read(log_offset from, std::size_t count) const -> store_page {
     store_page page{
         .end = log_offset(End()), .first = log_offset(first_), .records = {}};
+    if (from.value < first_) {
+      return page;
+    }
     for (auto i = from.value; i < End() && page.records.size() < count; ++i) {
       const auto& [key, text] = records_[i];
       page.records.push_back(std::string(1, static_cast<char>(key.size())) +
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -46,7 +46,7 @@
 
     def reset(self):
         for writer in list(self.open):
-            writer.transport.abort()
+            sh.stand_in.reset(writer)
 
     async def stop(self):
         self.server.close()
@@ -59,12 +59,12 @@
             self.open.add(target_writer)
             await asyncio.gather(self.pump(reader, target_writer, False), self.pump(target_reader, writer, True))
         except (OSError, asyncio.CancelledError):
-            writer.transport.abort()
+            sh.stand_in.reset(writer)
         finally:
             self.open.discard(writer)
 
     async def pump(self, reader, writer, is_from_target):
-        with contextlib.suppress(OSError):
+        try:
             while data := await reader.read(65536):
                 await asyncio.sleep(self.delay_s)
                 if self.mode == "silent" or (self.mode == "one_way" and is_from_target):
@@ -72,6 +72,9 @@
                 writer.write(data)
                 await writer.drain()
             writer.close()
+        except OSError:
+            # A reset is passed on as such: a close would end an answer without length.
+            sh.stand_in.reset(writer)
         self.open.discard(writer)
 
 
