Spread partitions evenly in the stand-in of the store

The stand-in let members keep more than an even share, so that nothing was left for the last ones; the store of the users' pages spreads partitions evenly. A reset of a paced answer had no socket.

--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -27,7 +27,7 @@
 def reset(writer):
     """Resets a connection. Without lingering, since it is closed otherwise."""
     if not writer.transport.is_closing():
-        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
@@ -250,13 +250,14 @@
         group["members"] = {m: group["members"][m] for m in live}
         owners = {}
         everything = [(topic, part) for topic in topics for part in range(self.parts)]
-        most = -(-len(everything) // len(live))
+        least, larger = divmod(len(everything), len(live))  # So many members have one more.
         counts = dict.fromkeys(live, 0)
         for place in everything:
             member = group["owners"].get(place)
-            if member in counts and counts[member] < most:
+            if member in counts and counts[member] < least + (larger > 0):
                 owners[place] = member
                 counts[member] += 1
+                larger -= counts[member] > least
         for place in everything:
             if place not in owners:
                 owners[place] = min(live, key=lambda m: (counts[m], m))
