--- a/src/hostd_follow.h
+++ b/src/hostd_follow.h
@@ -21,6 +21,7 @@
  * have been away, and registrations may have lapsed meanwhile. Shorter than
  * their lifetime less one interval of their renewals. */
 inline constexpr std::chrono::milliseconds kMaxLogGap{2000};
+
 /** Applies what the log of the declared state says. */
 class state_follower {
  public:
--- a/tests/site_answer.py
+++ b/tests/site_answer.py
@@ -10,18 +10,6 @@
 BROKEN = (502, 504)
 
 
-def expected(attempt):
-    return [(e, sh.stand_in.event_data(attempt, e))
-            for e in range(1, sh.stand_in.event_count(attempt) + 1)]
-
-
-async def plain(fleet, route, body):
-    attempt = fleet.new_id()
-    answer = await sh.call(fleet.hosts[0].ip, sh.FRONT, "POST", f"/{route}/plain", body, Host=sh.HOST_NAME,
-                           X_Attempt_Id=attempt, X_Deadline_Ms=8000, X_Key=sh.KEY)
-    return attempt, answer
-
-
 async def earlier_refusals():
     """A server writes a refusal once more on its kept connection, with or
     without the name of the request. "Not run" must stay true."""
@@ -29,12 +17,12 @@
         engine = fleet.engines[0]
         for engine.copies_have_id in (True, False):
             for _ in range(12):
-                await asyncio.gather(*(plain(fleet, "call", b"body") for _ in range(3)))
+                await asyncio.gather(*(fleet.ask_plain("call", b"body") for _ in range(3)))
                 refused = fleet.new_id()
                 engine.refuses = {refused}
                 await fleet.ask(fleet.hosts[0], "once", refused)
                 await asyncio.sleep(0.2)  # A full server is left alone for a moment.
-                attempt, answer = await plain(fleet, "call", b"body")
+                attempt, answer = await fleet.ask_plain("call", b"body")
                 is_promise = answer.status in (408, 421, 429, 503)
                 sh.check(not is_promise or fleet.runs(attempt) == 0,
                          f"named={engine.copies_have_id}: {answer} for a request that ran {fleet.runs(attempt)} times")
@@ -58,8 +46,8 @@
                 begun += 1
                 got = answer.events()
                 sh.check(b"error" not in answer.body and b"HTTP" not in answer.body, f"{status}: {answer.body}")
-                sh.check(got == expected(attempt)[:len(got)], f"{status}: {got}")
-                sh.check(not answer.is_whole or len(got) == len(expected(attempt)),
+                sh.check(got == sh.expected_events(attempt)[:len(got)], f"{status}: {got}")
+                sh.check(not answer.is_whole or len(got) == len(sh.expected_events(attempt)),
                          f"{status}: a stream of {len(got)} events ended as if it were complete")
             sh.check(begun, f"{status}: no stream had begun")
 
@@ -71,7 +59,7 @@
             if i % 2:
                 answer = await fleet.ask(fleet.hosts[0], "once")
             else:
-                _, answer = await plain(fleet, "call", b"body")
+                _, answer = await fleet.ask_plain("call", b"body")
             # The server is not used for a moment after it has failed.
             sh.check(answer.status in (*BROKEN, 503) or not answer.is_whole, f"cut head: {answer}")
             await asyncio.sleep(1)
@@ -83,17 +71,17 @@
         for engine in fleet.engines:
             engine.is_unframed = True
         for _ in range(6):
-            attempt, answer = await plain(fleet, "call", b"body")
+            attempt, answer = await fleet.ask_plain("call", b"body")
             sh.check(answer.status == 200 and answer.body == b"echo body" and answer.is_whole, f"plain: {answer}")
             attempt = fleet.new_id()
             answer = await fleet.ask(host, "once", attempt)
-            sh.check(answer.is_whole and answer.events() == expected(attempt), f"stream: {answer}")
+            sh.check(answer.is_whole and answer.events() == sh.expected_events(attempt), f"stream: {answer}")
         for how in ("close", "reset"):
             fleet.engines[0].cut_unframed = how
             for _ in range(6):
                 attempt = fleet.new_id()
                 answer = await fleet.ask(host, "stream", attempt)
-                sh.check(answer.is_whole and answer.events() == expected(attempt), f"{how}: {answer}")
+                sh.check(answer.is_whole and answer.events() == sh.expected_events(attempt), f"{how}: {answer}")
             fleet.engines[1].cut_unframed = how
             for _ in range(4):
                 attempt = fleet.new_id()
@@ -102,7 +90,7 @@
             fleet.engines[1].cut_unframed = None
             if how == "reset":
                 fleet.engines[1].cut_unframed = how
-                _, answer = await plain(fleet, "call", b"body")
+                _, answer = await fleet.ask_plain("call", b"body")
                 sh.check(answer.status != 200 or not answer.is_whole, f"reset: {answer}")
 
 
--- a/tests/site_helper.py
+++ b/tests/site_helper.py
@@ -225,6 +225,14 @@
             fields["X_Key"] = key
         return await call(host.ip, FRONT, "POST", f"/{route}/x", body, **fields)
 
+    async def ask_plain(self, route, body):
+        """Sends a request whose answer is no stream through the first host.
+        Returns its id and the answer."""
+        attempt = self.new_id()
+        answer = await call(self.hosts[0].ip, FRONT, "POST", f"/{route}/plain", body, Host=HOST_NAME,
+                            X_Attempt_Id=attempt, X_Deadline_Ms=8000, X_Key=KEY)
+        return attempt, answer
+
     async def submit(self, host, job, items, kinds=(), key=KEY):
         """Submits a job of `items` items; `kinds` holds the paths of the first
         ones, such as "poison"."""
@@ -268,6 +276,11 @@
         return sum(seen[0] == attempt for engine in self.engines for seen in engine.seen)
 
 
+def expected_events(attempt):
+    """Returns (id, data) of every event of a request's stream."""
+    return [(e, stand_in.event_data(attempt, e)) for e in range(1, stand_in.event_count(attempt) + 1)]
+
+
 async def until(condition, what, limit=START_LIMIT_S):
     """Waits until an async condition is true."""
     end = time.monotonic() + limit
--- a/tests/site_trouble.py
+++ b/tests/site_trouble.py
@@ -18,11 +18,6 @@
 MACHINE_MB = 130
 
 
-def expected(attempt):
-    return [(e, sh.stand_in.event_data(attempt, e))
-            for e in range(1, sh.stand_in.event_count(attempt) + 1)]
-
-
 async def slow_stream_lives():
     """Each pause is below the route's longest one on time, 500 ms. A stream
     that other servers have made fast before must not be cut."""
@@ -36,7 +31,7 @@
         answers = await asyncio.gather(*(fleet.ask(fleet.hosts[0], "stream", attempt) for attempt in attempts))
         for attempt, answer in zip(attempts, answers):
             sh.check(answer.status == 200, f"slow stream: {answer}")
-            got, whole = answer.events(), expected(attempt)
+            got, whole = answer.events(), sh.expected_events(attempt)
             # The longest ones reach the caller's deadline of 8 s.
             least = min(len(whole), 14)
             sh.check(got == whole[:len(got)] and len(got) >= least, f"slow stream: {got} of {len(whole)}")
@@ -53,7 +48,7 @@
             begun = time.monotonic()
             answer = await fleet.ask(fleet.hosts[0], "stream", attempt)
             sh.check(answer.status == 200 and answer.is_whole, f"dripping server: {answer}")
-            sh.check(answer.events() == expected(attempt), f"dripping server: {answer.events()}")
+            sh.check(answer.events() == sh.expected_events(attempt), f"dripping server: {answer.events()}")
             longest = sh.stand_in.EVENT_GAP_S * sh.stand_in.event_count(attempt) + MOVE_ON_S
             took = time.monotonic() - begun
             sh.check(took < longest, f"stream stalled by a byte now and then took {took:.1f} s")
@@ -89,13 +84,6 @@
             await sh.until(works, f"{flood}: the server is used again", 10)
 
 
-async def plain(fleet, route, body):
-    attempt = fleet.new_id()
-    answer = await sh.call(fleet.hosts[0].ip, sh.FRONT, "POST", f"/{route}/plain", body, Host=sh.HOST_NAME,
-                           X_Attempt_Id=attempt, X_Deadline_Ms=8000, X_Key=sh.KEY)
-    return attempt, answer
-
-
 async def late_copies():
     """A second copy of an answer comes while its connection is idle, or in use
     again."""
@@ -104,7 +92,7 @@
         for engine.copy_after_s in (0, 0.005, 0.03):
             for i in range(40):
                 body = f"body {engine.copy_after_s} {i}".encode()
-                attempt, answer = await plain(fleet, ("read", "call")[i % 2], body)
+                attempt, answer = await fleet.ask_plain(("read", "call")[i % 2], body)
                 # A copy that is taken for the answer's beginning fails the call.
                 if answer.status == 200:
                     sh.check(answer.body == b"echo " + body, f"answer to another request: {answer}")
@@ -118,7 +106,7 @@
     async with sh.Fleet("cut_answers", hosts=1, engines=1) as fleet:
         fleet.engines[0].cut_plain = True
         for i in range(6):
-            _, answer = await plain(fleet, ("read", "call")[i % 2], b"body")
+            _, answer = await fleet.ask_plain(("read", "call")[i % 2], b"body")
             sh.check(answer.status in (502, 504) or not answer.is_whole, f"cut answer: {answer}")
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -136,8 +136,7 @@
         if "plain" in kind:
             sh.check(not answer.is_whole or answer.body == b"echo hello", f"{attempt}: {answer}")
             return
-        expected = [(e, sh.stand_in.event_data(attempt, e))
-                    for e in range(1, sh.stand_in.event_count(attempt) + 1)]
+        expected = sh.expected_events(attempt)
         events = answer.events()
         sh.check(events == expected[: len(events)], f"{attempt}: events {events}")
         sh.check(not answer.is_whole or len(events) == len(expected), f"{attempt}: complete before its last event")
