Let site tests run side by side on other addresses

Two runs of the site tests on one machine used the same loopback addresses. DOGWOOD_TEST_NET sets the second byte; site_calm passes with and without it.

--- a/tests/site_helper.py
+++ b/tests/site_helper.py
@@ -19,6 +19,8 @@
 import site_stand_in as stand_in  # noqa: E402
 
 BUILD = pathlib.Path(os.environ.get("DOGWOOD_BUILD", ROOT / "build"))
+# Second byte of the addresses; runs at the same time on one machine need different ones.
+NET = int(os.environ.get("DOGWOOD_TEST_NET", "77"))
 SERVICE, HOST_NAME, KEY = "llm", "one.example", "key-of-alpha"
 ZONES = {"east-a": "east", "east-b": "east", "west-a": "west"}
 FRONT, READY, DIRECTORY, LINK, METRICS, STORE, ENGINE = 7001, 7002, 7003, 7004, 7005, 7101, 7201
@@ -161,7 +163,7 @@
 class Fleet:
     """Fixture with the hosts, servers and store of one test."""
 
-    def __init__(self, name, hosts=3, engines=2, net=77):
+    def __init__(self, name, hosts=3, engines=2, net=NET):
         self.net = net
         self.directory = ROOT / "out" / "site" / name
         self.directory.mkdir(parents=True, exist_ok=True)
