Leave a silent server only for a slot on another one

What callers saw: a stream with events was cut, although its server would have gone on after a second of silence.

Cause: the run at a silent server was given up first, and a slot was asked for then. A stream that has begun cannot be refused any more, so if no other server had room its connection was closed. The wait for the next bytes and the choice to move on were one deadline.

Change: while the server is silent the host asks for a slot on another one and keeps reading. The request moves when the slot is granted; if the server goes on first, the request for a slot is withdrawn. A batch item, for which no caller waits, is given up as before. request_end tells how often another server was looked for.

Result: site_silence, site_stream, site_trouble, site_answer, site_quarantine, site_calm and site_stop pass.

--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -262,8 +262,8 @@
       .service = queued->service,
       .deadline = std::min(started + kMaxRunTime, queued->expires),
       .is_repeatable = true,
-      .may_fail_over = false,
       .is_batch = true,
+      .on_silence = {},
       .event_gap_objective =
           route == nullptr ? duration() : route->event_gap_objective};
   stream_progress progress{.last_event = queued->progress.last_event,
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <boost/json/object.hpp>
+#include <optional>
 #include <utility>
 
 #include "platform/adapter.h"
 #include "src/hostd_base.h"
 #include "src/hostd_batch.h"
 #include "src/hostd_caller.h"
+#include "src/hostd_failover.h"
 #include "src/hostd_placement.h"
 #include "src/hostd_relay.h"
 
@@ -38,8 +40,10 @@
 /** Forwards a stream to a caller. */
 class caller_sink : public answer_sink {
  public:
-  caller_sink(http_exchange& exchange, caller_watch::entry& watch)
-      : exchange_(exchange), watch_(watch) {}
+  caller_sink(http_exchange& exchange,
+              caller_watch::entry& watch,
+              failover_search& failover)
+      : exchange_(exchange), watch_(watch), failover_(failover) {}
 
   auto HandleHead(const http_head& head) -> asio::awaitable<bool> override {
     auto sent = co_await exchange_.BeginStream(head);
@@ -47,6 +51,7 @@
   }
 
   auto HandleEvents(std::string events) -> asio::awaitable<bool> override {
+    failover_.Cancel();
     auto sent = co_await exchange_.WriteChunk(events);
     co_return RecordSent(sent);
   }
@@ -61,6 +66,7 @@
 
   http_exchange& exchange_;
   caller_watch::entry& watch_;
+  failover_search& failover_;
 };
 
 /** Returns why a placement request was refused. */
@@ -97,7 +103,11 @@
         workspace_(std::move(workspace)),
         service_(PickService(route, host.RandomUnit())),
         watch_(*host.callers, exchange),
-        sink_(exchange, watch_),
+        failover_(host,
+                  [this](ticket_id ticket, const placement_answer& granted) {
+                    return MoveOn(ticket, granted);
+                  }),
+        sink_(exchange, watch_, failover_),
         arrived_(arrived) {
     const auto remaining = caller.time_remaining.value_or(kDefaultTimeout);
     const auto limit = route.answer_timeout.count() > 0
@@ -112,7 +122,7 @@
 
   auto Run() -> asio::awaitable<void> {
     while (true) {
-      auto placed = co_await Place();
+      auto placed = co_await NextPlace();
       if (watch_.is_disconnected()) {
         ReleaseUnused(placed);
         co_return Finish("caller left");
@@ -161,25 +171,41 @@
     return {first, is_complete ? std::max(first, complete_run) : first};
   }
 
-  auto Place() -> asio::awaitable<placement_answer> {
+  /** Returns a request for a slot on a server that is not in `avoided`. */
+  auto MakeRequest(std::vector<server_id> avoided) const -> placement_request {
     const auto limits =
         StartLimits(route_, arrived_, deadline_, ExpectedTimes());
-    ticket_ = host_.placement->NewTicket();
-    placement_request request{
-        .host = {},
-        .ticket = ticket_,
-        .service = service_,
-        .workspace = workspace_,
-        .work = work_class::kOnline,
-        .priority = route_.priority,
-        .takes_token = !has_token_,
-        .is_retry = is_retry_ || attempts_ > 0,
-        .place = {host_.options.data_centre, host_.options.region},
-        .latest_on_time_start = limits.latest_on_time_start,
-        .latest_start = limits.latest_start,
-        .avoided = avoided_,
-        .connected = ConnectedServers(host_, service_, IsRepeatable()),
-        .prompt = caller_.prompt};
+    return {.host = {},
+            .ticket = host_.placement->NewTicket(),
+            .service = service_,
+            .workspace = workspace_,
+            .work = work_class::kOnline,
+            .priority = route_.priority,
+            .takes_token = !has_token_,
+            .is_retry = is_retry_ || attempts_ > 0,
+            .place = {host_.options.data_centre, host_.options.region},
+            .latest_on_time_start = limits.latest_on_time_start,
+            .latest_start = limits.latest_start,
+            .avoided = std::move(avoided),
+            .connected = ConnectedServers(host_, service_, IsRepeatable()),
+            .prompt = caller_.prompt};
+  }
+
+  /** Returns the slot on which the request moves on, or asks for one. */
+  auto NextPlace() -> asio::awaitable<placement_answer> {
+    if (next_slot_) {
+      ticket_ = next_slot_->ticket;
+      last_answer_ = std::exchange(next_slot_, {})->answer;
+      placed_at_ = clock::now();
+      co_return last_answer_;
+    }
+    auto answer = co_await Place();
+    co_return answer;
+  }
+
+  auto Place() -> asio::awaitable<placement_answer> {
+    auto request = MakeRequest(avoided_);
+    ticket_ = request.ticket;
     watch_.OnDisconnect([this] { host_.placement->Withdraw(ticket_); });
     auto answer = co_await host_.placement->Place(std::move(request));
     watch_.OnDisconnect({});
@@ -195,6 +221,27 @@
     }
   }
 
+  /** Looks for another server than the silent one. */
+  auto SeekServer(const server_id& silent) -> void {
+    ++silences_;
+    auto avoided = avoided_;
+    avoided.push_back(silent);
+    failover_.Start(MakeRequest(std::move(avoided)));
+  }
+
+  /** Leaves the silent server for the one on which a slot was granted. Returns
+   * false if the request can't. */
+  auto MoveOn(ticket_id ticket, const placement_answer& granted) -> bool {
+    const auto* found = host_.placement->FindServer(granted.server);
+    if (running_ == nullptr || running_->aborted || found == nullptr ||
+        found->leaving) {
+      return false;
+    }
+    next_slot_ = {ticket, granted};
+    running_->MoveOn();
+    return true;
+  }
+
   auto IsRepeatable() const -> bool {
     return route_.kind == request_kind::kIdempotent ||
            (route_.kind == request_kind::kStream && route_.resumable);
@@ -202,22 +249,29 @@
 
   auto Attempt(const registered_server& server)
       -> asio::awaitable<attempt_result> {
-    const attempt_spec spec{
-        .request = &exchange_.Request(),
-        .attempt = caller_.attempt,
-        .server = server,
-        .workspace = workspace_,
-        .service = service_,
-        .deadline = deadline_,
-        .is_repeatable = IsRepeatable(),
-        .may_fail_over = IsRepeatable() && attempts_ + 1 < route_.max_attempts,
-        .is_batch = false,
-        .first_event_objective = route_.objective,
-        .event_gap_objective = route_.event_gap_objective};
+    const bool may_move_on =
+        IsRepeatable() && attempts_ + 1 < route_.max_attempts;
+    attempt_spec spec{.request = &exchange_.Request(),
+                      .attempt = caller_.attempt,
+                      .server = server,
+                      .workspace = workspace_,
+                      .service = service_,
+                      .deadline = deadline_,
+                      .is_repeatable = IsRepeatable(),
+                      .is_batch = false,
+                      .on_silence = {},
+                      .first_event_objective = route_.objective,
+                      .event_gap_objective = route_.event_gap_objective};
+    if (may_move_on) {
+      spec.on_silence = [this, &server] { SeekServer(server.id); };
+    }
     last_server_ = server.id;
     attempt_handle handle;
+    running_ = &handle;
     watch_.OnDisconnect([&handle] { handle.Abort(); });
     auto result = co_await RunAttempt(host_, spec, progress_, handle, sink_);
+    running_ = nullptr;
+    failover_.Cancel();
     watch_.OnDisconnect({});
     host_.placement->End({ticket_, result.outcome, result.may_have_crashed});
     if (result.is_complete && attempts_ == 0 && caller_.resume_after == 0) {
@@ -338,6 +392,10 @@
   /** Logs the end of the request and records its total time. Called once for
    * each request. */
   auto Finish(std::string what, unsigned status = 200) -> void {
+    if (next_slot_) {
+      host_.placement->End({next_slot_->ticket, run_outcome::kUnused});
+      next_slot_.reset();
+    }
     const auto now = clock::now();
     host_.metrics.RecordTotal(route_.id.value, now - arrived_);
     const auto millis = [](duration d) {
@@ -357,6 +415,7 @@
         {"attempts", attempts_},
         {"not_run", not_run_count_},
         {"last_event", progress_.last_event},
+        {"silences", silences_},
         {"placed_ms", millis(placed_at_ - arrived_)},
         {"asks_waiting", last_answer_.waiting},
         {"slots_free", last_answer_.free},
@@ -375,18 +434,27 @@
   workspace_id workspace_;
   service_id service_;
   caller_watch::entry watch_;
+  failover_search failover_;
   caller_sink sink_;
   time_point arrived_;
   time_point deadline_;
   time_point first_event_;
   stream_progress progress_;
   std::vector<server_id> avoided_;
+  attempt_handle* running_ = nullptr;  // The attempt in progress.
+  /** Slot that was granted while the server was silent. */
+  struct granted_slot {
+    ticket_id ticket;
+    placement_answer answer;
+  };
+  std::optional<granted_slot> next_slot_;
   ticket_id ticket_;
   placement_answer last_answer_;  // Answer to the newest placement request.
   time_point placed_at_;          // When last_answer_ arrived.
   server_id last_server_;
   unsigned attempts_ = 0;  // Number of servers that may have run the request.
   unsigned not_run_count_ = 0;  // Number of servers that certainly did not.
+  unsigned silences_ = 0;       // Times that another server was looked for.
   bool may_have_run_ = false;
   bool has_token_ = false;
   bool is_retry_ = false;
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -1,6 +1,7 @@
 #include "src/hostd_relay.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <utility>
 
 #include "platform/adapter.h"
@@ -19,8 +20,8 @@
 /** Timeout of a connect to a server; longer than a round trip between regions.
  */
 constexpr milliseconds kConnectTimeout{250};
-/** A stream that may continue at another server is abandoned after a silence of
- * this many average times, within these bounds. */
+/** A server is silent if nothing has come for this many average times, within
+ * these bounds. */
 constexpr double kFirstEventFactor = 5;
 constexpr double kGapFactor = 6;
 constexpr milliseconds kMinFirstEventTimeout{300};
@@ -94,6 +95,30 @@
   std::string body_;
 };
 
+/** Timer that tells when a server has been silent for too long. */
+class silence_timer : public std::enable_shared_from_this<silence_timer> {
+ public:
+  silence_timer(asio::io_context& io, std::function<void()> on_silence)
+      : timer_(io), on_silence_(std::move(on_silence)) {}
+
+  /** Calls the handler at `due`, unless the time is moved before. */
+  auto Start(time_point due) -> void {
+    due_ = due;
+    timer_.expires_at(due);
+    timer_.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+      const auto self = weak.lock();
+      if (!ec && self != nullptr && clock::now() >= self->due_) {
+        self->on_silence_();
+      }
+    });
+  }
+
+ private:
+  asio::steady_timer timer_;
+  std::function<void()> on_silence_;
+  time_point due_;
+};
+
 /** Runs one attempt and holds its state. */
 class attempt {
  public:
@@ -106,7 +131,10 @@
         spec_(spec),
         progress_(progress),
         handle_(handle),
-        sink_(sink) {}
+        sink_(sink),
+        silence_timer_(std::make_shared<silence_timer>(host.io, [this] {
+          HandleSilence();
+        })) {}
 
   auto Run() -> asio::awaitable<attempt_result> {
     co_await RunSteps();
@@ -121,7 +149,10 @@
     result_.error = error;
     result_.outcome = outcome;
     was_cut_ = false;
-    if (handle_.aborted) {
+    if (handle_.has_moved) {
+      result_.outcome = run_outcome::kUnreachable;
+      result_.error.message = "server is silent and another one has room";
+    } else if (handle_.aborted) {
       result_.outcome = run_outcome::kCancelled;
       result_.error.message = "ended by this host";
     }
@@ -136,11 +167,8 @@
             .peer = spec_.server.id.value};
   }
 
-  /** Returns the deadline for the next bytes from the server. */
-  auto SilenceDeadline(bool has_events) const -> time_point {
-    if (!spec_.may_fail_over && !spec_.is_batch) {
-      return spec_.deadline;
-    }
+  /** Returns when the server counts as silent if it sends nothing. */
+  auto SilenceTime(bool has_events) const -> time_point {
     const auto& average = host_.times[spec_.service];
     auto limit = has_events ? BoundedTimeout(average.event_gap_s, kGapFactor,
                                              kMinGapTimeout, kMaxGapTimeout)
@@ -160,6 +188,25 @@
     return std::min(spec_.deadline, clock::now() + limit);
   }
 
+  /** Returns the deadline for the next bytes from the server. */
+  auto ReadDeadline(bool has_events) -> time_point {
+    if (spec_.is_batch) {
+      return SilenceTime(has_events);
+    }
+    has_events_ = has_events;
+    if (spec_.on_silence) {
+      silence_timer_->Start(SilenceTime(has_events));
+    }
+    return spec_.deadline;
+  }
+
+  auto HandleSilence() -> void {
+    spec_.on_silence();
+    if (clock::now() < spec_.deadline && !handle_.aborted) {
+      silence_timer_->Start(SilenceTime(has_events_));
+    }
+  }
+
   /** Acquires a connection: a pooled one if `use_idle` and available, else a
    * new one. Returns false on failure. */
   auto Open(bool use_idle) -> asio::awaitable<bool> {
@@ -211,7 +258,7 @@
   /** Reads the head of the answer to this request. Unmatched answers, which a
    * server sent late or twice, are skipped. */
   auto ReadHead() -> asio::awaitable<std::optional<http_head>> {
-    const auto until = SilenceDeadline(false);
+    const auto until = ReadDeadline(false);
     int interim = 0;
     for (int i = 0; i < kMaxUnmatchedAnswers;) {
       auto head = co_await handle_.connection->ReadHead(until);
@@ -376,7 +423,7 @@
   auto HandleStream(const http_head& head) -> asio::awaitable<void> {
     sse_parser parser;
     // Only complete events count: bytes may also come without ever making one.
-    auto until = SilenceDeadline(false);
+    auto until = ReadDeadline(false);
     while (true) {
       auto part = co_await handle_.connection->ReadSome(until);
       if (!part) {
@@ -431,7 +478,7 @@
       }
       // After the events have been forwarded, since a slow caller is no fault
       // of the server.
-      until = SilenceDeadline(true);
+      until = ReadDeadline(true);
     }
   }
 
@@ -524,12 +571,14 @@
   stream_progress& progress_;
   attempt_handle& handle_;
   answer_sink& sink_;
+  std::shared_ptr<silence_timer> silence_timer_;
   attempt_result result_;
   server_answer answer_;
   time_point sent_at_;
   time_point last_event_at_;
-  bool is_reused_ = false;  // The connection came from the pool.
-  bool was_cut_ = false;    // The server closed it within the answer.
+  bool is_reused_ = false;   // The connection came from the pool.
+  bool was_cut_ = false;     // The server closed it within the answer.
+  bool has_events_ = false;  // An event was received when the timer was set.
   std::size_t event_count_ = 0;
 };
 
--- a/src/hostd_relay.h
+++ b/src/hostd_relay.h
@@ -53,10 +53,12 @@
   service_id service;          ///< Service whose answer times apply.
   time_point deadline;         ///< Deadline of the request over all attempts.
   bool is_repeatable = false;  ///< The request may run more than once.
-  /** Another server may continue: the attempt ends if the server falls silent.
-   */
-  bool may_fail_over = false;
-  bool is_batch = false;  ///< Batch item: no caller waits for the next event.
+  /** Batch item: no caller waits for the next event, and the attempt ends if
+   * the server falls silent for long. */
+  bool is_batch = false;
+  /** Called when the server has been silent for unusually long, and again as
+   * long as it is. Empty if no other server may continue. */
+  std::function<void()> on_silence;
   /** Times to the first event, and between events, that are still on time; zero
    * if none are declared. No attempt is given up within them. */
   duration first_event_objective{};
@@ -80,7 +82,8 @@
 /** Allows other coroutines to abort an attempt. */
 struct attempt_handle {
   std::shared_ptr<backend_connection> connection;  ///< In use, or nullptr.
-  bool aborted = false;                            ///< Set by Abort().
+  bool aborted = false;    ///< Set by Abort() and MoveOn().
+  bool has_moved = false;  ///< Set by MoveOn().
   /** Closes the connection in use and marks the attempt as aborted. */
   auto Abort() -> void {
     aborted = true;
@@ -88,6 +91,11 @@
       connection->Abort();
     }
   }
+  /** As Abort(), because the server is silent and another one has room. */
+  auto MoveOn() -> void {
+    has_moved = true;
+    Abort();
+  }
 };
 
 /** Returns the servers of a service to which an attempt would use an idle
