Let a begun stream wait for a slot from its latest event on

What callers saw: a stream whose server broke off was cut at once, although a slot on another server was free half a second later.

Cause: the bound on waiting for a slot counted from the arrival of the request. A stream that was older than a caller waits for its first event (2 to 4 s) had passed it, so the dispatcher refused it unless a slot was free that moment, and a stream that has begun cannot be refused: its connection was closed.

Evidence: site_silence, broken_stream_waits_for_room, failing before: 'broken off late: 200 whole=False' after ten of 13 events.

Change: ContinuationLimits counts from the latest event, since callers wait for each event anew. Unit test in dispatch_wait.

--- a/src/dispatch_wait.h
+++ b/src/dispatch_wait.h
@@ -29,6 +29,14 @@
                  time_point deadline,
                  const run_times& typical) -> start_limits;
 
+/** Returns the bounds for a stream that another server is to continue after its
+ * latest event, which the caller got at `last_event`. Callers wait for each
+ * event anew, and the stream cannot be refused any more. */
+auto ContinuationLimits(const route_rule& route,
+                        time_point last_event,
+                        time_point deadline,
+                        const run_times& typical) -> start_limits;
+
 }  // namespace dogwood
 
 #endif  // SRC_DISPATCH_WAIT_H_
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -52,10 +52,14 @@
 
   auto HandleEvents(std::string events) -> asio::awaitable<bool> override {
     failover_.Cancel();
+    last_event_at_ = clock::now();
     auto sent = co_await exchange_.WriteChunk(events);
     co_return RecordSent(sent);
   }
 
+  /** When the latest events arrived; the epoch before the first. */
+  auto last_event_at() const -> time_point { return last_event_at_; }
+
  private:
   auto RecordSent(const outcome<void>& sent) -> bool {
     if (!sent) {
@@ -67,6 +71,7 @@
   http_exchange& exchange_;
   caller_watch::entry& watch_;
   failover_search& failover_;
+  time_point last_event_at_;
 };
 
 /** Returns why a placement request was refused. */
@@ -173,8 +178,12 @@
 
   /** Returns a request for a slot on a server that is not in `avoided`. */
   auto MakeRequest(std::vector<server_id> avoided) const -> placement_request {
+    const auto last_event = sink_.last_event_at();
     const auto limits =
-        StartLimits(route_, arrived_, deadline_, ExpectedTimes());
+        last_event == time_point()
+            ? StartLimits(route_, arrived_, deadline_, ExpectedTimes())
+            : ContinuationLimits(route_, last_event, deadline_,
+                                 ExpectedTimes());
     return {.host = {},
             .ticket = host_.placement->NewTicket(),
             .service = service_,
--- a/tests/dispatch_wait_test.cc
+++ b/tests/dispatch_wait_test.cc
@@ -75,6 +75,20 @@
   cr_assert_geq(limits.latest_start, Begin() + milliseconds(2500));
 }
 
+// Guards against cutting a stream that is older than the time that a caller
+// waits for an event: no slot was worth waiting for any more.
+Test(dispatch_wait, old_stream_waits_for_a_slot) {
+  const auto deadline = Begin() + seconds(8);
+  const auto last_event = Begin() + seconds(4);
+  const auto limits =
+      ContinuationLimits(Stream(), last_event, deadline, kTypical);
+  cr_assert(limits.latest_on_time_start == last_event + milliseconds(350));
+  cr_assert(limits.latest_start == last_event + milliseconds(3150));
+  const auto late = ContinuationLimits(Stream(), deadline - milliseconds(500),
+                                       deadline, kTypical);
+  cr_assert(late.latest_start == deadline - kTypical.first_event);
+}
+
 Test(dispatch_wait, limits_are_in_order) {
   cr_assert(LimitsAreInOrder());
 }
--- a/tests/site_silence.py
+++ b/tests/site_silence.py
@@ -53,7 +53,21 @@
         await other
 
 
+async def broken_stream_waits_for_room():
+    """A server breaks off a stream that has lasted longer than a caller waits for
+    an event, and the other server has room only some time later."""
+    async with sh.Fleet("broken_stream", hosts=1, engines=2) as fleet:
+        other, _, engine = await occupied(fleet, 14)
+        engine.cut_after = 10
+        attempt = attempt_with(fleet, 13, 14)
+        answer = await fleet.ask(fleet.hosts[0], "stream", attempt)
+        engine.cut_after = None
+        check_whole(attempt, answer, "broken off late")
+        await other
+
+
 async def test():
+    await broken_stream_waits_for_room()
     await silent_server_without_room_elsewhere()
 
 
