Run accepted items whatever prompts are under quarantine

What callers saw: a job was accepted, and its items were not run for ten minutes, longer than they are kept.

Cause: items asked for slots with the parts of their prompts, so those that share a part with requests that crash servers were refused like these, again every 5 s. Items do not crash servers by themselves, and are owed. In the other direction an answer to an item lifted the quarantine, although it says nothing about online requests.

Evidence: site_quarantine, items_are_run_all_the_same, failing before: 'job job000007: 0 of 6 items listed in 15 s'.

Change: placement requests of items carry no prompt. The stand-in's engine crashes on online requests only, as the platform says of items.

Result: site_quarantine passes; all six items are done, and the part stays under quarantine.

--- a/src/dispatch_type.h
+++ b/src/dispatch_type.h
@@ -45,7 +45,7 @@
   std::vector<server_id> avoided;         ///< Servers that must not be chosen.
   /** Servers to which the host has idle connections that it may use. */
   std::vector<server_id> connected;
-  prompt_parts prompt;  ///< Empty if the request names none.
+  prompt_parts prompt;  ///< Empty for batch work and if none is named.
 };
 
 /** Outcome of a placement request. */
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -32,8 +32,6 @@
  * it. */
 constexpr milliseconds kFailedRunBackoff{300};
 constexpr milliseconds kNotRunBackoff{50};
-/** Backoff of an item with a prompt that crashes servers. */
-constexpr milliseconds kQuarantineBackoff{5000};
 /** Maximum duration of an item's run. */
 constexpr std::chrono::seconds kMaxRunTime{40};
 /** Assumed duration of a complete run before any was measured. */
@@ -198,7 +196,6 @@
     RecordResult(ref, batch_item_outcome::kAbandoned, "");
     co_return;
   }
-  const auto* item = job->FindItem(ref.item);
   const auto now = clock::now();
   const auto ticket = host_.placement->NewTicket();
   placement_request request{
@@ -215,16 +212,14 @@
       .latest_start = now + kPlacementRequestTtl,
       .avoided = {},
       .connected = ConnectedServers(host_, queued->service, true),
-      .prompt = item == nullptr ? prompt_parts()
-                                : adapter::DecodePrompt(item->headers)};
+      // An item is owed however often servers crash under it, so its prompt
+      // is neither held against it nor proof that others are sound.
+      .prompt = {}};
   ++awaiting_slot_;
   auto placed = co_await host_.placement->Place(std::move(request));
   --awaiting_slot_;
   if (placed.verdict != placement_verdict::kGranted) {
-    const bool is_quarantined =
-        placed.verdict == placement_verdict::kQuarantined;
-    queue_.Requeue(ref, clock::now() + (is_quarantined ? kQuarantineBackoff
-                                                       : kNotRunBackoff));
+    queue_.Requeue(ref, clock::now() + kNotRunBackoff);
     co_return;
   }
   const auto* found = host_.placement->FindServer(placed.server);
