Log what requests have in common whose servers break off

A run that its server breaks off before the second event leaves a line with the hash of its workspace, path and body, and of the last part of its prompt.

--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -89,6 +89,14 @@
   }
 }
 
+/** Returns the hash of a request of a workspace. */
+auto HashOf(const http_request& request, const workspace_id& workspace)
+    -> request_hash {
+  return request_hash(StableHash(workspace.value + "\n" + request.target +
+                                 "\n" +
+                                 std::to_string(StableHash(request.body))));
+}
+
 /** Serves one request: placement, attempts at servers, retries and the answer.
  */
 class request_run {
@@ -106,6 +114,7 @@
         deployment_(std::move(deployment)),
         route_(route),
         workspace_(std::move(workspace)),
+        content_(HashOf(exchange.Request(), workspace_)),
         service_(PickService(route, host.RandomUnit())),
         watch_(*host.callers, exchange),
         failover_(host,
@@ -283,6 +292,13 @@
     failover_.Cancel();
     watch_.OnDisconnect({});
     host_.placement->End({ticket_, result.outcome, result.may_have_crashed});
+    if (result.may_have_crashed) {
+      LogEvent(log_level::kInfo, log_category::kRoute, "server_broke_off",
+               {{"request", caller_.attempt.value},
+                {"server", server.id.value},
+                {"content", content_.value},
+                {"prompt_own", caller_.prompt.own.value}});
+    }
     if (result.is_complete && attempts_ == 0 && caller_.resume_after == 0) {
       RecordRunTime();
     }
@@ -441,6 +457,7 @@
   std::shared_ptr<const deployment_index> deployment_;  // Owns route_.
   const route_rule& route_;
   workspace_id workspace_;
+  request_hash content_;
   service_id service_;
   caller_watch::entry watch_;
   failover_search failover_;
--- a/src/prompt_type.h
+++ b/src/prompt_type.h
@@ -1,4 +1,5 @@
-/** Types of the parts that prompts consist of. */
+/** Types that tell what requests have in common: their contents and the parts
+ * of their prompts. */
 #ifndef SRC_PROMPT_TYPE_H_
 #define SRC_PROMPT_TYPE_H_
 
@@ -12,6 +13,10 @@
 /** Hash of the name of a part of a prompt. */
 using prompt_part_id = strong<struct prompt_part_tag, std::uint64_t>;
 
+/** Hash of the workspace, path and body of a request: the same whenever the same
+ * request comes again, from whatever connection and at any host. */
+using request_hash = strong<struct request_hash_tag, std::uint64_t>;
+
 /** Parts of the prompt of a request. */
 struct prompt_parts {
   /** Parts that other requests have too, in order. */
