Show by a test that fails how one request crashes all servers

A request that crashes each server that begins to run it comes again at all hosts, with the same path, caller and body:

--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -309,6 +309,8 @@
         self.kept = set()  # Connections that have been used.
         self.refusals_repeated = 0
         self.deadly_part = None  # Crashes when it begins an online request with this part of a prompt.
+        self.deadly_body = None  # Crashes when it begins an online request with this in its body.
+        self.deadly_runs = []  # Times at which it has begun such requests.
         self.crashes = []  # Times of these crashes.
         self.says_it_leaves = False  # Announces in all answers that it leaves.
         self.born = 1
@@ -377,7 +379,9 @@
     async def run(self, attempt, path, headers, body, reader, writer):
         seal = f"seal-{self.name}"
         parts = [part.split(":")[0] for part in headers.get("x-prompt-prefix", "").split(",")]
-        if self.deadly_part in parts[:-1] and not path.startswith("/job/"):
+        is_deadly = self.deadly_part in parts[:-1] or (self.deadly_body is not None and self.deadly_body in body)
+        if is_deadly and not path.startswith("/job/"):
+            self.deadly_runs.append(time.monotonic())
             await asyncio.sleep(EVENT_GAP_S)
             if self.http.server is not None:
                 self.tasks.append(asyncio.ensure_future(self.crash_for(CRASH_S)))
--- a/tests/site_quarantine.py
+++ b/tests/site_quarantine.py
@@ -51,6 +51,39 @@
         sh.check(served and sum(served) == len(served), f"{sum(served)} of {len(served)} sound requests were served")
 
 
+async def request_that_comes_again_is_kept_away():
+    """One request crashes each server that begins to run it. It comes again and
+    again, with the same path, caller and body, at any host."""
+    async with sh.Fleet("deadly_request", hosts=3, engines=8) as fleet:
+        for engine in fleet.engines:
+            engine.deadly_body = b"deadly"
+        sound, begun, tasks = [], time.monotonic(), []
+        deadly_prompt = prompt(fleet, "5c1e07a2", "91bd")
+        async def send(host, is_deadly):
+            sent = time.monotonic()
+            answer = await fleet.ask(host, "stream", body=b"deadly" if is_deadly else b"sound",
+                                     X_Prompt_Prefix=deadly_prompt if is_deadly else prompt(fleet, "5c1e07a2", "91bd"))
+            if is_deadly:
+                sh.check(answer.status in (502, 503, 504) or not answer.is_whole, f"deadly request: {answer}")
+            else:
+                sound.append((sent, answer.status == 200 and answer.is_whole))
+        while time.monotonic() < begun + 12:
+            host = fleet.hosts[len(tasks) % len(fleet.hosts)]
+            tasks.append(asyncio.ensure_future(send(host, len(tasks) % 10 == 9)))
+            await asyncio.sleep(0.04)
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, AssertionError):
+                raise result
+        runs = sorted(at for engine in fleet.engines for at in engine.deadly_runs)
+        sh.check(len(runs) >= 3, f"only {len(runs)} servers have crashed")
+        late = [at for at in runs if at > runs[2] + STABLE_WINDOW_S]
+        print(f"{len(runs)} crashes, {len(late)} of them late")
+        sh.check(len(late) <= LATE, f"{len(late)} servers got the request later than {STABLE_WINDOW_S} s after its "
+                 f"third crash, {len(runs)} in all")
+        served = [ok for sent, ok in sound if sent > runs[2] + STABLE_WINDOW_S]
+        sh.check(served and sum(served) == len(served), f"{sum(served)} of {len(served)} sound requests were served")
+
+
 async def items_are_run_all_the_same():
     """Items of a job share the part that is under quarantine."""
     async with sh.Fleet("owed_items", hosts=3, engines=6) as fleet:
@@ -73,6 +106,7 @@
 async def test():
     await deadly_part_is_kept_away()
     await items_are_run_all_the_same()
+    await request_that_comes_again_is_kept_away()
 
 
 sh.run(test)
