Keep a request that crashes servers away from them

What callers saw: one request crashed each server that began to run it and came again at all hosts, so that most servers were down most of the time.

Cause: what crashes servers was looked for in the shared parts of prompts only. The crashes of one request were never counted together: a part with a single request counted for nothing, and the last part of a prompt was not looked at. Each host tried the request at maxAttempts servers, each time that it came.

Change: the dispatcher counts crashes by a hash of workspace, path and body. The third one without a complete answer in between puts the request under quarantine: all hosts refuse it at once, as they do parts of prompts. A sound request that was there at three crashes is answered by a run in progress, or after a minute by one that tries it; each further crash makes the quarantine longer.

--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -62,11 +62,11 @@
    * that cannot reach this dispatcher, or that their callers have abandoned. */
   auto RecordReportedLoads(std::span<const server_count> reported,
                            time_point now) -> void;
-  /** Takes over the parts of prompts that other hosts have under quarantine. */
-  auto MergeQuarantine(std::span<const quarantined_part> found, time_point now)
-      -> void;
+  /** Takes over what other hosts have under quarantine. */
+  auto MergeQuarantine(const quarantine_entries& found, time_point now) -> void;
   /** As a host that is not the dispatcher: takes over its quarantine. */
-  auto ReplaceQuarantine(std::span<const quarantined_part> found) -> void;
+  auto ReplaceQuarantine(const quarantine_entries& found, time_point now)
+      -> void;
   /** Releases the slots of hosts that have timed out, refuses overdue requests
    * and serves the queues. */
   auto Advance(time_point now) -> void;
@@ -78,13 +78,16 @@
   // Queries.
 
   auto IsReady(time_point now) const -> bool { return now >= ready_at_; }
-  /** Whether a part of the prompt crashes servers. */
-  auto IsQuarantined(const prompt_parts& prompt, time_point now) const -> bool {
-    return quarantine_.Contains(prompt, now);
+  /** Whether the request, or a part of its prompt, crashes servers. */
+  auto IsQuarantined(const placement_request& request, time_point now) const
+      -> bool {
+    return quarantine_.Contains(request.prompt, now) ||
+           (request.content &&
+            request_quarantine_.Contains(*request.content, now));
   }
-  /** Parts of prompts that crash servers. */
-  auto Quarantine(time_point now) const -> std::vector<quarantined_part> {
-    return quarantine_.Entries(now);
+  /** Returns the requests and the parts of prompts that crash servers. */
+  auto Quarantine(time_point now) const -> quarantine_entries {
+    return {quarantine_.Entries(now), request_quarantine_.Entries(now)};
   }
   /** Slots in use on each server. */
   auto Counts() const -> std::vector<server_count>;
@@ -104,6 +107,7 @@
     bool is_preempted = false;  ///< Still running, but its slot is given away.
     time_point granted_at;
     prompt_parts prompt = {};  ///< Of the request, if it was placed here.
+    std::optional<request_hash> content = {};  ///< As above.
   };
   /** Highest count of the last one to two intervals of reported_load_ttl. Loads
    * are compared with it because they arrive late. */
@@ -157,6 +161,10 @@
   /** Number of refused callers that are expected to retry by `end`. */
   auto ExpectedRetries(const service_id& service, time_point end) const
       -> std::ptrdiff_t;
+  /** Records what the end of a run tells about its request and server. */
+  auto RecordEvidence(const slot& run,
+                      const run_end_report& end,
+                      time_point now) -> void;
   auto Release(const slot_key& key) -> void;
   auto Preempt(const slot_key& key) -> void;
   auto RefuseOverdue(std::list<placement_request>& queue, time_point now)
@@ -180,6 +188,7 @@
   std::map<service_id, std::multiset<time_point>> expected_retries_;
   /** Kept when another host becomes dispatcher, and over Start(). */
   prompt_quarantine quarantine_;
+  request_quarantine request_quarantine_;  // Likewise.
   std::vector<placement_notice> notices_;
   std::vector<preemption> preemptions_;
   double run_seconds_;  // Moving average of the duration of an online run.
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -194,12 +194,16 @@
                        server_row& row,
                        time_point now) -> void {
   const slot_key key(request.host, request.ticket);
-  slots_[key] = {row.info.id, request.work, false, now, request.prompt};
+  slots_[key] = {row.info.id, request.work,   false,
+                 now,         request.prompt, request.content};
   ++row.used;
   RecordPeak(row, now);
   if (request.work == work_class::kBatch) {
     row.batch.insert(key);
   }
+  if (request.content) {
+    request_quarantine_.RecordStart(*request.content, now);
+  }
   notices_.push_back({request.host,
                       request.ticket,
                       {.verdict = placement_verdict::kGranted,
@@ -361,7 +365,7 @@
     Refuse(request, placement_verdict::kNoServer, now);
     return;
   }
-  if (quarantine_.Contains(request.prompt, now)) {
+  if (IsQuarantined(request, now)) {
     request.takes_token = false;
     Refuse(request, placement_verdict::kQuarantined, now);
     return;
@@ -414,6 +418,22 @@
   slots_.erase(found);
 }
 
+auto dispatcher::RecordEvidence(const slot& run,
+                                const run_end_report& end,
+                                time_point now) -> void {
+  if (end.outcome == run_outcome::kComplete) {
+    quarantine_.RecordAnswer(run.prompt, now);
+    if (run.content) {
+      request_quarantine_.RecordAnswer(*run.content, now);
+    }
+  } else if (end.may_have_crashed) {
+    quarantine_.RecordCrash(run.prompt, run.server, now);
+    if (run.content) {
+      request_quarantine_.RecordCrash(*run.content, run.server, now);
+    }
+  }
+}
+
 auto dispatcher::End(const host_id& host,
                      const run_end_report& end,
                      time_point now) -> void {
@@ -436,11 +456,7 @@
       server.last_backoff = duration();
     }
   }
-  if (end.outcome == run_outcome::kComplete) {
-    quarantine_.RecordAnswer(found->second.prompt, now);
-  } else if (end.may_have_crashed) {
-    quarantine_.RecordCrash(found->second.prompt, found->second.server, now);
-  }
+  RecordEvidence(found->second, end, now);
   if (end.outcome == run_outcome::kComplete &&
       found->second.work == work_class::kOnline) {
     const auto seconds = Seconds(now - found->second.granted_at);
@@ -482,14 +498,16 @@
   }
 }
 
-auto dispatcher::MergeQuarantine(std::span<const quarantined_part> found,
+auto dispatcher::MergeQuarantine(const quarantine_entries& found,
                                  time_point now) -> void {
-  quarantine_.Merge(found, now);
+  quarantine_.Merge(found.parts, now);
+  request_quarantine_.Merge(found.requests, now);
 }
 
-auto dispatcher::ReplaceQuarantine(std::span<const quarantined_part> found)
-    -> void {
-  quarantine_.Replace(found);
+auto dispatcher::ReplaceQuarantine(const quarantine_entries& found,
+                                   time_point now) -> void {
+  quarantine_.Replace(found.parts);
+  request_quarantine_.Replace(found.requests, now);
 }
 
 auto dispatcher::RefuseOverdue(std::list<placement_request>& queue,
@@ -498,7 +516,7 @@
     if (now >= it->latest_start) {
       Refuse(*it, placement_verdict::kNoCapacity, now);
       it = queue.erase(it);
-    } else if (quarantine_.Contains(it->prompt, now)) {
+    } else if (IsQuarantined(*it, now)) {
       Refuse(*it, placement_verdict::kQuarantined, now);
       it = queue.erase(it);
     } else {
--- a/src/dispatch_quarantine.cc
+++ b/src/dispatch_quarantine.cc
@@ -1,13 +1,14 @@
 #include "src/dispatch_quarantine.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace dogwood {
 namespace {
 
-/** Crashes and different requests after which a part is put under quarantine.
- * One request alone may be at fault as a whole, and it ends by itself after its
- * attempts. */
+/** Crashes after which a request or a part is put under quarantine, and
+ * different requests for a part: one alone may be at fault as a whole. */
 constexpr std::size_t kMinCrashes = 3;
 constexpr std::size_t kMinRequests = 2;
 /** Different requests after which parts that were there at the same crashes are
@@ -32,17 +33,42 @@
 constexpr std::size_t kMaxSuspects = 4096;
 constexpr std::size_t kMaxAnswered = 16384;
 constexpr std::size_t kMaxQuarantined = 256;
+/** A request that was there at a crash and has not been answered since is
+ * remembered for this long: callers may take their time to send it again. */
+constexpr std::chrono::minutes kRequestTtl{10};
+/** Length of the quarantine of a request after its third crash, and after each
+ * one that follows. */
+constexpr std::array<std::chrono::minutes, 3> kRequestQuarantineTimes{
+    std::chrono::minutes(1), std::chrono::minutes(10), std::chrono::hours(24)};
+/** Others like it are refused for this long after a request was tried again,
+ * unless the run ends before. */
+constexpr std::chrono::seconds kTrialTime{30};
+/** Other hosts learn within this time that a request was answered. */
+constexpr std::chrono::seconds kRefutedTtl{10};
+/** Maximum number of requests that are remembered. */
+constexpr std::size_t kMaxRequests = 4096;
 
-}  // namespace
-
-auto prompt_quarantine::IsSameCrash(const crash& a, const crash& b) -> bool {
+auto IsSameCrash(const server_crash& a, const server_crash& b) -> bool {
   return a.server == b.server &&
          std::max(a.at, b.at) - std::min(a.at, b.at) < kCrashSpan;
 }
 
+/** Adds a crash unless it is known. */
+auto AddCrash(std::vector<server_crash>& crashes, server_crash newest) -> void {
+  const bool is_known = std::ranges::any_of(
+      crashes,
+      [&](const server_crash& other) { return IsSameCrash(newest, other); });
+  if (!is_known && crashes.size() < kMaxCrashes) {
+    crashes.push_back(std::move(newest));
+  }
+}
+
+}  // namespace
+
 auto prompt_quarantine::ReportedCrashes(const suspicion& evidence,
-                                        time_point now) -> std::vector<crash> {
-  std::vector<crash> reported;
+                                        time_point now)
+    -> std::vector<server_crash> {
+  std::vector<server_crash> reported;
   for (const auto& entry : evidence.crashes) {
     if (now - entry.at >= kReportTime) {
       reported.push_back(entry);
@@ -52,7 +78,7 @@
 }
 
 auto prompt_quarantine::IsExplained(prompt_part_id part,
-                                    std::span<const crash> crashes,
+                                    std::span<const server_crash> crashes,
                                     time_point now) const -> bool {
   const auto requests = suspects_.at(part).requests.size();
   return std::ranges::any_of(suspects_, [&](const auto& entry) {
@@ -62,8 +88,9 @@
     const bool is_stronger =
         others.size() > crashes.size() ||
         (others.size() == crashes.size() && entry.first != part && is_open);
-    return is_stronger && std::ranges::all_of(crashes, [&](const crash& own) {
-             return std::ranges::any_of(others, [&](const crash& other) {
+    return is_stronger &&
+           std::ranges::all_of(crashes, [&](const server_crash& own) {
+             return std::ranges::any_of(others, [&](const server_crash& other) {
                return IsSameCrash(own, other);
              });
            });
@@ -80,17 +107,11 @@
       continue;
     }
     auto& evidence = suspects_[part];
-    const crash newest{server, now};
     evidence.expires = now + kSuspicionTtl;
     if (evidence.requests.size() < kCertainRequests) {
       evidence.requests.insert(prompt.own);
     }
-    const bool is_known = std::ranges::any_of(
-        evidence.crashes,
-        [&](const crash& other) { return IsSameCrash(newest, other); });
-    if (!is_known && evidence.crashes.size() < kMaxCrashes) {
-      evidence.crashes.push_back(newest);
-    }
+    AddCrash(evidence.crashes, {server, now});
     const auto relapsed = quarantined_.find(part);
     if (relapsed != quarantined_.end()) {
       relapsed->second = now + kQuarantineTime;
@@ -191,4 +212,89 @@
   return entries;
 }
 
+auto request_quarantine::RecordCrash(request_hash content,
+                                     const server_id& server,
+                                     time_point now) -> void {
+  Prune(now);
+  if (records_.size() >= kMaxRequests && !records_.contains(content)) {
+    return;
+  }
+  auto& known = records_[content];
+  AddCrash(known.crashes, {server, now});
+  known.forget_at = now + kRequestTtl;
+  if (known.crashes.size() >= kMinCrashes) {
+    const auto relapses = std::min(known.crashes.size() - kMinCrashes,
+                                   kRequestQuarantineTimes.size() - 1);
+    known.quarantined_until = now + kRequestQuarantineTimes.at(relapses);
+    known.forget_at = known.quarantined_until + kRelapseTime;
+  }
+}
+
+auto request_quarantine::RecordStart(request_hash content, time_point now)
+    -> void {
+  const auto found = records_.find(content);
+  if (found != records_.end() && found->second.crashes.size() >= kMinCrashes) {
+    found->second.quarantined_until = now + kTrialTime;
+  }
+}
+
+auto request_quarantine::RecordAnswer(request_hash content, time_point now)
+    -> void {
+  const auto found = records_.find(content);
+  if (found == records_.end()) {
+    return;
+  }
+  if (now >= found->second.quarantined_until) {
+    records_.erase(found);
+    return;
+  }
+  found->second = {.crashes = {},
+                   .quarantined_until = {},
+                   .refuted_until = now + kRefutedTtl,
+                   .forget_at = now + kRefutedTtl};
+}
+
+auto request_quarantine::Merge(std::span<const quarantined_request> found,
+                               time_point now) -> void {
+  for (const auto& entry : found) {
+    if (records_.size() >= kMaxRequests && !records_.contains(entry.content)) {
+      continue;
+    }
+    auto& known = records_[entry.content];
+    if (now >= known.refuted_until) {
+      known.quarantined_until = std::max(known.quarantined_until, entry.until);
+      known.forget_at = std::max(known.forget_at, entry.until);
+    }
+  }
+}
+
+auto request_quarantine::Replace(std::span<const quarantined_request> found,
+                                 time_point now) -> void {
+  records_.clear();
+  Merge(found, now);
+}
+
+auto request_quarantine::Contains(request_hash content, time_point now) const
+    -> bool {
+  const auto found = records_.find(content);
+  return found != records_.end() && now < found->second.quarantined_until;
+}
+
+auto request_quarantine::Entries(time_point now) const
+    -> std::vector<quarantined_request> {
+  std::vector<quarantined_request> entries;
+  for (const auto& [content, known] : records_) {
+    if (now < known.quarantined_until && entries.size() < kMaxQuarantined) {
+      entries.push_back({content, known.quarantined_until});
+    }
+  }
+  return entries;
+}
+
+auto request_quarantine::Prune(time_point now) -> void {
+  std::erase_if(records_, [now](const auto& entry) {
+    return now >= entry.second.forget_at;
+  });
+}
+
 }  // namespace dogwood
--- a/src/dispatch_type.h
+++ b/src/dispatch_type.h
@@ -3,6 +3,7 @@
 #define SRC_DISPATCH_TYPE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
   /** Servers to which the host has idle connections that it may use. */
   std::vector<server_id> connected;
   prompt_parts prompt;  ///< Empty for batch work and if none is named.
+  /** Hash of the request; empty for batch work. */
+  std::optional<request_hash> content;
 };
 
 /** Outcome of a placement request. */
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -212,9 +212,10 @@
       .latest_start = now + kPlacementRequestTtl,
       .avoided = {},
       .connected = ConnectedServers(host_, queued->service, true),
-      // An item is owed however often servers crash under it, so its prompt
+      // An item is owed however often servers crash under it, so its content
       // is neither held against it nor proof that others are sound.
-      .prompt = {}};
+      .prompt = {},
+      .content = {}};
   ++awaiting_slot_;
   auto placed = co_await host_.placement->Place(std::move(request));
   --awaiting_slot_;
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -83,7 +83,7 @@
     case kNoServer:
       return "service has no server";
     case kQuarantined:
-      return "a part of the prompt crashes servers";
+      return "the request or a part of its prompt crashes servers";
     default:
       return "no slot is free in time";
   }
@@ -206,7 +206,8 @@
             .latest_start = limits.latest_start,
             .avoided = std::move(avoided),
             .connected = ConnectedServers(host_, service_, IsRepeatable()),
-            .prompt = caller_.prompt};
+            .prompt = caller_.prompt,
+            .content = content_};
   }
 
   /** Returns the slot on which the request moves on, or asks for one. */
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -75,6 +75,7 @@
     const auto age = [now](const feed_position& position) {
       return std::chrono::duration<double>(now - position.confirmed).count();
     };
+    const auto quarantine = host.placement->Quarantine();
     http_response response;
     response.headers.Set("Content-Type", "text/plain; version=0.0.4");
     response.body = host.metrics.Print(
@@ -107,8 +108,8 @@
          {"dogwood_removals_expired", count(host.feed.expired_removals)},
          {"dogwood_servers_announced_leaving",
           count(host.feed.announced_leaving)},
-         {"dogwood_prompts_quarantined",
-          count(host.placement->QuarantinedCount())},
+         {"dogwood_prompts_quarantined", count(quarantine.parts.size())},
+         {"dogwood_requests_quarantined", count(quarantine.requests.size())},
          {"dogwood_draining", host.draining ? 1 : 0}});
     response.body += PrintLinkTotals();
     co_await exchange.Respond(std::move(response));
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -93,6 +93,7 @@
     message.prompt.push_back(part.value);
   }
   message.prompt_own = request.prompt.own.value;
+  message.content = request.content.value_or(request_hash()).value;
   return message;
 }
 
@@ -113,7 +114,9 @@
       .latest_start = now + microseconds(message.useless_after_us),
       .avoided = {},
       .connected = {},
-      .prompt = {.shared = {}, .own = prompt_part_id(message.prompt_own)}};
+      .prompt = {.shared = {}, .own = prompt_part_id(message.prompt_own)},
+      .content = message.batch ? std::nullopt
+                               : std::optional(request_hash(message.content))};
   for (const auto& server : message.avoided) {
     request.avoided.emplace_back(server);
   }
@@ -126,29 +129,39 @@
   return request;
 }
 
-/** Parts of prompts under quarantine, as carried by messages. */
-using wire_quarantine = std::vector<std::unique_ptr<wire::quarantined_rowT>>;
-
-auto EncodeQuarantine(const std::vector<quarantined_part>& parts,
-                      time_point now) -> wire_quarantine {
-  wire_quarantine rows;
-  for (const auto& entry : parts) {
+/** Adds what is under quarantine to a held_requestT or held_replyT. */
+template <typename Message>
+auto EncodeQuarantine(const quarantine_entries& entries,
+                      time_point now,
+                      Message& message) -> void {
+  for (const auto& entry : entries.parts) {
     auto row = std::make_unique<wire::quarantined_rowT>();
     row->part = entry.part.value;
     row->remaining_us = MicrosUntil(entry.until, now);
-    rows.push_back(std::move(row));
+    message.quarantine.push_back(std::move(row));
+  }
+  for (const auto& entry : entries.requests) {
+    auto row = std::make_unique<wire::quarantined_request_rowT>();
+    row->content = entry.content.value;
+    row->remaining_us = MicrosUntil(entry.until, now);
+    message.quarantined_requests.push_back(std::move(row));
   }
-  return rows;
 }
 
-auto DecodeQuarantine(const wire_quarantine& rows, time_point now)
-    -> std::vector<quarantined_part> {
-  std::vector<quarantined_part> parts;
-  for (const auto& row : rows) {
-    parts.push_back(
+/** Returns what is under quarantine according to such a message. */
+template <typename Message>
+auto DecodeQuarantine(const Message& message, time_point now)
+    -> quarantine_entries {
+  quarantine_entries entries;
+  for (const auto& row : message.quarantine) {
+    entries.parts.push_back(
         {prompt_part_id(row->part), now + microseconds(row->remaining_us)});
   }
-  return parts;
+  for (const auto& row : message.quarantined_requests) {
+    entries.requests.push_back(
+        {request_hash(row->content), now + microseconds(row->remaining_us)});
+  }
+  return entries;
 }
 
 /** Request counts of servers, as carried by messages. */
@@ -218,7 +231,7 @@
     -> asio::awaitable<placement_answer> {
   request.host = host_id(host_.self.name);
   std::optional<placement_answer> answer;
-  if (dispatcher_.IsQuarantined(request.prompt, clock::now())) {
+  if (dispatcher_.IsQuarantined(request, clock::now())) {
     answer = placement_answer{.verdict = placement_verdict::kQuarantined,
                               .server = {},
                               .retry_at = request.latest_start};
@@ -478,22 +491,38 @@
 }
 
 auto placement_service::LogQuarantine(time_point now) -> void {
-  std::set<prompt_part_id> current;
-  for (const auto& entry : dispatcher_.Quarantine(now)) {
-    current.insert(entry.part);
-    if (!logged_quarantine_.contains(entry.part)) {
+  const auto entries = dispatcher_.Quarantine(now);
+  quarantine_log current;
+  for (const auto& entry : entries.parts) {
+    current.parts.insert(entry.part);
+    if (!logged_quarantine_.parts.contains(entry.part)) {
       LogEvent(log_level::kWarning, log_category::kRoute, "prompt_quarantined",
                {{"part", entry.part.value},
                 {"dispatcher", is_dispatcher_},
                 {"ms", MicrosUntil(entry.until, now) / 1000}});
     }
   }
-  for (const auto part : logged_quarantine_) {
-    if (!current.contains(part)) {
+  for (const auto& entry : entries.requests) {
+    current.requests.insert(entry.content);
+    if (!logged_quarantine_.requests.contains(entry.content)) {
+      LogEvent(log_level::kWarning, log_category::kRoute, "request_quarantined",
+               {{"content", entry.content.value},
+                {"dispatcher", is_dispatcher_},
+                {"ms", MicrosUntil(entry.until, now) / 1000}});
+    }
+  }
+  for (const auto part : logged_quarantine_.parts) {
+    if (!current.parts.contains(part)) {
       LogEvent(log_level::kInfo, log_category::kRoute, "prompt_released",
                {{"part", part.value}});
     }
   }
+  for (const auto content : logged_quarantine_.requests) {
+    if (!current.requests.contains(content)) {
+      LogEvent(log_level::kInfo, log_category::kRoute, "request_released",
+               {{"content", content.value}});
+    }
+  }
   logged_quarantine_ = std::move(current);
 }
 
@@ -566,7 +595,7 @@
       entry->tokens = row.tokens;
       request.waiting.push_back(std::move(entry));
     }
-    request.quarantine = EncodeQuarantine(dispatcher_.Quarantine(now), now);
+    EncodeQuarantine(dispatcher_.Quarantine(now), now, request);
     for (const auto& id : host_.registrations->AnnouncedLeaving()) {
       request.leaving.push_back(id.value);
     }
@@ -592,7 +621,7 @@
     co_return;
   }
   if (!to.address.empty()) {
-    dispatcher_.ReplaceQuarantine(DecodeQuarantine(reply.quarantine, answered));
+    dispatcher_.ReplaceQuarantine(DecodeQuarantine(reply, answered), answered);
   }
   if (candidate_.name == to.name && active_.name != to.name) {
     Log(log_level::kInfo, log_category::kRoute,
@@ -665,7 +694,7 @@
   for (const auto& id : request.leaving) {
     host_.registrations->RecordLeaving(server_id(id));
   }
-  dispatcher_.MergeQuarantine(DecodeQuarantine(request.quarantine, now), now);
+  dispatcher_.MergeQuarantine(DecodeQuarantine(request, now), now);
   dispatcher_.ReconcileHeldSlots(host_id(request.host), held, now);
   dispatcher_.RecordReportedLoads(DecodeCounts(request.told), now);
   waiting_report waiting{.rows = {}, .last_grant = request.last_grant};
@@ -676,7 +705,7 @@
   quota_.Report(host_id(request.host), std::move(waiting), now + kWaitingTtl);
   wire::held_replyT reply;
   reply.ready = dispatcher_.IsReady(now);
-  reply.quarantine = EncodeQuarantine(dispatcher_.Quarantine(now), now);
+  EncodeQuarantine(dispatcher_.Quarantine(now), now, reply);
   if (request.wants_loads) {
     reply.loads = EncodeCounts(dispatcher_.Counts());
   }
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -79,9 +79,10 @@
   auto WaitingCount(work_class work) const -> std::size_t {
     return dispatcher_.WaitingCount(work);
   }
-  /** Number of parts of prompts that are known to crash servers. */
-  auto QuarantinedCount() const -> std::size_t {
-    return dispatcher_.Quarantine(clock::now()).size();
+  /** Returns the requests and parts of prompts that are known to crash servers.
+   */
+  auto Quarantine() const -> quarantine_entries {
+    return dispatcher_.Quarantine(clock::now());
   }
   /** Number of requests on servers that were not placed by this dispatcher. */
   auto ExternalCount() const -> std::size_t {
@@ -129,7 +130,12 @@
   auto SendPreemptions() -> void;
   auto FlushEnds() -> boost::asio::awaitable<void>;
   auto QueueEnd(const run_end_report& end) -> void;
-  /** Logs the parts of prompts that came under quarantine or left it. */
+  /** What was under quarantine when it was last logged. */
+  struct quarantine_log {
+    std::set<prompt_part_id> parts;
+    std::set<request_hash> requests;
+  };
+  /** Logs what has come under quarantine or left it. */
   auto LogQuarantine(time_point now) -> void;
   auto RunTicker() -> boost::asio::awaitable<void>;
   auto RunReports() -> boost::asio::awaitable<void>;
@@ -160,7 +166,7 @@
   target candidate_;
   std::vector<run_end_report> ends_;
   std::vector<ticket_id> withdrawn_;
-  std::set<prompt_part_id> logged_quarantine_;
+  quarantine_log logged_quarantine_;
   bool flushing_ = false;
 };
 
--- a/src/prompt_type.h
+++ b/src/prompt_type.h
@@ -13,8 +13,8 @@
 /** Hash of the name of a part of a prompt. */
 using prompt_part_id = strong<struct prompt_part_tag, std::uint64_t>;
 
-/** Hash of the workspace, path and body of a request: the same whenever the same
- * request comes again, from whatever connection and at any host. */
+/** Hash of the workspace, path and body of a request: the same whenever the
+ * same request comes again, from whatever connection and at any host. */
 using request_hash = strong<struct request_hash_tag, std::uint64_t>;
 
 /** Parts of the prompt of a request. */
@@ -33,6 +33,12 @@
   time_point until;  ///< Requests with it are refused until then.
 };
 
+/** A request that has crashed servers. */
+struct quarantined_request {
+  request_hash content;
+  time_point until;  ///< It is refused until then.
+};
+
 }  // namespace dogwood
 
 #endif  // SRC_PROMPT_TYPE_H_
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -60,7 +60,8 @@
           .latest_start = now + seconds(5),
           .avoided = {},
           .connected = {},
-          .prompt = {}};
+          .prompt = {},
+          .content = {}};
 }
 
 }  // namespace dogwood::testing
--- a/tests/dispatch_quarantine_test.cc
+++ b/tests/dispatch_quarantine_test.cc
@@ -2,7 +2,10 @@
  * that crashes each server that begins to answer it. */
 #include <rapidcheck.h>
 
+#include <map>
 #include <random>
+#include <set>
+#include <vector>
 
 #include "tests/dispatch_fixture.h"
 
@@ -111,6 +114,134 @@
   time_point fifth_crash_;
 };
 
+/** Load of sound requests with one that crashes each server and comes again, at
+ * a dispatcher and servers that are down for a while after a crash. */
+class repeated_crash_simulation {
+ public:
+  explicit repeated_crash_simulation(std::uint64_t seed)
+      : random_(seed), dispatcher_({}, seed) {
+    dispatcher_.SetServers(Servers(18), Regions());
+    dispatcher_.Start(now_ - seconds(1));
+  }
+
+  /** Sends one request in each of `steps` steps of 10 ms, each twentieth of
+   * them the harmful one. */
+  auto Run(int steps) -> void {
+    for (int i = 0; i < steps; ++i) {
+      now_ += milliseconds(10);
+      dispatcher_.ReconcileHeldSlots(host_id("h"), Held(), now_);
+      EndRuns();
+      dispatcher_.Advance(now_);
+      const bool is_harmful = random_() % 20 == 0;
+      Send(is_harmful ? kHarmfulContent : request_hash(1000 + random_()));
+      TakeNotices();
+    }
+  }
+
+  int harmful_runs = 0;
+  int late_harmful = 0;  ///< Later than kStableWindow after the third crash.
+  std::set<request_hash> refused_sound;
+
+ private:
+  static constexpr request_hash kHarmfulContent{1};
+  struct run {
+    request_hash content;
+    server_id server;
+    time_point end;
+  };
+
+  auto Held() const -> std::vector<held_slot> {
+    std::vector<held_slot> held;
+    for (const auto& [ticket, running] : runs_) {
+      held.push_back({ticket, running.server, work_class::kOnline});
+    }
+    return held;
+  }
+
+  auto Send(request_hash content) -> void {
+    const auto number = next_ticket_++;
+    auto request = MakeRequest(number, work_class::kOnline, now_);
+    request.content = content;
+    asked_[ticket_id(number)] = content;
+    dispatcher_.RequestSlot(request, {}, now_);
+  }
+
+  auto TakeNotices() -> void {
+    for (const auto& notice : dispatcher_.DrainNotices()) {
+      const auto content = asked_.at(notice.ticket);
+      if (notice.answer.verdict == placement_verdict::kQuarantined &&
+          content != kHarmfulContent) {
+        refused_sound.insert(content);
+      }
+      if (notice.answer.verdict == placement_verdict::kGranted) {
+        Start(notice.ticket, content, notice.answer.server);
+      }
+    }
+  }
+
+  auto Start(ticket_id ticket, request_hash content, const server_id& server)
+      -> void {
+    if (now_ < down_until_[server]) {
+      dispatcher_.End(host_id("h"), {ticket, run_outcome::kUnreachable}, now_);
+      return;
+    }
+    const bool is_harmful = content == kHarmfulContent;
+    if (is_harmful) {
+      late_harmful += harmful_runs >= 3 && now_ > third_crash_ + kStableWindow;
+      if (++harmful_runs == 3) {
+        third_crash_ = now_;
+      }
+    }
+    const auto length = milliseconds(is_harmful ? 50 : 100 + random_() % 400);
+    runs_[ticket] = {content, server, now_ + length};
+  }
+
+  /** Ends the runs that are due; a harmful one ends all of its server. */
+  auto EndRuns() -> void {
+    for (const auto& [ticket, running] : runs_) {
+      if (running.content == kHarmfulContent && now_ >= running.end) {
+        down_until_[running.server] = now_ + seconds(3);
+      }
+    }
+    std::vector<request_hash> again;
+    std::erase_if(runs_, [&](const auto& entry) {
+      const auto& [ticket, running] = entry;
+      if (now_ < down_until_[running.server]) {
+        dispatcher_.End(host_id("h"), {ticket, run_outcome::kFailed, true},
+                        now_);
+        again.push_back(running.content);
+        return true;
+      }
+      if (now_ >= running.end) {
+        dispatcher_.End(host_id("h"), {ticket, run_outcome::kComplete}, now_);
+        return true;
+      }
+      return false;
+    });
+    for (const auto content : again) {
+      Send(content);
+    }
+  }
+
+  std::mt19937_64 random_;
+  dispatcher dispatcher_;
+  std::uint64_t next_ticket_ = 0;
+  std::map<ticket_id, request_hash> asked_;
+  std::map<ticket_id, run> runs_;
+  std::map<server_id, time_point> down_until_;
+  time_point now_ = Begin();
+  time_point third_crash_;
+};
+
+/** Puts a request under quarantine by crashes of different servers. */
+auto Quarantined(request_hash content) -> request_quarantine {
+  request_quarantine quarantine;
+  for (unsigned i = 0; i < 3; ++i) {
+    quarantine.RecordCrash(content, Server(i), Begin());
+  }
+  return quarantine;
+}
+
 }  // namespace
 
 // Guards against requests of one kind that crash servers one after the other,
@@ -125,6 +256,55 @@
   cr_assert(ok);
 }
 
+// Guards against one request that comes again and crashes server after server,
+// and against sound requests that are refused because they were there.
+Test(dispatch_quarantine, a_harmful_request_is_kept_away) {
+  const bool ok = rc::check("the harmful request reaches few servers", [] {
+    repeated_crash_simulation load(*rc::gen::arbitrary<std::uint64_t>());
+    load.Run(2000);
+    RC_ASSERT(load.harmful_runs >= 3);
+    RC_ASSERT(load.late_harmful <= 3);
+    RC_ASSERT(load.refused_sound.empty());
+  });
+  cr_assert(ok);
+}
+
+// Guards against a request that is refused for long although it is sound: it
+// was there when several servers were lost at once.
+Test(dispatch_quarantine, an_answer_frees_a_request) {
+  const request_hash content(7);
+  auto first = Quarantined(content);
+  auto second = first;
+  cr_assert(first.Contains(content, Begin()));
+  first.RecordAnswer(content, Begin());
+  cr_assert_not(first.Contains(content, Begin()));
+  first.Merge(second.Entries(Begin()), Begin() + seconds(1));
+  cr_assert_not(first.Contains(content, Begin() + seconds(1)));
+  for (unsigned i = 0; i < 2; ++i) {
+    first.RecordCrash(content, Server(i), Begin() + seconds(60));
+  }
+  cr_assert_not(first.Contains(content, Begin() + seconds(60)));
+}
+
+// Guards against a request that reaches many servers at the end of its
+// quarantine: it is tried by one run, and kept away for longer if that crashes.
+Test(dispatch_quarantine, a_request_is_tried_again_by_one_run) {
+  const request_hash content(7);
+  auto quarantine = Quarantined(content);
+  auto now = Begin() + std::chrono::minutes(1);
+  cr_assert_not(quarantine.Contains(content, now));
+  quarantine.RecordStart(content, now);
+  cr_assert(quarantine.Contains(content, now + seconds(1)));
+  quarantine.RecordCrash(content, Server(9), now + seconds(1));
+  cr_assert(quarantine.Contains(content, now + std::chrono::minutes(9)));
+  now += std::chrono::minutes(11);
+  quarantine.RecordStart(content, now);
+  quarantine.RecordCrash(content, Server(9), now);
+  cr_assert(quarantine.Contains(content, now + std::chrono::hours(23)));
+  quarantine.RecordStart(request_hash(8), now);
+  cr_assert_not(quarantine.Contains(request_hash(8), now));
+}
+
 // One request alone may crash servers by what no other request holds.
 Test(dispatch_quarantine, one_request_condemns_no_shared_part) {
   prompt_quarantine quarantine;
--- a/tests/site_helper.py
+++ b/tests/site_helper.py
@@ -201,6 +201,8 @@
             print(f"-- {host.log_path.name}")
             print("\n".join(host.log_path.read_text(errors="replace").splitlines()[-15:]))
         for engine in self.engines:
+            for task in engine.tasks:  # Crashed engines would start again.
+                task.cancel()
             await engine.http.stop()
         await self.store.http.stop()
 
--- a/tests/site_quarantine.py
+++ b/tests/site_quarantine.py
@@ -91,7 +91,8 @@
             engine.deadly_part = DEADLY
 
         async def is_found():
-            await fleet.ask(fleet.hosts[0], "stream", X_Prompt_Prefix=prompt(fleet, DEADLY))
+            await fleet.ask(fleet.hosts[0], "stream", body=fleet.new_id("b").encode(),
+                            X_Prompt_Prefix=prompt(fleet, DEADLY))
             text = (await sh.call(fleet.hosts[0].ip, sh.METRICS, "GET", "/metrics", limit=2)).body.decode()
             return "dogwood_prompts_quarantined 1\n" in text
         await sh.until(is_found, "the part is under quarantine")
