Decide nothing about a batch job by a state older than the job

Cause: the owner of the partition had not heard of the route yet and took it for a removed one. It could not tell, since neither its call nor the record of the submission named the state under which the job was accepted. Evidence: item_abandoned of all items within 50 ms, and state_applied of the version with the route on the same host a second later.

Change: a submission carries the version of the declared state. Items of a job that is newer than the host's state wait; they neither expire nor run by an older route. An owner without the route waits for it before it checks the room for waiting tokens, and the host that got the job accepts it in its place after 200 ms, as for a silent owner.

Same cause looked for: expiry, services and room of queued items (fixed here); routes and keys of online requests, limits of the dispatcher and servers of new services decide by the state that is in force at the host, which configApplyMs bounds, and are unchanged.

--- a/src/batch_record.cc
+++ b/src/batch_record.cc
@@ -100,6 +100,7 @@
                      {"host", submission.host},
                      {"path", submission.path},
                      {"submitted", submission.submitted.value},
+                     {"state_version", submission.accepted_under.value},
                      {"items", std::move(items)}},
                     bodies);
 }
@@ -116,6 +117,7 @@
       .host = std::string(TextField(line, "host")),
       .path = std::string(TextField(line, "path")),
       .submitted = unix_ms(NumberField(line, "submitted")),
+      .accepted_under = state_version(NumberField(line, "state_version")),
       .items = {}};
   auto rest = bodies;
   const auto* items = line.if_contains("items");
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "src/deployment_type.h"
 #include "src/http_type.h"
 #include "src/job_type.h"
 #include "src/unit_type.h"
@@ -28,9 +29,12 @@
 struct batch_submission {
   batch_id id;  ///< Chosen by the caller; the same in each resend.
   workspace_id workspace;
-  std::string host;               ///< Host name of the route.
-  std::string path;               ///< Path that the job was submitted to.
-  unix_ms submitted;              ///< Time of the first arrival.
+  std::string host;   ///< Host name of the route.
+  std::string path;   ///< Path that the job was submitted to.
+  unix_ms submitted;  ///< Time of the first arrival.
+  /** Version of the declared state whose route accepted the job; 0 if it was
+   * not recorded. */
+  state_version accepted_under;
   std::vector<batch_item> items;  ///< In order of submission.
 };
 
--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -149,7 +149,8 @@
   std::map<batch_quota_key, std::uint64_t> rows;
   for (const auto& [id, partition] : partitions_) {
     for (const auto& [job_id, job] : partition->projection.Jobs()) {
-      const auto* route = job.IsClosed() ? nullptr : RouteOf(job.submission);
+      const auto* route =
+          job.IsClosed() ? nullptr : KnownRouteOf(job.submission);
       if (route != nullptr && route->waiting_tokens_limit > 0) {
         rows[{job.submission.workspace, route->id}] += job.OpenTokens();
       }
@@ -167,9 +168,17 @@
   return report;
 }
 
+auto batch_service::AwaitRoute(const batch_submission& submission,
+                               time_point deadline) -> asio::awaitable<void> {
+  while (IsBehind(submission) && KnownRouteOf(submission) == nullptr &&
+         clock::now() < deadline) {
+    co_await host_.feed_changed.Wait(deadline);
+  }
+}
+
 auto batch_service::ReserveRoom(const batch_submission& submission)
     -> asio::awaitable<bool> {
-  const auto* route = RouteOf(submission);
+  const auto* route = KnownRouteOf(submission);
   if (route == nullptr || route->waiting_tokens_limit == 0) {
     co_return true;
   }
@@ -234,6 +243,7 @@
     }
   }
   if (record == nullptr) {
+    co_await AwaitRoute(submission, deadline);
     const bool has_room = co_await ReserveRoom(submission);
     if (partition->projection.Find(job) != nullptr) {
       co_return JsonResponse(202, "{}");
@@ -524,12 +534,14 @@
           items ? "submission has no name" : items.error().message));
       co_return;
     }
-    call.body = EncodeSubmission({.id = batch_id(call.job),
-                                  .workspace = workspace,
-                                  .host = caller.host,
-                                  .path = caller.path,
-                                  .submitted = UnixNow(),
-                                  .items = std::move(items.value())});
+    call.body =
+        EncodeSubmission({.id = batch_id(call.job),
+                          .workspace = workspace,
+                          .host = caller.host,
+                          .path = caller.path,
+                          .submitted = UnixNow(),
+                          .accepted_under = host.deployment->state().version,
+                          .items = std::move(items.value())});
   }
   call.partition =
       PartitionOf(batch_id(call.job), host.options.partitions_per_topic).value;
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -174,6 +174,10 @@
                       const batch_submission& submission,
                       time_point deadline)
       -> boost::asio::awaitable<http_response>;
+  /** Waits until this host knows the route of a job, at most until `deadline`.
+   */
+  auto AwaitRoute(const batch_submission& submission, time_point deadline)
+      -> boost::asio::awaitable<void>;
   /** Asks for room for a job within its workspace's limit of waiting tokens.
    * Returns false if there is none. */
   auto ReserveRoom(const batch_submission& submission)
@@ -205,6 +209,15 @@
                   const partition_ptr& partition,
                   std::uint64_t last_event,
                   const std::string& output) -> void;
+  /** Whether the declared state that this host knows is older than the one
+   * under which a job was accepted. Such a state decides nothing about it. */
+  auto IsBehind(const batch_submission& submission) const -> bool;
+  /** Returns the route of a job in the declared state that this host knows;
+   * nullptr if there is none. */
+  auto KnownRouteOf(const batch_submission& submission) const
+      -> const route_rule*;
+  /** Returns the route by which a job's items may run; nullptr if this host is
+   * behind the job's state or the route has been removed. */
   auto RouteOf(const batch_submission& submission) const -> const route_rule*;
   auto FindJob(const batch_item_ref& ref) -> const batch_job*;
 
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -98,18 +98,37 @@
   }
 }
 
-auto batch_service::RouteOf(const batch_submission& submission) const
+auto batch_service::IsBehind(const batch_submission& submission) const -> bool {
+  return host_.deployment == nullptr ||
+         host_.deployment->state().version < submission.accepted_under;
+}
+
+auto batch_service::KnownRouteOf(const batch_submission& submission) const
     -> const route_rule* {
   return host_.deployment == nullptr
              ? nullptr
              : host_.deployment->FindRoute(submission.host, submission.path);
 }
 
+auto batch_service::RouteOf(const batch_submission& submission) const
+    -> const route_rule* {
+  return IsBehind(submission) ? nullptr : KnownRouteOf(submission);
+}
+
 auto batch_service::QueueItems(partition_id id, const batch_job& job) -> void {
   if (job.IsClosed()) {
     return;
   }
   const auto* route = RouteOf(job.submission);
+  if (IsBehind(job.submission)) {
+    const auto version = host_.deployment == nullptr
+                             ? 0
+                             : host_.deployment->state().version.value;
+    LogEvent(log_level::kInfo, log_category::kJob, "job_awaits_state",
+             {{"job", job.submission.id.value},
+              {"accepted_under", job.submission.accepted_under.value},
+              {"state_version", version}});
+  }
   for (const auto& item : job.submission.items) {
     if (job.listed.contains(item.id)) {
       continue;
@@ -188,7 +207,7 @@
     queue_.Remove(ref);
     co_return;
   }
-  if (host_.deployment == nullptr) {
+  if (IsBehind(job->submission)) {
     queue_.Requeue(ref, clock::now() + kFailedRunBackoff);
     co_return;
   }
--- a/tests/batch_test.cc
+++ b/tests/batch_test.cc
@@ -24,6 +24,7 @@
                               .host = "h",
                               .path = "/p/",
                               .submitted = unix_ms(1000),
+                              .accepted_under = state_version(7),
                               .items = {}};
   for (std::size_t i = 0; i < count; ++i) {
     batch_item item{.id = batch_item_id(name + "-" + std::to_string(i)),
--- a/tests/site_helper.py
+++ b/tests/site_helper.py
@@ -97,6 +97,12 @@
             self.process.send_signal(how)
             await self.process.wait()
 
+    async def metric(self, name):
+        """Returns the value of a metric; None if the host does not tell it."""
+        text = (await call(self.ip, METRICS, "GET", "/metrics", limit=2)).body.decode()
+        values = [line.split(" ")[1] for line in text.splitlines() if line.startswith(name + " ")]
+        return float(values[0]) if values else None
+
     async def is_ready(self):
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             return (await call(self.ip, READY, "GET", "/api/ready", limit=1)).status == 200
@@ -237,16 +243,17 @@
                             X_Attempt_Id=attempt, X_Deadline_Ms=8000, X_Key=KEY)
         return attempt, answer
 
-    async def submit(self, host, job, items, kinds=(), key=KEY, **headers):
-        """Submits a job of `items` items; `kinds` holds the paths of the first
-        ones, such as "poison", and `headers` those of all items."""
+    async def submit(self, host, job, items, kinds=(), key=KEY, route="job", body=b"item", **headers):
+        """Submits a job of `items` items with the same body; `kinds` holds the
+        paths of the first ones, such as "poison", and `headers` those of all
+        items."""
         listed = []
         for i in range(items):
             path = kinds[i] if i < len(kinds) else "x"
-            listed.append({"id": f"{job}-{i}", "path": f"/job/{path}",
+            listed.append({"id": f"{job}-{i}", "path": f"/{route}/{path}",
                            "headers": {"X-Model": "m", **{k.replace("_", "-"): v for k, v in headers.items()}},
-                           "body": base64.b64encode(b"item").decode(), "tokens": 10})
-        return await call(host.ip, FRONT, "POST", f"/job/{job}", json.dumps({"items": listed}).encode(),
+                           "body": base64.b64encode(body).decode(), "tokens": 10})
+        return await call(host.ip, FRONT, "POST", f"/{route}/{job}", json.dumps({"items": listed}).encode(),
                           Host=HOST_NAME, X_Attempt_Id=job, X_Key=key)
 
     async def results(self, host, job, after=0, key=KEY):
@@ -281,6 +288,15 @@
         return sum(seen[0] == attempt for engine in self.engines for seen in engine.seen)
 
 
+def assign_all(fleet, member):
+    """Assigns every partition to one member, as the store may do at any time.
+    From then on only the test moves partitions."""
+    fleet.store.assign_partitions = lambda group, topics: None
+    group = fleet.store.groups["dogwood-hosts"]
+    group["owners"] = dict.fromkeys(group["owners"], member)
+    group["generation"] += 1
+
+
 def expected_events(attempt):
     """Returns (id, data) of every event of a request's stream."""
     return [(e, stand_in.event_data(attempt, e)) for e in range(1, stand_in.event_count(attempt) + 1)]
--- a/tests/site_owner.py
+++ b/tests/site_owner.py
@@ -10,13 +10,6 @@
 import site_helper as sh
 
 
-def assign_all(fleet, member):
-    """Assigns every partition to one member, as the store may do at any time."""
-    group = fleet.store.groups["dogwood-hosts"]
-    group["owners"] = dict.fromkeys(group["owners"], member)
-    group["generation"] += 1
-
-
 async def killed_owner():
     async with sh.Fleet("killed_owner") as fleet:
         jobs = [fleet.new_id("job") for _ in range(9)]
@@ -44,11 +37,10 @@
     async with sh.Fleet("unnoticed_return", hosts=2) as fleet:
         first, second = fleet.hosts
         store = fleet.store
-        store.assign_partitions = lambda group, topics: None  # Only the test moves partitions.
-        assign_all(fleet, first.member)
+        sh.assign_all(fleet, first.member)
         await asyncio.sleep(1.5)
         store.refused_members.add(first.member)
-        assign_all(fleet, second.member)
+        sh.assign_all(fleet, second.member)
         # Longer than the lifetime of a membership: the second host knows that
         # it is the owner, the first may not know that it has lost the
         # partitions.
@@ -62,7 +54,7 @@
             # The first host still considers itself the owner.
             answer = await fleet.results(first, job)
             sh.check(answer.status in (200, 503), f"stale owner: {answer}")
-        assign_all(fleet, first.member)
+        sh.assign_all(fleet, first.member)
         store.refused_members.clear()
         await asyncio.sleep(1.5)
         for job in jobs:
@@ -77,8 +69,7 @@
     async with sh.Fleet("lost_while_loading", hosts=2) as fleet:
         first, second = fleet.hosts
         store = fleet.store
-        store.assign_partitions = lambda group, topics: None  # Only the test moves partitions.
-        assign_all(fleet, second.member)
+        sh.assign_all(fleet, second.member)
         await asyncio.sleep(2)
         for engine in fleet.engines:
             engine.silent_after = 1
@@ -86,12 +77,12 @@
             answer = await fleet.submit(second, f"job{i}", 8)
             sh.check(answer.status == 202, f"job {i}: {answer}")
         store.read_delay_s = 1.3  # Longer than the interval between two joins.
-        assign_all(fleet, first.member)
+        sh.assign_all(fleet, first.member)
         await asyncio.sleep(0.75)
-        assign_all(fleet, second.member)
+        sh.assign_all(fleet, second.member)
         await asyncio.sleep(3)
         store.read_delay_s = 0
-        assign_all(fleet, first.member)
+        sh.assign_all(fleet, first.member)
         for engine in fleet.engines:
             engine.silent_after = None
         for i in range(4):
@@ -103,8 +94,7 @@
     change of owner, and so take several times as long as one run."""
     async with sh.Fleet("progress_survives", hosts=2) as fleet:
         first, second = fleet.hosts
-        fleet.store.assign_partitions = lambda group, topics: None  # Only the test moves partitions.
-        assign_all(fleet, second.member)
+        sh.assign_all(fleet, second.member)
         await asyncio.sleep(1.5)
         for engine in fleet.engines:
             engine.silent_after = 4
@@ -113,7 +103,7 @@
         await asyncio.sleep(wait_s)
         stopped = time.monotonic()
         await second.end(how)
-        assign_all(fleet, first.member)
+        sh.assign_all(fleet, first.member)
         for engine in fleet.engines:
             engine.silent_after = None
         for item, end, output in await fleet.all_results("job", 4, hosts=[first]):
@@ -131,8 +121,7 @@
     member."""
     async with sh.Fleet("silent_owner", hosts=3) as fleet:
         first, second, third = fleet.hosts
-        fleet.store.assign_partitions = lambda group, topics: None  # Only the test moves partitions.
-        assign_all(fleet, third.member)
+        sh.assign_all(fleet, third.member)
         await asyncio.sleep(1.5)
         third.process.send_signal(signal.SIGSTOP)
         jobs = [fleet.new_id("job") for _ in range(6)]
