End a stream at an event's text only where the format has such an event

Cause: sse_parser keeps back "data: [DONE]" and what follows, as the OpenAI-compatible interface of entryd needs; hostd uses it for streams that end with their body. Evidence: request_end "answered" with last_event 2 while the server had sent all events; the parser is all that lies between.

Change: the rule is a template parameter. sse_parser passes on every event, openai_sse_parser ends at [DONE]; the latter is used for model engines behind entryd only.

The load generator and batchd only read OpenAI-compatible streams.

--- a/src/entryd_relay.cc
+++ b/src/entryd_relay.cc
@@ -69,11 +69,12 @@
 
 /** Relays the events that `data` completes. The response to the caller starts
  * with the first complete event; until then the request can be retried. */
+template <last_event_rule Rule>
 auto PassEvents(entry_state& state,
                 http_exchange& exchange,
                 const proxy_plan& plan,
                 const http_head& head,
-                sse_parser& parser,
+                basic_sse_parser<Rule>& parser,
                 std::string data,
                 relay_progress& progress) -> asio::awaitable<outcome<void>> {
   auto events = ToOutcome([&] { return parser.Feed(data); });
@@ -99,21 +100,20 @@
 
 /** Ends the event stream to the caller after the server's framing has ended.
  * Fails if the stream is incomplete. */
+template <last_event_rule Rule>
 auto FinishEvents(entry_state& state,
                   http_exchange& exchange,
                   const proxy_plan& plan,
                   const http_head& head,
-                  const sse_parser& parser,
+                  const basic_sse_parser<Rule>& parser,
                   const backend_connection& connection,
                   relay_progress& progress) -> asio::awaitable<outcome<void>> {
-  // Only engines mark the end of a stream with [DONE]; for services the end of
-  // the HTTP framing has to do.
-  const bool needs_done = plan.route.kind == offer_kind::kModel;
+  constexpr bool kNeedsLastEvent = !std::same_as<Rule, no_last_event>;
   if (parser.HasPartialEvent()) {
     co_return IncompleteResponse("the stream ended within an event",
                                  connection);
   }
-  if (needs_done && !parser.IsDone()) {
+  if (kNeedsLastEvent && !parser.IsDone()) {
     co_return IncompleteResponse("the stream ended without [DONE]", connection);
   }
   if (!progress.events_begun) {
@@ -124,7 +124,7 @@
     }
   }
   if (parser.IsDone()) {
-    auto written = co_await exchange.WriteChunk(parser.done_event());
+    auto written = co_await exchange.WriteChunk(parser.last_event());
     if (!written) {
       co_return written;
     }
@@ -132,14 +132,15 @@
   co_return co_await exchange.EndStream();
 }
 
-/** Relays a stream of server-sent events. */
+/** Relays a stream of server-sent events that ends by `Rule`. */
+template <last_event_rule Rule>
 auto RelayEvents(entry_state& state,
                  http_exchange& exchange,
                  const proxy_plan& plan,
                  backend_connection& connection,
                  const http_head& head,
                  relay_progress& progress) -> asio::awaitable<outcome<void>> {
-  sse_parser parser;
+  basic_sse_parser<Rule> parser;
   bool is_first = true;
   while (true) {
     const auto deadline = ReadDeadline(state, plan, progress, is_first);
@@ -220,8 +221,14 @@
            http_head head,
            relay_progress& progress) -> asio::awaitable<outcome<void>> {
   if (IsEventStream(head.headers)) {
-    co_return co_await RelayEvents(state, exchange, plan, connection, head,
-                                   progress);
+    // Only engines mark the end of a stream with [DONE]; a service may send
+    // that as any other text.
+    if (plan.route.kind == offer_kind::kModel) {
+      co_return co_await RelayEvents<done_event_is_last>(
+          state, exchange, plan, connection, head, progress);
+    }
+    co_return co_await RelayEvents<no_last_event>(state, exchange, plan,
+                                                  connection, head, progress);
   }
   co_return co_await RelayPlain(state, exchange, plan, connection, head,
                                 progress);
--- a/src/sse_base.cc
+++ b/src/sse_base.cc
@@ -4,7 +4,8 @@
 
 namespace dogwood {
 
-auto sse_parser::ParseLine(std::string_view line) -> void {
+template <last_event_rule Rule>
+auto basic_sse_parser<Rule>::ParseLine(std::string_view line) -> void {
   constexpr std::string_view kField = "data:";
   if (!line.starts_with(kField)) {
     return;
@@ -13,12 +14,13 @@
   if (value.starts_with(' ')) {
     value.remove_prefix(1);
   }
-  if (value == "[DONE]") {
-    event_has_done_ = true;
+  if (Rule::IsLast(value)) {
+    is_last_ = true;
   }
 }
 
-auto sse_parser::Feed(std::string_view data)
+template <last_event_rule Rule>
+auto basic_sse_parser<Rule>::Feed(std::string_view data)
     -> result<std::vector<std::string>> {
   std::vector<std::string> events;
   for (const char c : data) {
@@ -29,8 +31,8 @@
       if (!buffer_.empty()) {
         buffer_ += c;
         line_start_ = buffer_.size();
-      } else if (!done_event_.empty()) {
-        done_event_ += done_event_.ends_with("\r\n\r") ? "\n" : "";
+      } else if (!last_event_.empty()) {
+        last_event_ += last_event_.ends_with("\r\n\r") ? "\n" : "";
       } else if (!events.empty()) {
         events.back() += c;
       }
@@ -47,14 +49,14 @@
       line_start_ = buffer_.size();
       continue;
     }
-    if (event_has_done_ && done_event_.empty()) {
-      done_event_ = std::move(buffer_);
-    } else if (done_event_.empty()) {
+    if (is_last_ && last_event_.empty()) {
+      last_event_ = std::move(buffer_);
+    } else if (last_event_.empty()) {
       events.push_back(std::move(buffer_));
     }
     buffer_.clear();
     line_start_ = 0;
-    event_has_done_ = false;
+    is_last_ = false;
   }
   if (buffer_.size() > kMaxEventBytes) {
     return Fail({.code = error_code::kBadGateway,
@@ -67,4 +69,7 @@
   return events;
 }
 
+template class basic_sse_parser<no_last_event>;
+template class basic_sse_parser<done_event_is_last>;
+
 }  // namespace dogwood
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -493,9 +493,12 @@
     return 5 + sum(attempt.encode()) % 20
 
 
+EVENT_TEXTS = {}  # Texts of some events, by their number.
+
+
 def event_data(attempt, event):
     """Returns the data of one event; the same at every server."""
-    return f"{attempt}/{event}"
+    return EVENT_TEXTS.get(event, f"{attempt}/{event}")
 
 
 def whole_output(attempt):
--- a/tests/proxy_test.cc
+++ b/tests/proxy_test.cc
@@ -52,7 +52,8 @@
 }
 
 /** Feeds `text` to a parser in random pieces and returns the joined events. */
-auto FeedInPieces(sse_parser& parser, std::string_view text) -> std::string {
+auto FeedInPieces(openai_sse_parser& parser, std::string_view text)
+    -> std::string {
   std::string joined;
   while (!text.empty()) {
     const auto size = *rc::gen::inRange<std::size_t>(1, text.size() + 1);
@@ -83,7 +84,7 @@
     sent += RandomEvent(end);
   }
   const auto done = "data: [DONE]" + end + end;
-  sse_parser parser;
+  openai_sse_parser parser;
   const auto received = FeedInPieces(parser, sent + done);
   RC_ASSERT(parser.IsDone());
   RC_ASSERT(!parser.HasPartialEvent());
@@ -92,7 +93,7 @@
   const bool same =
       end == "\n" ? received == sent : WithoutLf(received) == WithoutLf(sent);
   RC_ASSERT(same);
-  sse_parser truncated;
+  openai_sse_parser truncated;
   const auto full = sent + done;
   const auto kept_size = *rc::gen::inRange<std::size_t>(
       0, full.size() - (end.size() == 2 ? 1 : 0));
@@ -206,16 +207,29 @@
        {"data: [DONE]", "data: [DONE]\n", "data: [DONE] \n\n",
         "data: {\"text\":\"[DONE]\"}\n\n", "event: [DONE]\n\n",
         ": data: [DONE]\n\n"}) {
-    sse_parser parser;
+    openai_sse_parser parser;
     const auto events = ToOutcome([&] { return parser.Feed(text); });
     cr_assert(events.has_value());
     cr_assert(!parser.IsDone(), "%s", text);
   }
 }
 
+// Guards against streams that are cut at an event whose text is the end mark of
+// another kind of stream.
+Test(proxy, any_text_is_passed_on_in_streams_that_end_with_their_body) {
+  const std::string sent =
+      "id: 1\ndata: a\n\nid: 2\ndata: [DONE]\n\nid: 3\ndata: b\n\n";
+  sse_parser parser;
+  const auto events = ToOutcome([&] { return parser.Feed(sent); });
+  cr_assert(events.has_value());
+  cr_assert_eq(events->size(), 3U);
+  cr_assert_eq(events->at(0) + events->at(1) + events->at(2), sent);
+  cr_assert(!parser.IsDone());
+}
+
 // Guards against unbounded memory use by a server that sends an endless event.
 Test(proxy, an_endless_event_is_refused) {
-  sse_parser parser;
+  openai_sse_parser parser;
   const std::string text(kMaxEventBytes + 1, 'x');
   const auto events = ToOutcome([&] { return parser.Feed(text); });
   cr_assert(!events.has_value());
--- a/tests/site_stream.py
+++ b/tests/site_stream.py
@@ -59,6 +59,26 @@
         sh.check(len(fleet.engines[0].seen) == before, "a leaving server got new work")
 
 
+async def odd_texts():
+    """Guards against streams and outputs that end as complete at an event with
+    the text [DONE], or lose events whose text resembles the format's own."""
+    texts = ["[DONE]", "id: 99", ": no comment", "event: end", "data: x", " leading space", "\u00e7\u2603", "null", "0"]
+    async with sh.Fleet("odd_texts", hosts=1, engines=1) as fleet:
+        for text in texts:
+            sh.stand_in.EVENT_TEXTS = {3: text}
+            for route in ("stream", "once"):
+                attempt = fleet.new_id()
+                answer = await fleet.ask(fleet.hosts[0], route, attempt)
+                sh.check(answer.status == 200 and answer.is_whole, f"text {text!r}: {answer}")
+                sh.check(answer.events() == expected(attempt), f"text {text!r}: {answer.events()}")
+            job = fleet.new_id("job")
+            answer = await fleet.submit(fleet.hosts[0], job, 2)
+            sh.check(answer.status == 202, f"job {job}: {answer}")
+            for item, end, output in await fleet.all_results(job, 2):
+                sh.check((end, output) == ("done", sh.stand_in.whole_output(item)), f"text {text!r}: {end} {output!r}")
+        sh.stand_in.EVENT_TEXTS = {}
+
+
 async def caller_leaves():
     async with sh.Fleet("caller_leaves", hosts=1, engines=1) as fleet:
         engine = fleet.engines[0]
@@ -96,6 +116,7 @@
     await broken_servers()
     await replaced_server()
     await leaving_server()
+    await odd_texts()
     await caller_leaves()
     await dropped_idle_connections()
 
