Read the fields of events whose lines end with CR

Callers would see: events with CR line ends passed on without their numbers, so that a resumed stream repeats them and items have no text.

Cause: sse_parser ends lines at CR, ParseEventFields() did not. Evidence: the test (number and data of an event with CR line ends), seen to fail before (hostd_test.cc:108) and to pass now.

Change: lines end at CR, LF or both in both places.

--- a/src/sse_func.cc
+++ b/src/sse_func.cc
@@ -25,12 +25,10 @@
 auto ParseEventFields(std::string_view event) -> event_fields {
   event_fields fields;
   while (!event.empty()) {
-    const auto end = event.find('\n');
-    auto line = event.substr(0, end);
+    // A line ends with CR, LF or both; the empty line within CR LF has no field.
+    const auto end = event.find_first_of("\r\n");
+    const auto line = event.substr(0, end);
     event = end == std::string_view::npos ? "" : event.substr(end + 1);
-    if (line.ends_with('\r')) {
-      line.remove_suffix(1);
-    }
     if (const auto id = FieldValue(line, "id")) {
       std::uint64_t number = 0;
       const auto* last = id->data() + id->size();
--- a/tests/hostd_test.cc
+++ b/tests/hostd_test.cc
@@ -104,6 +104,9 @@
   cr_assert_not(ParseEventFields("id:\n\n").id.has_value());
   cr_assert_eq(ParseEventFields("id:7\r\ndata: q\r\n\r\n").data, "q");
   cr_assert_not(ParseEventFields("id: 1\n\n").has_data);
+  const auto ends_with_cr = ParseEventFields("id: 3\rdata: a\rdata: b\r\r");
+  cr_assert(ends_with_cr.id == 3U);
+  cr_assert_eq(ends_with_cr.data, "a\nb");
 }
 
 // Guards against a host that starts with invalid settings.
