Separate texts by a line feed after a resume, also empty ones

Cause: the sink took an empty output for "no event yet". Evidence: the test, in which each run gives one event, listed 'job-0/2\njob-0/3..' before; it passes now.

Change: the sink is told whether the run is resumed.

--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -50,7 +50,10 @@
 /** Appends the data of an item's events to its output. */
 class item_sink : public answer_sink {
  public:
-  explicit item_sink(std::string& output) : output_(output) {}
+  /** `is_resumed` tells that `output` has the data of earlier events, which may
+   * be empty. */
+  item_sink(std::string& output, bool is_resumed)
+      : output_(output), has_data_(is_resumed) {}
 
   auto HandleHead(const http_head&) -> asio::awaitable<bool> override {
     co_return true;
@@ -62,7 +65,7 @@
     for (const auto& event : parsed.value()) {
       const auto fields = ParseEventFields(event);
       if (fields.has_data) {
-        if (has_data_ || !output_.empty()) {
+        if (has_data_) {
           output_ += '\n';
         }
         has_data_ = true;
@@ -74,7 +77,7 @@
 
  private:
   std::string& output_;
-  bool has_data_ = false;
+  bool has_data_;
 };
 
 }  // namespace
@@ -285,7 +288,7 @@
                            .has_head = true};
   std::string output = queued->progress.output;
   const bool is_first_run = progress.last_event == 0;
-  item_sink sink(output);
+  item_sink sink(output, !is_first_run);
   attempt_handle handle;
   runs_[ref] = {&handle, &progress, &output};
   ++running_;
--- a/tests/site_stream.py
+++ b/tests/site_stream.py
@@ -79,6 +79,19 @@
         sh.stand_in.EVENT_TEXTS = {}
 
 
+async def empty_text_before_a_resume():
+    """Guards against a line feed that is lost from an item's output when its
+    run is resumed after an event with an empty text."""
+    async with sh.Fleet("empty_text", hosts=1, engines=1) as fleet:
+        sh.stand_in.EVENT_TEXTS = {1: "", 4: ""}
+        fleet.engines[0].cut_after = 1  # Each run gives one event.
+        answer = await fleet.submit(fleet.hosts[0], "job", 2)
+        sh.check(answer.status == 202, f"job: {answer}")
+        for item, end, output in await fleet.all_results("job", 2):
+            sh.check((end, output) == ("done", sh.stand_in.whole_output(item)), f"{end} {output!r}")
+        sh.stand_in.EVENT_TEXTS = {}
+
+
 async def caller_leaves():
     async with sh.Fleet("caller_leaves", hosts=1, engines=1) as fleet:
         engine = fleet.engines[0]
@@ -117,6 +130,7 @@
     await replaced_server()
     await leaving_server()
     await odd_texts()
+    await empty_text_before_a_resume()
     await caller_leaves()
     await dropped_idle_connections()
 
