Begin nothing that a stopping host cannot finish

Cause: new connections are accepted for 4.5 s after SIGTERM and kept ones bring one more request each until the exit, but nothing compared a request's deadline with the time left. Evidence: "stopped with 6 active requests" without a request_end for them.

Change: LatestDrainStart(), without input or output, decides what may begin. A request that ends by its deadline before the exit is served; a longer one only while callers cannot know of the stop and if twice its typical run fits; all others get 503 at once, as not run, to go elsewhere. Waiting requests are withdrawn when they can no longer be finished, and those that run without an answer get 502 just before the exit.

Same cause looked for: batch calls (refused if their longest answer does not fit; substitutes no longer outlast the submission's deadline), kept connections until the process is gone, long answers that have not begun. entryd refuses every request from SIGTERM on.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -3,7 +3,8 @@
 dogwood_library(deployment SOURCES deployment_journal.cc deployment_query.cc
                 LIBS dogwood_core)
 dogwood_library(dispatch
-                SOURCES dispatch_cmd.cc dispatch_local.cc dispatch_quarantine.cc
+                SOURCES dispatch_cmd.cc dispatch_drain.cc dispatch_local.cc
+                        dispatch_quarantine.cc
                         dispatch_return.cc
                         dispatch_wait.cc
                 LIBS dogwood_core)
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -139,6 +139,7 @@
   /** Bytes of the answers of servers that are being read, without streams. */
   std::size_t buffered_bytes = 0;
   bool draining = false;  ///< Set on SIGTERM.
+  drain_times drain;      ///< Times of the planned stop, set on SIGTERM.
 
   /** Placement of requests on server slots. */
   std::unique_ptr<placement_service> placement;
--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -39,6 +39,10 @@
  * unless its partition's log shows it before: a host that accepts in place of
  * the owner does not see that log. */
 constexpr std::chrono::seconds kAcceptedTokensTtl{5};
+/** Longest time until a call is answered: the link to the owner waits
+ * kReadTimeout longer than the owner. */
+constexpr milliseconds kLongestRead = 2 * kReadTimeout;
+constexpr milliseconds kLongestChange = kSubmitTimeout + kReadTimeout;
 /** Retry-After for callers while the owner of the job cannot serve them. */
 constexpr milliseconds kOwnerRetryAfter{300};
 
@@ -487,14 +491,15 @@
   const auto substitutes =
       SubstituteHosts(host, host.view.OwnerOf(partition_id(call.partition)));
   call.call = static_cast<std::uint8_t>(batch_call_kind::kSubmitForOwner);
-  call.wait_us =
-      std::chrono::duration_cast<std::chrono::microseconds>(kSubstituteTimeout)
-          .count();
   bool may_be_in_log = false;
   for (const auto& member : substitutes) {
-    if (clock::now() >= deadline || IsSettled(owner_answer->response)) {
+    const duration remaining = deadline - clock::now();
+    if (remaining <= duration() || IsSettled(owner_answer->response)) {
       break;
     }
+    call.wait_us = std::chrono::duration_cast<std::chrono::microseconds>(
+                       std::min<duration>(kSubstituteTimeout, remaining))
+                       .count();
     auto response = co_await CallHost(host, member, call);
     if (IsSettled(response)) {
       co_return response;
@@ -524,6 +529,23 @@
                      const caller_request& caller,
                      const workspace_id& workspace) -> asio::awaitable<void> {
   const auto arrived = clock::now();
+  const bool is_read = caller.call == caller_call::kJobResults ||
+                       caller.call == caller_call::kJobItem;
+  const auto longest = is_read ? kLongestRead : kLongestChange;
+  if (arrived > LatestDrainStart(host.drain, arrived + longest, duration())) {
+    auto refusal =
+        FailureAnswer(error_code::kUnavailable,
+                      "this host stops before the call could be answered");
+    adapter::SetRetryAfter(refusal.headers, kOwnerRetryAfter);
+    host.metrics.CountAnswer(refusal.status);
+    LogEvent(log_level::kInfo, log_category::kJob, "batch_call_refused",
+             {{"attempt", caller.attempt.value},
+              {"job", caller.job},
+              {"status", refusal.status},
+              {"outcome", "host stops"}});
+    co_await exchange.Respond(std::move(refusal));
+    co_return;
+  }
   auto call = EncodeCall(caller, workspace);
   if (caller.call == caller_call::kServe) {
     call.job = caller.attempt.value;
@@ -558,8 +580,6 @@
   const auto* owner = host.view.OwnerOf(partition_id(partition));
   // Every caller polls twice a second; at info level only refused reads are
   // logged.
-  const bool is_read = caller.call == caller_call::kJobResults ||
-                       caller.call == caller_call::kJobItem;
   LogEvent(
       is_read && status < 400 ? log_level::kDebug : log_level::kInfo,
       log_category::kJob, "batch_call",
--- a/src/hostd_caller.cc
+++ b/src/hostd_caller.cc
@@ -29,6 +29,23 @@
   on_disconnect_ = std::move(on_disconnect);
 }
 
+auto caller_watch::entry::OnDrainCheck(std::function<void()> on_drain_check)
+    -> void {
+  on_drain_check_ = std::move(on_drain_check);
+}
+
+auto caller_watch::DrainCheck() -> void {
+  std::vector<std::function<void()>> calls;
+  for (const auto* e : entries_) {
+    if (e->on_drain_check_) {
+      calls.push_back(e->on_drain_check_);
+    }
+  }
+  for (const auto& call : calls) {
+    call();
+  }
+}
+
 auto caller_watch::Start() -> void {
   boost::asio::co_spawn(host_.io, Run(), AbortOnException);
 }
--- a/src/hostd_caller.h
+++ b/src/hostd_caller.h
@@ -27,6 +27,9 @@
     /** Calls `on_disconnect` once if the caller disconnects. Replaces the
      * previous callback. */
     auto OnDisconnect(std::function<void()> on_disconnect) -> void;
+    /** Calls `on_drain_check` at every DrainCheck(). Replaces the previous
+     * callback. */
+    auto OnDrainCheck(std::function<void()> on_drain_check) -> void;
     /** Whether the caller has disconnected. */
     auto is_disconnected() const -> bool { return is_disconnected_; }
     /** Marks the caller as disconnected, after a write to it has failed. */
@@ -37,6 +40,7 @@
     caller_watch& watch_;
     http_exchange& exchange_;
     std::function<void()> on_disconnect_;
+    std::function<void()> on_drain_check_;
     bool is_disconnected_ = false;
   };
 
@@ -44,6 +48,9 @@
 
   /** Starts the polling loop. */
   auto Start() -> void;
+  /** Lets each request check whether it can still be finished; called
+   * periodically while the host drains. */
+  auto DrainCheck() -> void;
   /** Number of registered requests. */
   auto Count() const -> std::size_t { return entries_.size(); }
 
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -29,6 +29,8 @@
 constexpr milliseconds kStartupTimeout{250};
 /** Retry-After for callers while the host knows no declared state. */
 constexpr milliseconds kUnreadyRetryAfter{500};
+/** Retry-After for callers that should ask another host. */
+constexpr milliseconds kElsewhereRetryAfter{1};
 /** Maximum number of servers per request that may decline to run it. */
 constexpr unsigned kMaxNotRun = 6;
 /** Weight of the newest run in the smoothed duration of complete runs. */
@@ -89,6 +91,19 @@
   }
 }
 
+auto ToDuration(double seconds) -> duration {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+/** Returns the failure of a request that this host is too near its stop to
+ * finish. */
+auto StopFailure() -> failure {
+  return NotRunFailure(error_code::kUnavailable,
+                       "this host stops before the request could be finished",
+                       "place request");
+}
+
 /** Returns the hash of a request of a workspace. */
 auto HashOf(const http_request& request, const workspace_id& workspace)
     -> request_hash {
@@ -135,12 +150,16 @@
   }
 
   auto Run() -> asio::awaitable<void> {
-    while (true) {
+    while (MayBegin()) {
       auto placed = co_await NextPlace();
       if (watch_.is_disconnected()) {
         ReleaseUnused(placed);
         co_return Finish("caller left");
       }
+      if (!MayBegin()) {
+        ReleaseUnused(placed);
+        break;
+      }
       if (placed.verdict != placement_verdict::kGranted) {
         co_await Refuse(placed);
         co_return;
@@ -168,20 +187,17 @@
         co_return;
       }
     }
+    co_await Fail(StopFailure(), kElsewhereRetryAfter);
   }
 
  private:
   /** Returns the expected times of the remaining run of this request at a
    * server. */
   auto ExpectedTimes() const -> run_times {
-    const auto length = [](double seconds) {
-      return std::chrono::duration_cast<duration>(
-          std::chrono::duration<double>(seconds));
-    };
-    const auto first = length(host_.times[service_].first_event_s);
+    const auto first = ToDuration(host_.times[service_].first_event_s);
     // A run that resumes after an event is shorter than a complete one.
     const bool is_complete = progress_.last_event == 0;
-    const auto complete_run = length(host_.history[route_.id].run_s);
+    const auto complete_run = ToDuration(host_.history[route_.id].run_s);
     return {first, is_complete ? std::max(first, complete_run) : first};
   }
 
@@ -193,21 +209,56 @@
             ? StartLimits(route_, arrived_, deadline_, ExpectedTimes())
             : ContinuationLimits(route_, last_event, deadline_,
                                  ExpectedTimes());
-    return {.host = {},
-            .ticket = host_.placement->NewTicket(),
-            .service = service_,
-            .workspace = workspace_,
-            .work = work_class::kOnline,
-            .priority = route_.priority,
-            .takes_token = !has_token_,
-            .is_retry = is_retry_ || attempts_ > 0,
-            .place = {host_.options.data_centre, host_.options.region},
-            .latest_on_time_start = limits.latest_on_time_start,
-            .latest_start = limits.latest_start,
-            .avoided = std::move(avoided),
-            .connected = ConnectedServers(host_, service_, IsRepeatable()),
-            .prompt = caller_.prompt,
-            .content = content_};
+    return {
+        .host = {},
+        .ticket = host_.placement->NewTicket(),
+        .service = service_,
+        .workspace = workspace_,
+        .work = work_class::kOnline,
+        .priority = route_.priority,
+        .takes_token = !has_token_,
+        .is_retry = is_retry_ || attempts_ > 0,
+        .place = {host_.options.data_centre, host_.options.region},
+        .latest_on_time_start = limits.latest_on_time_start,
+        .latest_start = std::min(limits.latest_start, LatestStartBeforeStop()),
+        .avoided = std::move(avoided),
+        .connected = ConnectedServers(host_, service_, IsRepeatable()),
+        .prompt = caller_.prompt,
+        .content = content_};
+  }
+
+  /** Returns the latest start at a server that a planned stop of this host
+   * allows. */
+  auto LatestStartBeforeStop() const -> time_point {
+    const bool has_begun = sink_.last_event_at() != time_point();
+    return has_begun
+               ? time_point::max()
+               : LatestDrainStart(host_.drain, deadline_,
+                                  ToDuration(host_.history[route_.id].run_s));
+  }
+
+  /** Whether a planned stop of this host leaves time for an attempt. A begun
+   * stream goes on as long as the process runs. */
+  auto MayBegin() const -> bool {
+    return clock::now() <= LatestStartBeforeStop();
+  }
+
+  /** Withdraws the placement request of a request that can no longer be
+   * finished. */
+  auto CheckWaiting() -> void {
+    if (!MayBegin()) {
+      watch_.OnDrainCheck({});
+      host_.placement->Withdraw(ticket_);
+    }
+  }
+
+  /** Ends an attempt shortly before the process exits, so that its caller gets
+   * an answer. */
+  auto CheckRunning(attempt_handle& handle) -> void {
+    if (clock::now() >= host_.drain.ends && !exchange_.HasStartedResponse()) {
+      watch_.OnDrainCheck({});
+      handle.Abort();
+    }
   }
 
   /** Returns the slot on which the request moves on, or asks for one. */
@@ -226,7 +277,9 @@
     auto request = MakeRequest(avoided_);
     ticket_ = request.ticket;
     watch_.OnDisconnect([this] { host_.placement->Withdraw(ticket_); });
+    watch_.OnDrainCheck([this] { CheckWaiting(); });
     auto answer = co_await host_.placement->Place(std::move(request));
+    watch_.OnDrainCheck({});
     watch_.OnDisconnect({});
     placed_at_ = clock::now();
     last_answer_ = answer;
@@ -242,6 +295,9 @@
 
   /** Looks for another server than the silent one. */
   auto SeekServer(const server_id& silent) -> void {
+    if (!MayBegin()) {
+      return;
+    }
     ++silences_;
     auto avoided = avoided_;
     avoided.push_back(silent);
@@ -288,9 +344,11 @@
     attempt_handle handle;
     running_ = &handle;
     watch_.OnDisconnect([&handle] { handle.Abort(); });
+    watch_.OnDrainCheck([this, &handle] { CheckRunning(handle); });
     auto result = co_await RunAttempt(host_, spec, progress_, handle, sink_);
     running_ = nullptr;
     failover_.Cancel();
+    watch_.OnDrainCheck({});
     watch_.OnDisconnect({});
     host_.placement->End({ticket_, result.outcome, result.may_have_crashed});
     if (result.may_have_crashed) {
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -46,6 +46,8 @@
 constexpr milliseconds kAddressTtlMargin{500};
 /** The process exits this long before the platform kills it. */
 constexpr milliseconds kKillMargin{700};
+/** Requests are answered this long before the process exits at the latest. */
+constexpr milliseconds kAnswerMargin{200};
 /** Maximum time to record the progress of batch runs after SIGTERM. */
 constexpr milliseconds kHandOverTimeout{600};
 constexpr milliseconds kDrainPollInterval{20};
@@ -160,6 +162,15 @@
                     .peer = host.self.name};
 }
 
+/** Refuses waiting requests as soon as they can no longer be finished, and
+ * answers those that servers still run when the process is about to exit. */
+auto RunDrainChecks(host_state& host) -> asio::awaitable<void> {
+  while (true) {
+    host.callers->DrainCheck();
+    co_await Sleep(kDrainPollInterval);
+  }
+}
+
 /** Waits for SIGTERM, then drains: lets active requests finish before the
  * process stops. */
 auto StopOnSignal(host_state& host, host_servers& servers)
@@ -170,7 +181,10 @@
                             kAddressTtlFactor * host.options.address_keep +
                             kAddressTtlMargin;
   host.draining = true;
+  host.drain = {.learned = clock::now() + host.options.address_keep,
+                .ends = end - kAnswerMargin};
   servers.front.BeginDrain();
+  asio::co_spawn(host.io, RunDrainChecks(host), AbortOnException);
   co_await host.batch->HandOver(clock::now() + kHandOverTimeout);
   co_await LeaveFleet(host);
   while (clock::now() < std::min(listen_until, end)) {
--- a/tests/dispatch_wait_test.cc
+++ b/tests/dispatch_wait_test.cc
@@ -42,8 +42,36 @@
   });
 }
 
+/** Property: what a stopping host begins either ends by its own deadline before
+ * the exit, or has twice its typical time and a caller that could not know. */
+auto StoppingHostBeginsWhatItCanEnd() -> bool {
+  return rc::check("a stopping host begins only what it can end", [] {
+    const drain_times drain{
+        .learned = Begin() + milliseconds(*rc::gen::inRange(0, 4000)),
+        .ends = Begin() + milliseconds(*rc::gen::inRange(1000, 9000))};
+    const auto deadline = Begin() + milliseconds(*rc::gen::inRange(0, 20000));
+    const duration typical = milliseconds(*rc::gen::inRange(0, 5000));
+    const auto latest = LatestDrainStart(drain, deadline, typical);
+    if (deadline <= drain.ends) {
+      RC_ASSERT(latest >= deadline);
+    } else if (typical == duration()) {
+      RC_ASSERT(latest < Begin());
+    } else {
+      RC_ASSERT(latest <= drain.learned);
+      RC_ASSERT(latest + 2 * typical <= drain.ends);
+    }
+    const drain_times no_stop;
+    RC_ASSERT(LatestDrainStart(no_stop, deadline, typical) >= deadline);
+  });
+}
+
 }  // namespace
 
+// Guards against answers that are cut off when their host exits.
+Test(dispatch_wait, stopping_host_begins_what_it_can_end) {
+  cr_assert(StoppingHostBeginsWhatItCanEnd());
+}
+
 // Guards against queueing a request until its caller disconnects: on the users'
 // sites callers abandon a stream without events after 3.2 s.
 Test(dispatch_wait, queued_request_is_answered_before_its_caller_disconnects) {
--- a/tests/site_helper.py
+++ b/tests/site_helper.py
@@ -151,16 +151,21 @@
         return Answer(status, headers, body, False)
 
 
+async def send(reader, writer, method, path, body=b"", **headers):
+    """Sends one request on an open connection and reads its answer."""
+    lines = [f"{method} {path} HTTP/1.1", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+    await writer.drain()
+    return await read_answer(reader)
+
+
 async def call(ip, port, method, path, body=b"", limit=20, **headers):
     """Sends one request on a new connection."""
     async def run():
         reader, writer = await asyncio.open_connection(ip, port)
         try:
-            lines = [f"{method} {path} HTTP/1.1", f"Content-Length: {len(body)}"]
-            lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
-            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-            await writer.drain()
-            return await read_answer(reader)
+            return await send(reader, writer, method, path, body, **headers)
         finally:
             writer.close()
     return await asyncio.wait_for(run(), limit)
--- a/tests/site_stop.py
+++ b/tests/site_stop.py
@@ -3,7 +3,9 @@
 and against a lost dispatcher that blocks the other hosts."""
 
 import asyncio
+import contextlib
 import signal
+import time
 
 import site_helper as sh
 
@@ -32,6 +34,88 @@
             sh.check(answer.is_whole and answer.status in (200, 503), f"cut off by a planned stop: {answer}")
 
 
+async def late_in_the_grace():
+    """Guards against requests that a stopping host takes although it exits
+    before their end: on new connections, on kept ones until the process is gone,
+    and jobs. Each gets its whole answer, or a refusal that is true."""
+    async with sh.Fleet("late_in_the_grace", hosts=3, engines=3) as fleet:
+        stopping = fleet.hosts[1]
+        for engine in fleet.engines:
+            engine.gap_s = 0.15  # Streams take up to 3.6 s; the host exits after 5.3 s.
+        for _ in range(3):
+            await fleet.ask(stopping, "once")
+        kept = [await asyncio.open_connection(stopping.ip, sh.FRONT) for _ in range(24)]
+        counts = {"whole": 0, "refused": 0, "unread": 0}
+
+        def judge(attempt, answer, sent_at, what):
+            # A request that crosses the end of the process is neither read nor run.
+            is_unread = answer is None and fleet.runs(attempt) == 0 and time.monotonic() - sent_at < 0.3
+            is_whole = answer is not None and answer.is_whole and answer.status == 200
+            is_refused = answer is not None and answer.status == 503 and fleet.runs(attempt) == 0
+            sh.check(is_unread or is_whole or is_refused, f"{what}, {sent_at - stopped:.1f} s after SIGTERM: {answer}, "
+                     f"ran {fleet.runs(attempt)} times, ended after {time.monotonic() - sent_at:.1f} s")
+            counts["whole" if is_whole else "refused" if is_refused else "unread"] += 1
+
+        async def on_kept(number, connection):
+            await asyncio.sleep(0.24 * number)
+            attempt, sent_at, answer = fleet.new_id(), time.monotonic(), None
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                answer = await sh.send(*connection, "POST", "/once/x", Host=sh.HOST_NAME, X_Attempt_Id=attempt,
+                                       X_Deadline_Ms=8000, X_Key=sh.KEY)
+            judge(attempt, answer, sent_at, "kept connection")
+
+        async def on_new(number):
+            await asyncio.sleep(0.2 * number)
+            attempt, sent_at, answer = fleet.new_id(), time.monotonic(), None
+            with contextlib.suppress(ConnectionRefusedError, ConnectionResetError, asyncio.IncompleteReadError):
+                answer = await fleet.ask(stopping, "once", attempt)
+            judge(attempt, answer, sent_at, "new connection")
+
+        async def submits(number):
+            await asyncio.sleep(0.4 * number)
+            job, sent_at, answer = fleet.new_id("job"), time.monotonic(), None
+            with contextlib.suppress(ConnectionRefusedError, ConnectionResetError, asyncio.IncompleteReadError):
+                answer = await fleet.submit(stopping, job, 2)
+            is_unread = answer is None and time.monotonic() - sent_at < 0.3
+            sh.check(is_unread or (answer is not None and answer.status in (202, 503)),
+                     f"job, {sent_at - stopped:.1f} s after SIGTERM: {answer}")
+
+        stopped = time.monotonic()
+        stop = asyncio.create_task(stopping.end(signal.SIGTERM))
+        await asyncio.gather(stop, *(on_kept(i, connection) for i, connection in enumerate(kept)),
+                             *(on_new(i) for i in range(30)), *(submits(i) for i in range(15)))
+        sh.check(stopping.process.returncode == 0, f"ended with {stopping.process.returncode}")
+        sh.check(counts["whole"] > 0 and counts["refused"] > 0, f"answers: {counts}")
+
+
+async def waiting_at_the_end():
+    """Guards against requests that wait for a slot, or run without an answer
+    yet, when a stopping host exits: they are answered before it does."""
+    async with sh.Fleet("waiting_at_the_end", hosts=2, engines=1) as fleet:
+        stopping, engine = fleet.hosts[0], fleet.engines[0]
+        declared = sh.state(2)
+        for route in declared["routes"]:
+            route["timeoutMs"] = 20000
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", declared)
+        engine.slots = 2
+        await engine.register("ready")
+        await asyncio.sleep(1)
+        engine.silent_after = 0
+        attempts = [fleet.new_id() for _ in range(8)]
+
+        async def ask(attempt):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                return await fleet.ask(stopping, "once", attempt, X_Deadline_Ms=20000)
+
+        callers = [asyncio.create_task(ask(attempt)) for attempt in attempts]
+        await asyncio.sleep(0.5)
+        await stopping.end(signal.SIGTERM)
+        for attempt, answer in zip(attempts, await asyncio.gather(*callers)):
+            sh.check(answer is not None and answer.is_whole, f"{attempt} got no answer")
+            ran = fleet.runs(attempt) > 0
+            sh.check(answer.status in ((502, 504) if ran else (503,)), f"ran: {ran}, {answer}")
+
+
 async def lost_dispatcher():
     async with sh.Fleet("lost_dispatcher", hosts=3, engines=3) as fleet:
         for victim in range(3):
@@ -110,6 +194,8 @@
 
 async def test():
     await planned_stop()
+    await late_in_the_grace()
+    await waiting_at_the_end()
     await taken_metrics_port()
     await early_requests()
     await all_killed()
