Reject a batch job that no append can hold before it is accepted

Cause: a submission is one append. The store refuses one above append_bytes for good, while the writer of the partition repeats it before everything else. Evidence: "append to log: status 413" every 0.15 s, and no result after it.

Change: the host that gets a job compares its records with the sizes that the store accepts and answers 413, as not run, so that its caller need not repeat it. Owner and substitutes check again. The two sizes are one type now.

--- a/src/batch_record.cc
+++ b/src/batch_record.cc
@@ -16,6 +16,9 @@
 /** Maximum bytes of the line of JSON of a part. */
 constexpr std::size_t kMaxPartHeaderBytes = 1024;
 
+/** Bytes of an append that frame one record. */
+constexpr std::size_t kRecordFrameBytes = 4;
+
 /** Builds a record of a line of JSON and raw bytes. */
 auto JoinRecord(json::object line, std::string_view bytes) -> std::string {
   auto record = json::serialize(line);
@@ -137,22 +140,39 @@
 
 auto SubmissionRecords(const batch_submission& submission,
                        std::size_t record_bytes) -> std::vector<std::string> {
-  const auto bytes = EncodeSubmission(submission);
+  return SplitSubmission(submission.id, EncodeSubmission(submission),
+                         record_bytes);
+}
+
+auto SplitSubmission(const batch_id& job,
+                     std::string_view encoded,
+                     std::size_t record_bytes) -> std::vector<std::string> {
   const auto piece = record_bytes - kMaxPartHeaderBytes;
   const auto parts =
-      std::max<std::size_t>(1, (bytes.size() + piece - 1) / piece);
+      std::max<std::size_t>(1, (encoded.size() + piece - 1) / piece);
   std::vector<std::string> records;
   for (std::size_t part = 0; part < parts; ++part) {
-    records.push_back(
-        JoinRecord({{"kind", "submit"},
-                    {"job", submission.id.value},
-                    {"part", part},
-                    {"parts", parts}},
-                   std::string_view(bytes).substr(part * piece, piece)));
+    records.push_back(JoinRecord({{"kind", "submit"},
+                                  {"job", job.value},
+                                  {"part", part},
+                                  {"parts", parts}},
+                                 encoded.substr(part * piece, piece)));
   }
   return records;
 }
 
+auto FitAppend(const std::vector<std::string>& records,
+               const append_limits& limits) -> bool {
+  std::size_t bytes = 0;
+  for (const auto& record : records) {
+    if (record.size() > limits.record_bytes) {
+      return false;
+    }
+    bytes += record.size() + kRecordFrameBytes;
+  }
+  return bytes <= limits.append_bytes;
+}
+
 auto ResultRecord(const batch_id& job, const batch_result& result)
     -> std::string {
   return JoinRecord({{"kind", "result"},
--- a/src/batch_record.h
+++ b/src/batch_record.h
@@ -54,10 +54,24 @@
 /** Decodes the result of EncodeSubmission(). Fails with kBadRequest. */
 auto DecodeSubmission(std::string_view bytes) -> outcome<batch_submission>;
 
+/** Maximum sizes that the store accepts. */
+struct append_limits {
+  std::size_t record_bytes = 0;  ///< Of one record.
+  std::size_t append_bytes = 0;  ///< Of all records of one append.
+};
+
 /** Returns the records of a submission, each of about `record_bytes` at most.
  */
 auto SubmissionRecords(const batch_submission& submission,
                        std::size_t record_bytes) -> std::vector<std::string>;
+/** As above, for the submission of `job` that EncodeSubmission() has encoded.
+ */
+auto SplitSubmission(const batch_id& job,
+                     std::string_view encoded,
+                     std::size_t record_bytes) -> std::vector<std::string>;
+/** Whether one append can hold all records. */
+auto FitAppend(const std::vector<std::string>& records,
+               const append_limits& limits) -> bool;
 /** Returns the record of a result. */
 auto ResultRecord(const batch_id& job, const batch_result& result)
     -> std::string;
--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -229,6 +229,16 @@
                        "workspace has too many tokens waiting on the route");
 }
 
+/** Returns the answer to a job that the store has no room for in one append.
+ * Its caller need not repeat it. */
+auto TooLargeAnswer(const append_limits& limits) -> http_response {
+  return FailureAnswer(
+      error_code::kTooLarge,
+      "batch job does not fit the store: its items may have " +
+          std::to_string(limits.append_bytes) +
+          " bytes in all, with their headers and decoded bodies");
+}
+
 }  // namespace
 
 auto batch_service::Submit(partition_id id,
@@ -247,6 +257,11 @@
     }
   }
   if (record == nullptr) {
+    auto records =
+        SubmissionRecords(submission, host_.options.store_limits.record_bytes);
+    if (!FitAppend(records, host_.options.store_limits)) {
+      co_return TooLargeAnswer(host_.options.store_limits);
+    }
     co_await AwaitRoute(submission, deadline);
     const bool has_room = co_await ReserveRoom(submission);
     if (partition->projection.Find(job) != nullptr) {
@@ -256,7 +271,7 @@
       co_return NoRoomAnswer();
     }
     record = std::make_shared<pending_record>();
-    record->records = SubmissionRecords(submission, host_.options.record_bytes);
+    record->records = std::move(records);
     record->submitted_job = job;
     Write(id, partition, record);
   }
@@ -280,7 +295,10 @@
                                    time_point deadline)
     -> asio::awaitable<http_response> {
   const auto records =
-      SubmissionRecords(submission, host_.options.record_bytes);
+      SubmissionRecords(submission, host_.options.store_limits.record_bytes);
+  if (!FitAppend(records, host_.options.store_limits)) {
+    co_return TooLargeAnswer(host_.options.store_limits);
+  }
   const auto where = LocatePartition(id, host_.options.partitions_per_topic);
   // A temporary copy for this call; it is never added to the partitions that
   // this host owns.
@@ -570,8 +588,13 @@
   const auto job = call.job;
   const auto kind = call.call;
   const auto partition = call.partition;
+  const auto& limits = host.options.store_limits;
   http_response response;
-  if (caller.call == caller_call::kServe) {
+  if (caller.call == caller_call::kServe &&
+      !FitAppend(SplitSubmission(batch_id(job), call.body, limits.record_bytes),
+                 limits)) {
+    response = TooLargeAnswer(limits);
+  } else if (caller.call == caller_call::kServe) {
     response = co_await SubmitJob(host, std::move(call));
   } else {
     response = co_await CallOwner(host, std::move(call));
--- a/src/hostd_batch_log.cc
+++ b/src/hostd_batch_log.cc
@@ -255,7 +255,8 @@
     for (const auto& part : record->records) {
       size += part.size();
     }
-    if (!records.empty() && bytes + size > host_.options.append_bytes / 2) {
+    if (!records.empty() &&
+        bytes + size > host_.options.store_limits.append_bytes / 2) {
       break;
     }
     bytes += size;
--- a/src/hostd_setting.cc
+++ b/src/hostd_setting.cc
@@ -204,9 +204,9 @@
   options.processor_share = values.Real("processor_share");
   options.partitions_per_topic =
       static_cast<std::uint32_t>(values.Integer("partitions_per_topic"));
-  options.record_bytes =
+  options.store_limits.record_bytes =
       static_cast<std::size_t>(values.Integer("record_bytes"));
-  options.append_bytes =
+  options.store_limits.append_bytes =
       static_cast<std::size_t>(values.Integer("append_bytes"));
   options.member_life = values.Milliseconds("member_life_ms");
   options.address_keep = milliseconds(1000 * values.Integer("address_keep_s"));
--- a/src/hostd_setting.h
+++ b/src/hostd_setting.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "src/batch.h"
 #include "src/error_type.h"
 #include "src/setting.h"
 #include "src/unit_type.h"
@@ -35,8 +36,7 @@
   std::string log_levels;                  ///< See StartLog().
   double processor_share = 0;              ///< Cores available to the host.
   std::uint32_t partitions_per_topic = 1;  ///< Partitions of each topic.
-  std::size_t record_bytes = 0;  ///< Maximum size of a record in the store.
-  std::size_t append_bytes = 0;  ///< Maximum size of an append.
+  append_limits store_limits;              ///< Sizes that the store accepts.
   /** Lifetime of a membership without renewal. */
   std::chrono::milliseconds member_life{};
   /** Lifetime of an address list at callers. */
--- a/tests/batch_test.cc
+++ b/tests/batch_test.cc
@@ -178,6 +178,22 @@
   }
 }
 
+// Guards against a job that is accepted although the store cannot take it.
+Test(batch, submission_that_no_append_can_hold_is_found) {
+  const auto submission = Submission("j", 10, 3000);
+  const auto records = SubmissionRecords(submission, kRecordBytes);
+  std::size_t bytes = 0;
+  for (const auto& record : records) {
+    bytes += record.size() + 4;
+  }
+  cr_assert(FitAppend(records, {kRecordBytes, bytes}));
+  cr_assert_not(FitAppend(records, {kRecordBytes, bytes - 1}));
+  // A job's name is in the first line of each of its records.
+  const auto named =
+      SubmissionRecords(Submission(std::string(9000, 'n'), 1, 1), kRecordBytes);
+  cr_assert_not(FitAppend(named, {kRecordBytes, 1UL << 20}));
+}
+
 // Guards against a job that is accepted before all parts of its submission were
 // read.
 Test(batch, submission_counts_only_when_complete) {
--- a/tests/site_batch.py
+++ b/tests/site_batch.py
@@ -81,9 +81,61 @@
                 sh.check(output == sh.stand_in.whole_output(item), f"output of {item}: {output}")
 
 
+class SmallStore(sh.stand_in.Store):
+    """Refuses what is larger than a record or an append may be."""
+
+    RECORD_BYTES, APPEND_BYTES = 262144, 2097152
+    refused = 0
+
+    async def log_append(self, query, body, writer):
+        sizes, rest = [], body
+        while rest:
+            sizes.append(int.from_bytes(rest[:4], "big"))
+            rest = rest[4 + sizes[-1]:]
+        if max(sizes) > self.RECORD_BYTES or len(body) > self.APPEND_BYTES:
+            self.refused += 1
+            sh.stand_in.answer(writer, 413)
+            return
+        await super().log_append(query, body, writer)
+
+
+class SmallStoreFleet(sh.Fleet):
+    def __init__(self, name, **sizes):
+        super().__init__(name, **sizes)
+        self.store = SmallStore()
+        for engine in self.engines:
+            engine.store = self.store
+
+
+async def job_larger_than_an_append():
+    """Guards against accepted jobs whose results are never listed, because a
+    job that the store refuses stays first among what is to be written. Such a
+    job is rejected for good before it is accepted."""
+    async with SmallStoreFleet("large_job", hosts=2) as fleet:
+        store = fleet.store
+        for host in fleet.hosts:
+            for size, status in ((13000, 413), (2 << 20, 413), (9000, 202)):
+                items = 190 if size < 100000 else 1
+                job = fleet.new_id("job")
+                answer = await fleet.submit(host, job, items, body=b"x" * size)
+                sh.check(answer.status == status, f"job of {items} items of {size} bytes: {answer}")
+                if status != 202:
+                    sh.check(answer.json()["error"]["ran"] == "no", f"refusal of a large job: {answer}")
+                    answer = await fleet.results(host, job)
+                    sh.check(answer.status == 404, f"refused job: {answer}")
+        sh.check(store.refused == 0, f"{store.refused} appends that the store must refuse were sent")
+        jobs = [fleet.new_id("job") for _ in range(20)]
+        for job in jobs:
+            answer = await fleet.submit(fleet.hosts[0], job, 1)
+            sh.check(answer.status == 202, f"job {job}: {answer}")
+        for job in jobs:
+            await fleet.all_results(job, 1)
+
+
 async def test():
     await job_on_a_route_its_owner_does_not_know("late")
     await job_on_a_route_its_owner_does_not_know("job/late")
+    await job_larger_than_an_append()
 
 
 sh.run(test)
