Store results and progress above a record's size in sections

Cause: a result, or the progress of a run, was one record of any size, which the store refuses for good. Evidence: "append to log: status 413" without end.

Change: a record above record_bytes is appended in sections and joined when the log is read. Outputs are limited to what one answer to a read may hold: a longer one counts as a failed run. That also bounds an item whose stream never ends.

Tests: site_batch output_larger_than_a_record (before: 0 of 1 items listed in 40 s), seen to fail and passing now; batch, a property over sizes and torn appends.

--- a/src/batch_projection.cc
+++ b/src/batch_projection.cc
@@ -31,6 +31,8 @@
   next_ = first;
   jobs_.clear();
   parts_.clear();
+  sections_.clear();
+  section_count_ = 0;
 }
 
 auto batch_partition::Apply(std::string_view record) -> batch_change {
@@ -39,16 +41,45 @@
   if (!parsed) {
     return {};
   }
-  if (auto* part = std::get_if<submission_part>(&*parsed)) {
+  if (const auto* section = std::get_if<record_section>(&*parsed)) {
+    return ApplySection(*section);
+  }
+  return ApplyRecord(std::move(*parsed));
+}
+
+auto batch_partition::ApplyRecord(batch_record record) -> batch_change {
+  if (auto* part = std::get_if<submission_part>(&record)) {
     return ApplyPart(std::move(*part));
   }
-  if (auto* result = std::get_if<result_record>(&*parsed)) {
+  if (auto* result = std::get_if<result_record>(&record)) {
     return ApplyResult(std::move(*result));
   }
-  if (auto* progress = std::get_if<progress_record>(&*parsed)) {
+  if (auto* progress = std::get_if<progress_record>(&record)) {
     return ApplyProgress(std::move(*progress));
   }
-  return ApplyEnd(std::get<end_record>(*parsed));
+  if (const auto* end = std::get_if<end_record>(&record)) {
+    return ApplyEnd(*end);
+  }
+  return {};  // A section within sections.
+}
+
+auto batch_partition::ApplySection(const record_section& section)
+    -> batch_change {
+  if (section.number == 0) {
+    sections_.clear();
+    section_count_ = 0;
+  }
+  if (section.number != section_count_) {
+    return {};  // The record is damaged: its sections are appended together.
+  }
+  sections_ += section.bytes;
+  ++section_count_;
+  if (section_count_ < section.count) {
+    return {};
+  }
+  auto joined = ParseBatchRecord(std::exchange(sections_, {}));
+  section_count_ = 0;
+  return joined ? ApplyRecord(std::move(*joined)) : batch_change();
 }
 
 auto batch_partition::ApplyPart(submission_part part) -> batch_change {
--- a/src/batch_projection.h
+++ b/src/batch_projection.h
@@ -78,6 +78,8 @@
                       std::size_t bytes) -> std::span<const batch_result>;
 
  private:
+  auto ApplyRecord(batch_record record) -> batch_change;
+  auto ApplySection(const record_section& section) -> batch_change;
   auto ApplyPart(submission_part part) -> batch_change;
   auto ApplyResult(result_record record) -> batch_change;
   auto ApplyProgress(progress_record record) -> batch_change;
@@ -86,7 +88,9 @@
   log_offset next_;
   std::map<batch_id, batch_job> jobs_;
   std::map<batch_id, std::vector<std::string>>
-      parts_;  // Of incomplete submissions.
+      parts_;                      // Of incomplete submissions.
+  std::string sections_;           // Joined, of an incomplete record.
+  std::size_t section_count_ = 0;  // Number of sections in it.
 };
 
 }  // namespace dogwood
--- a/src/batch_record.cc
+++ b/src/batch_record.cc
@@ -199,6 +199,22 @@
   return JoinRecord({{"kind", "end"}, {"job", job.value}}, "");
 }
 
+auto SplitRecordToFit(std::string record, std::size_t record_bytes)
+    -> std::vector<std::string> {
+  if (record.size() <= record_bytes) {
+    return {std::move(record)};
+  }
+  const auto size = record_bytes - kMaxPartHeaderBytes;
+  const auto count = (record.size() + size - 1) / size;
+  std::vector<std::string> sections;
+  for (std::size_t number = 0; number < count; ++number) {
+    sections.push_back(
+        JoinRecord({{"kind", "section"}, {"number", number}, {"count", count}},
+                   std::string_view(record).substr(number * size, size)));
+  }
+  return sections;
+}
+
 auto ParseBatchRecord(std::string_view record) -> std::optional<batch_record> {
   const auto split = SplitRecord(record);
   if (!split) {
@@ -229,6 +245,10 @@
   if (kind == "end") {
     return end_record{job};
   }
+  if (kind == "section") {
+    return record_section{NumberField(line, "number"),
+                          NumberField(line, "count"), std::string(bytes)};
+  }
   return std::nullopt;
 }
 
--- a/src/batch_record.h
+++ b/src/batch_record.h
@@ -41,13 +41,24 @@
   batch_progress added;           ///< New last event, and the added output.
 };
 
+/** Section of a record that is larger than the store accepts. The sections of a
+ * record are appended together, in order. */
+struct record_section {
+  std::size_t number = 0;  ///< Number of this section, from 0.
+  std::size_t count = 1;   ///< Total number of sections.
+  std::string bytes;       ///< Part of the record.
+};
+
 /** End of a job, requested by its caller. */
 struct end_record {
   batch_id job;
 };
 
-using batch_record =
-    std::variant<submission_part, result_record, progress_record, end_record>;
+using batch_record = std::variant<submission_part,
+                                  result_record,
+                                  progress_record,
+                                  end_record,
+                                  record_section>;
 
 /** Encodes a submission as a line of JSON and the items' bodies. */
 auto EncodeSubmission(const batch_submission& submission) -> std::string;
@@ -83,6 +94,11 @@
 /** Returns the record of the end of a job. */
 auto EndRecord(const batch_id& job) -> std::string;
 
+/** Returns the records by which a record is stored: the record itself, or its
+ * sections if it is larger than `record_bytes`. */
+auto SplitRecordToFit(std::string record, std::size_t record_bytes)
+    -> std::vector<std::string>;
+
 /** Parses a record. Returns std::nullopt if it is malformed. */
 auto ParseBatchRecord(std::string_view record) -> std::optional<batch_record>;
 
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -200,6 +200,8 @@
                     stream_progress progress,
                     std::string output,
                     const server_id& server) -> void;
+  /** Counts a failed run of an item, which runs again or is given up. */
+  auto HandleFailedRun(const batch_item_ref& ref) -> void;
   auto RecordResult(const batch_item_ref& ref,
                     batch_item_outcome end,
                     std::string output) -> void;
--- a/src/hostd_batch_log.cc
+++ b/src/hostd_batch_log.cc
@@ -304,7 +304,9 @@
              {{"job", ref.job.value}, {"item", ref.item.value}});
   }
   auto record = std::make_shared<pending_record>();
-  record->records = {ResultRecord(ref.job, {ref.item, end, std::move(output)})};
+  record->records = SplitRecordToFit(
+      ResultRecord(ref.job, {ref.item, end, std::move(output)}),
+      host_.options.store_limits.record_bytes);
   record->result_item = ref;
   Write(ref.partition, found->second, std::move(record));
 }
@@ -336,8 +338,9 @@
     return;
   }
   auto record = std::make_shared<pending_record>();
-  record->records = {
-      ProgressRecord(ref.job, ref.item, recorded, {last_event, output})};
+  record->records = SplitRecordToFit(
+      ProgressRecord(ref.job, ref.item, recorded, {last_event, output}),
+      host_.options.store_limits.record_bytes);
   record->progress_item = ref;
   record->after_event = recorded.last_event;
   Write(ref.partition, partition, std::move(record));
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -34,6 +34,9 @@
 constexpr milliseconds kNotRunBackoff{50};
 /** Maximum duration of an item's run. */
 constexpr std::chrono::seconds kMaxRunTime{40};
+/** Maximum size of an item's output: one answer to a read holds at least one
+ * result and 1 MB at most (the platform's pages, "Batch jobs"). */
+constexpr std::size_t kMaxOutputBytes = 900UL << 10;
 /** Assumed duration of a complete run before any was measured. */
 constexpr double kInitialRunSeconds = 4;
 /** Weight of the newest run in the smoothed duration. */
@@ -51,9 +54,9 @@
 class item_sink : public answer_sink {
  public:
   /** `is_resumed` tells that `output` has the data of earlier events, which may
-   * be empty. */
-  item_sink(std::string& output, bool is_resumed)
-      : output_(output), has_data_(is_resumed) {}
+   * be empty. No more than `max_bytes` of output are taken. */
+  item_sink(std::string& output, bool is_resumed, std::size_t max_bytes)
+      : output_(output), max_bytes_(max_bytes), has_data_(is_resumed) {}
 
   auto HandleHead(const http_head&) -> asio::awaitable<bool> override {
     co_return true;
@@ -72,11 +75,14 @@
         output_ += fields.data;
       }
     }
-    co_return true;
+    co_return !IsTooLong();
   }
 
+  auto IsTooLong() const -> bool { return output_.size() > max_bytes_; }
+
  private:
   std::string& output_;
+  std::size_t max_bytes_;
   bool has_data_;
 };
 
@@ -288,7 +294,9 @@
                            .has_head = true};
   std::string output = queued->progress.output;
   const bool is_first_run = progress.last_event == 0;
-  item_sink sink(output, !is_first_run);
+  const auto max_output =
+      std::min(kMaxOutputBytes, host_.options.store_limits.append_bytes / 2);
+  item_sink sink(output, !is_first_run, max_output);
   attempt_handle handle;
   runs_[ref] = {&handle, &progress, &output};
   ++running_;
@@ -302,9 +310,30 @@
         std::chrono::duration<double>(clock::now() - started).count();
     run_seconds_ += kRunWeight * (seconds - run_seconds_);
   }
+  if (sink.IsTooLong()) {
+    LogEvent(log_level::kWarning, log_category::kJob, "item_output_too_long",
+             {{"job", ref.job.value},
+              {"item", ref.item.value},
+              {"server", server.id.value},
+              {"bytes", output.size()},
+              {"max_bytes", max_output}});
+    HandleFailedRun(ref);
+    co_return;
+  }
   HandleRunEnd(ref, result, progress, std::move(output), server.id);
 }
 
+auto batch_service::HandleFailedRun(const batch_item_ref& ref) -> void {
+  if (queue_.Find(ref) == nullptr) {
+    return;
+  }
+  if (queue_.CountFailure(ref)) {
+    RecordResult(ref, batch_item_outcome::kAbandoned, "");
+  } else {
+    queue_.Requeue(ref, clock::now() + kFailedRunBackoff);
+  }
+}
+
 auto batch_service::HandleRunEnd(const batch_item_ref& ref,
                                  const attempt_result& result,
                                  stream_progress progress,
@@ -335,11 +364,7 @@
     return;
   }
   if (status == 500) {
-    if (queue_.CountFailure(ref)) {
-      RecordResult(ref, batch_item_outcome::kAbandoned, "");
-    } else {
-      queue_.Requeue(ref, clock::now() + kFailedRunBackoff);
-    }
+    HandleFailedRun(ref);
     return;
   }
   queued->progress = {progress.last_event, std::move(output)};
--- a/tests/batch_test.cc
+++ b/tests/batch_test.cc
@@ -194,6 +194,30 @@
   cr_assert_not(FitAppend(named, {kRecordBytes, 1UL << 20}));
 }
 
+// Guards against results and progress that the store refuses because they are
+// larger than a record, which blocks their partition.
+Test(batch, large_records_are_stored_in_sections) {
+  cr_assert(rc::check("a record in sections is the same as a whole one", [] {
+    batch_partition partition;
+    ApplyAll(partition,
+             SubmissionRecords(Submission("j", 2, 10), kRecordBytes));
+    const std::string output(*rc::gen::inRange<std::size_t>(0, 40000), 'x');
+    const auto whole = ResultRecord(batch_id("j"), Result("j-1", output));
+    const auto sections = SplitRecordToFit(whole, kRecordBytes);
+    RC_ASSERT(FitAppend(sections, {kRecordBytes, 1UL << 20}));
+    RC_ASSERT(sections.size() > 1 || sections[0] == whole);
+    const auto torn = *rc::gen::inRange<std::size_t>(0, sections.size());
+    for (std::size_t i = 0; i < torn; ++i) {
+      partition.Apply(sections[i]);  // Sections without their end.
+    }
+    RC_ASSERT(partition.Find(batch_id("j"))->results.empty());
+    ApplyAll(partition, sections);
+    const auto& results = partition.Find(batch_id("j"))->results;
+    RC_ASSERT(results.size() == 1U);
+    RC_ASSERT(results[0].output == output);
+  }));
+}
+
 // Guards against a job that is accepted before all parts of its submission were
 // read.
 Test(batch, submission_counts_only_when_complete) {
--- a/tests/site_batch.py
+++ b/tests/site_batch.py
@@ -132,10 +132,34 @@
             await fleet.all_results(job, 1)
 
 
+async def output_larger_than_a_record():
+    """Guards against partitions that are blocked by an item whose output is
+    larger than a record, and against outputs without end."""
+    async with SmallStoreFleet("large_output", hosts=2) as fleet:
+        sh.assign_all(fleet, fleet.hosts[0].member)
+        await asyncio.sleep(1.5)
+        for text, outcome in (("a" * 120000, "done"), ("b" * 250000, "dead_letter")):
+            sh.stand_in.EVENT_TEXTS = {1: text, 2: text, 3: text, 4: text}
+            jobs = [fleet.new_id("job") for _ in range(4)]
+            for job in jobs:
+                answer = await fleet.submit(fleet.hosts[1], job, 1)
+                sh.check(answer.status == 202, f"job {job}: {answer}")
+            for job in jobs:
+                for item, end, output in await fleet.all_results(job, 1):
+                    sh.check(end == outcome, f"item {item} with texts of {len(text)} bytes: {end}")
+                    sh.check(end != "done" or output == sh.stand_in.whole_output(item), f"output of {item}")
+        sh.stand_in.EVENT_TEXTS = {}
+        sh.check(fleet.store.refused == 0, f"{fleet.store.refused} appends that the store must refuse were sent")
+        answer = await fleet.submit(fleet.hosts[1], "last", 2)
+        sh.check(answer.status == 202, f"last job: {answer}")
+        await fleet.all_results("last", 2)
+
+
 async def test():
     await job_on_a_route_its_owner_does_not_know("late")
     await job_on_a_route_its_owner_does_not_know("job/late")
     await job_larger_than_an_append()
+    await output_larger_than_a_record()
 
 
 sh.run(test)
