--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -3,7 +3,8 @@
 dogwood_library(deployment SOURCES deployment_journal.cc deployment_query.cc
                 LIBS dogwood_core)
 dogwood_library(dispatch
-                SOURCES dispatch_cmd.cc dispatch_local.cc dispatch_quarantine.cc
+                SOURCES dispatch_cmd.cc dispatch_drain.cc dispatch_local.cc
+                        dispatch_quarantine.cc
                         dispatch_return.cc
                         dispatch_wait.cc
                 LIBS dogwood_core)
@@ -43,7 +44,7 @@
 # Process-level tests of hostd against the fake of the users' platform. They use
 # the same addresses, so they run one at a time.
 if(NOT DOGWOOD_DEPLOYMENT_ONLY)
-  foreach(site answer calm owner quarantine silence stream store stop restart
+  foreach(site answer batch calm owner quarantine silence stream store stop restart
                trouble)
     add_test(NAME site_${site}
              COMMAND ${CMAKE_SOURCE_DIR}/tests/site_${site}.py)
--- a/src/batch_record.h
+++ b/src/batch_record.h
@@ -41,23 +41,48 @@
   batch_progress added;           ///< New last event, and the added output.
 };
 
+/** Section of a record that is larger than the store accepts. The sections of a
+ * record are appended together, in order. */
+struct record_section {
+  std::size_t number = 0;  ///< Number of this section, from 0.
+  std::size_t count = 1;   ///< Total number of sections.
+  std::string bytes;       ///< Part of the record.
+};
+
 /** End of a job, requested by its caller. */
 struct end_record {
   batch_id job;
 };
 
-using batch_record =
-    std::variant<submission_part, result_record, progress_record, end_record>;
+using batch_record = std::variant<submission_part,
+                                  result_record,
+                                  progress_record,
+                                  end_record,
+                                  record_section>;
 
 /** Encodes a submission as a line of JSON and the items' bodies. */
 auto EncodeSubmission(const batch_submission& submission) -> std::string;
 /** Decodes the result of EncodeSubmission(). Fails with kBadRequest. */
 auto DecodeSubmission(std::string_view bytes) -> outcome<batch_submission>;
 
+/** Maximum sizes that the store accepts. */
+struct append_limits {
+  std::size_t record_bytes = 0;  ///< Of one record.
+  std::size_t append_bytes = 0;  ///< Of all records of one append.
+};
+
 /** Returns the records of a submission, each of about `record_bytes` at most.
  */
 auto SubmissionRecords(const batch_submission& submission,
                        std::size_t record_bytes) -> std::vector<std::string>;
+/** As above, for the submission of `job` that EncodeSubmission() has encoded.
+ */
+auto SplitSubmission(const batch_id& job,
+                     std::string_view encoded,
+                     std::size_t record_bytes) -> std::vector<std::string>;
+/** Whether one append can hold all records. */
+auto FitAppend(const std::vector<std::string>& records,
+               const append_limits& limits) -> bool;
 /** Returns the record of a result. */
 auto ResultRecord(const batch_id& job, const batch_result& result)
     -> std::string;
@@ -69,6 +94,11 @@
 /** Returns the record of the end of a job. */
 auto EndRecord(const batch_id& job) -> std::string;
 
+/** Returns the records by which a record is stored: the record itself, or its
+ * sections if it is larger than `record_bytes`. */
+auto SplitRecordToFit(std::string record, std::size_t record_bytes)
+    -> std::vector<std::string>;
+
 /** Parses a record. Returns std::nullopt if it is malformed. */
 auto ParseBatchRecord(std::string_view record) -> std::optional<batch_record>;
 
--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -39,6 +39,10 @@
  * unless its partition's log shows it before: a host that accepts in place of
  * the owner does not see that log. */
 constexpr std::chrono::seconds kAcceptedTokensTtl{5};
+/** Longest time until a call is answered: the link to the owner waits
+ * kReadTimeout longer than the owner. */
+constexpr milliseconds kLongestRead = 2 * kReadTimeout;
+constexpr milliseconds kLongestChange = kSubmitTimeout + kReadTimeout;
 /** Retry-After for callers while the owner of the job cannot serve them. */
 constexpr milliseconds kOwnerRetryAfter{300};
 
@@ -149,7 +153,8 @@
   std::map<batch_quota_key, std::uint64_t> rows;
   for (const auto& [id, partition] : partitions_) {
     for (const auto& [job_id, job] : partition->projection.Jobs()) {
-      const auto* route = job.IsClosed() ? nullptr : RouteOf(job.submission);
+      const auto* route =
+          job.IsClosed() ? nullptr : KnownRouteOf(job.submission);
       if (route != nullptr && route->waiting_tokens_limit > 0) {
         rows[{job.submission.workspace, route->id}] += job.OpenTokens();
       }
@@ -167,9 +172,17 @@
   return report;
 }
 
+auto batch_service::AwaitRoute(const batch_submission& submission,
+                               time_point deadline) -> asio::awaitable<void> {
+  while (IsBehind(submission) && KnownRouteOf(submission) == nullptr &&
+         clock::now() < deadline) {
+    co_await host_.feed_changed.Wait(deadline);
+  }
+}
+
 auto batch_service::ReserveRoom(const batch_submission& submission)
     -> asio::awaitable<bool> {
-  const auto* route = RouteOf(submission);
+  const auto* route = KnownRouteOf(submission);
   if (route == nullptr || route->waiting_tokens_limit == 0) {
     co_return true;
   }
@@ -216,6 +229,16 @@
                        "workspace has too many tokens waiting on the route");
 }
 
+/** Returns the answer to a job that the store has no room for in one append.
+ * Its caller need not repeat it. */
+auto TooLargeAnswer(const append_limits& limits) -> http_response {
+  return FailureAnswer(
+      error_code::kTooLarge,
+      "batch job does not fit the store: its items may have " +
+          std::to_string(limits.append_bytes) +
+          " bytes in all, with their headers and decoded bodies");
+}
+
 }  // namespace
 
 auto batch_service::Submit(partition_id id,
@@ -234,6 +257,12 @@
     }
   }
   if (record == nullptr) {
+    auto records =
+        SubmissionRecords(submission, host_.options.store_limits.record_bytes);
+    if (!FitAppend(records, host_.options.store_limits)) {
+      co_return TooLargeAnswer(host_.options.store_limits);
+    }
+    co_await AwaitRoute(submission, deadline);
     const bool has_room = co_await ReserveRoom(submission);
     if (partition->projection.Find(job) != nullptr) {
       co_return JsonResponse(202, "{}");
@@ -242,7 +271,7 @@
       co_return NoRoomAnswer();
     }
     record = std::make_shared<pending_record>();
-    record->records = SubmissionRecords(submission, host_.options.record_bytes);
+    record->records = std::move(records);
     record->submitted_job = job;
     Write(id, partition, record);
   }
@@ -266,7 +295,10 @@
                                    time_point deadline)
     -> asio::awaitable<http_response> {
   const auto records =
-      SubmissionRecords(submission, host_.options.record_bytes);
+      SubmissionRecords(submission, host_.options.store_limits.record_bytes);
+  if (!FitAppend(records, host_.options.store_limits)) {
+    co_return TooLargeAnswer(host_.options.store_limits);
+  }
   const auto where = LocatePartition(id, host_.options.partitions_per_topic);
   // A temporary copy for this call; it is never added to the partitions that
   // this host owns.
@@ -477,14 +509,15 @@
   const auto substitutes =
       SubstituteHosts(host, host.view.OwnerOf(partition_id(call.partition)));
   call.call = static_cast<std::uint8_t>(batch_call_kind::kSubmitForOwner);
-  call.wait_us =
-      std::chrono::duration_cast<std::chrono::microseconds>(kSubstituteTimeout)
-          .count();
   bool may_be_in_log = false;
   for (const auto& member : substitutes) {
-    if (clock::now() >= deadline || IsSettled(owner_answer->response)) {
+    const duration remaining = deadline - clock::now();
+    if (remaining <= duration() || IsSettled(owner_answer->response)) {
       break;
     }
+    call.wait_us = std::chrono::duration_cast<std::chrono::microseconds>(
+                       std::min<duration>(kSubstituteTimeout, remaining))
+                       .count();
     auto response = co_await CallHost(host, member, call);
     if (IsSettled(response)) {
       co_return response;
@@ -514,6 +547,23 @@
                      const caller_request& caller,
                      const workspace_id& workspace) -> asio::awaitable<void> {
   const auto arrived = clock::now();
+  const bool is_read = caller.call == caller_call::kJobResults ||
+                       caller.call == caller_call::kJobItem;
+  const auto longest = is_read ? kLongestRead : kLongestChange;
+  if (arrived > LatestDrainStart(host.drain, arrived + longest, duration())) {
+    auto refusal =
+        FailureAnswer(error_code::kUnavailable,
+                      "this host stops before the call could be answered");
+    adapter::SetRetryAfter(refusal.headers, kOwnerRetryAfter);
+    host.metrics.CountAnswer(refusal.status);
+    LogEvent(log_level::kInfo, log_category::kJob, "batch_call_refused",
+             {{"attempt", caller.attempt.value},
+              {"job", caller.job},
+              {"status", refusal.status},
+              {"outcome", "host stops"}});
+    co_await exchange.Respond(std::move(refusal));
+    co_return;
+  }
   auto call = EncodeCall(caller, workspace);
   if (caller.call == caller_call::kServe) {
     call.job = caller.attempt.value;
@@ -524,20 +574,27 @@
           items ? "submission has no name" : items.error().message));
       co_return;
     }
-    call.body = EncodeSubmission({.id = batch_id(call.job),
-                                  .workspace = workspace,
-                                  .host = caller.host,
-                                  .path = caller.path,
-                                  .submitted = UnixNow(),
-                                  .items = std::move(items.value())});
+    call.body =
+        EncodeSubmission({.id = batch_id(call.job),
+                          .workspace = workspace,
+                          .host = caller.host,
+                          .path = caller.path,
+                          .submitted = UnixNow(),
+                          .accepted_under = host.deployment->state().version,
+                          .items = std::move(items.value())});
   }
   call.partition =
       PartitionOf(batch_id(call.job), host.options.partitions_per_topic).value;
   const auto job = call.job;
   const auto kind = call.call;
   const auto partition = call.partition;
+  const auto& limits = host.options.store_limits;
   http_response response;
-  if (caller.call == caller_call::kServe) {
+  if (caller.call == caller_call::kServe &&
+      !FitAppend(SplitSubmission(batch_id(job), call.body, limits.record_bytes),
+                 limits)) {
+    response = TooLargeAnswer(limits);
+  } else if (caller.call == caller_call::kServe) {
     response = co_await SubmitJob(host, std::move(call));
   } else {
     response = co_await CallOwner(host, std::move(call));
@@ -546,8 +603,6 @@
   const auto* owner = host.view.OwnerOf(partition_id(partition));
   // Every caller polls twice a second; at info level only refused reads are
   // logged.
-  const bool is_read = caller.call == caller_call::kJobResults ||
-                       caller.call == caller_call::kJobItem;
   LogEvent(
       is_read && status < 400 ? log_level::kDebug : log_level::kInfo,
       log_category::kJob, "batch_call",
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -34,6 +34,9 @@
 constexpr milliseconds kNotRunBackoff{50};
 /** Maximum duration of an item's run. */
 constexpr std::chrono::seconds kMaxRunTime{40};
+/** Maximum size of an item's output: one answer to a read holds at least one
+ * result and 1 MB at most (the platform's pages, "Batch jobs"). */
+constexpr std::size_t kMaxOutputBytes = 900UL << 10;
 /** Assumed duration of a complete run before any was measured. */
 constexpr double kInitialRunSeconds = 4;
 /** Weight of the newest run in the smoothed duration. */
@@ -50,7 +53,10 @@
 /** Appends the data of an item's events to its output. */
 class item_sink : public answer_sink {
  public:
-  explicit item_sink(std::string& output) : output_(output) {}
+  /** `is_resumed` tells that `output` has the data of earlier events, which may
+   * be empty. No more than `max_bytes` of output are taken. */
+  item_sink(std::string& output, bool is_resumed, std::size_t max_bytes)
+      : output_(output), max_bytes_(max_bytes), has_data_(is_resumed) {}
 
   auto HandleHead(const http_head&) -> asio::awaitable<bool> override {
     co_return true;
@@ -62,19 +68,22 @@
     for (const auto& event : parsed.value()) {
       const auto fields = ParseEventFields(event);
       if (fields.has_data) {
-        if (has_data_ || !output_.empty()) {
+        if (has_data_) {
           output_ += '\n';
         }
         has_data_ = true;
         output_ += fields.data;
       }
     }
-    co_return true;
+    co_return !IsTooLong();
   }
 
+  auto IsTooLong() const -> bool { return output_.size() > max_bytes_; }
+
  private:
   std::string& output_;
-  bool has_data_ = false;
+  std::size_t max_bytes_;
+  bool has_data_;
 };
 
 }  // namespace
@@ -98,18 +107,37 @@
   }
 }
 
-auto batch_service::RouteOf(const batch_submission& submission) const
+auto batch_service::IsBehind(const batch_submission& submission) const -> bool {
+  return host_.deployment == nullptr ||
+         host_.deployment->state().version < submission.accepted_under;
+}
+
+auto batch_service::KnownRouteOf(const batch_submission& submission) const
     -> const route_rule* {
   return host_.deployment == nullptr
              ? nullptr
              : host_.deployment->FindRoute(submission.host, submission.path);
 }
 
+auto batch_service::RouteOf(const batch_submission& submission) const
+    -> const route_rule* {
+  return IsBehind(submission) ? nullptr : KnownRouteOf(submission);
+}
+
 auto batch_service::QueueItems(partition_id id, const batch_job& job) -> void {
   if (job.IsClosed()) {
     return;
   }
   const auto* route = RouteOf(job.submission);
+  if (IsBehind(job.submission)) {
+    const auto version = host_.deployment == nullptr
+                             ? 0
+                             : host_.deployment->state().version.value;
+    LogEvent(log_level::kInfo, log_category::kJob, "job_awaits_state",
+             {{"job", job.submission.id.value},
+              {"accepted_under", job.submission.accepted_under.value},
+              {"state_version", version}});
+  }
   for (const auto& item : job.submission.items) {
     if (job.listed.contains(item.id)) {
       continue;
@@ -188,7 +216,7 @@
     queue_.Remove(ref);
     co_return;
   }
-  if (host_.deployment == nullptr) {
+  if (IsBehind(job->submission)) {
     queue_.Requeue(ref, clock::now() + kFailedRunBackoff);
     co_return;
   }
@@ -266,7 +294,9 @@
                            .has_head = true};
   std::string output = queued->progress.output;
   const bool is_first_run = progress.last_event == 0;
-  item_sink sink(output);
+  const auto max_output =
+      std::min(kMaxOutputBytes, host_.options.store_limits.append_bytes / 2);
+  item_sink sink(output, !is_first_run, max_output);
   attempt_handle handle;
   runs_[ref] = {&handle, &progress, &output};
   ++running_;
@@ -280,9 +310,30 @@
         std::chrono::duration<double>(clock::now() - started).count();
     run_seconds_ += kRunWeight * (seconds - run_seconds_);
   }
+  if (sink.IsTooLong()) {
+    LogEvent(log_level::kWarning, log_category::kJob, "item_output_too_long",
+             {{"job", ref.job.value},
+              {"item", ref.item.value},
+              {"server", server.id.value},
+              {"bytes", output.size()},
+              {"max_bytes", max_output}});
+    HandleFailedRun(ref);
+    co_return;
+  }
   HandleRunEnd(ref, result, progress, std::move(output), server.id);
 }
 
+auto batch_service::HandleFailedRun(const batch_item_ref& ref) -> void {
+  if (queue_.Find(ref) == nullptr) {
+    return;
+  }
+  if (queue_.CountFailure(ref)) {
+    RecordResult(ref, batch_item_outcome::kAbandoned, "");
+  } else {
+    queue_.Requeue(ref, clock::now() + kFailedRunBackoff);
+  }
+}
+
 auto batch_service::HandleRunEnd(const batch_item_ref& ref,
                                  const attempt_result& result,
                                  stream_progress progress,
@@ -313,11 +364,7 @@
     return;
   }
   if (status == 500) {
-    if (queue_.CountFailure(ref)) {
-      RecordResult(ref, batch_item_outcome::kAbandoned, "");
-    } else {
-      queue_.Requeue(ref, clock::now() + kFailedRunBackoff);
-    }
+    HandleFailedRun(ref);
     return;
   }
   queued->progress = {progress.last_event, std::move(output)};
--- a/tests/batch_test.cc
+++ b/tests/batch_test.cc
@@ -24,6 +24,7 @@
                               .host = "h",
                               .path = "/p/",
                               .submitted = unix_ms(1000),
+                              .accepted_under = state_version(7),
                               .items = {}};
   for (std::size_t i = 0; i < count; ++i) {
     batch_item item{.id = batch_item_id(name + "-" + std::to_string(i)),
@@ -177,6 +178,46 @@
   }
 }
 
+// Guards against a job that is accepted although the store cannot take it.
+Test(batch, submission_that_no_append_can_hold_is_found) {
+  const auto submission = Submission("j", 10, 3000);
+  const auto records = SubmissionRecords(submission, kRecordBytes);
+  std::size_t bytes = 0;
+  for (const auto& record : records) {
+    bytes += record.size() + 4;
+  }
+  cr_assert(FitAppend(records, {kRecordBytes, bytes}));
+  cr_assert_not(FitAppend(records, {kRecordBytes, bytes - 1}));
+  // A job's name is in the first line of each of its records.
+  const auto named =
+      SubmissionRecords(Submission(std::string(9000, 'n'), 1, 1), kRecordBytes);
+  cr_assert_not(FitAppend(named, {kRecordBytes, 1UL << 20}));
+}
+
+// Guards against results and progress that the store refuses because they are
+// larger than a record, which blocks their partition.
+Test(batch, large_records_are_stored_in_sections) {
+  cr_assert(rc::check("a record in sections is the same as a whole one", [] {
+    batch_partition partition;
+    ApplyAll(partition,
+             SubmissionRecords(Submission("j", 2, 10), kRecordBytes));
+    const std::string output(*rc::gen::inRange<std::size_t>(0, 40000), 'x');
+    const auto whole = ResultRecord(batch_id("j"), Result("j-1", output));
+    const auto sections = SplitRecordToFit(whole, kRecordBytes);
+    RC_ASSERT(FitAppend(sections, {kRecordBytes, 1UL << 20}));
+    RC_ASSERT(sections.size() > 1 || sections[0] == whole);
+    const auto torn = *rc::gen::inRange<std::size_t>(0, sections.size());
+    for (std::size_t i = 0; i < torn; ++i) {
+      partition.Apply(sections[i]);  // Sections without their end.
+    }
+    RC_ASSERT(partition.Find(batch_id("j"))->results.empty());
+    ApplyAll(partition, sections);
+    const auto& results = partition.Find(batch_id("j"))->results;
+    RC_ASSERT(results.size() == 1U);
+    RC_ASSERT(results[0].output == output);
+  }));
+}
+
 // Guards against a job that is accepted before all parts of its submission were
 // read.
 Test(batch, submission_counts_only_when_complete) {
--- /dev/null
+++ b/tests/site_batch.py
@@ -0,0 +1,165 @@
+#!/usr/bin/python3
+"""Guards against batch jobs that are accepted and then given up, cut short or
+never finished."""
+
+import asyncio
+
+import site_helper as sh
+
+SHORT_READ_MS = 100
+
+
+class LateFleet(sh.Fleet):
+    """Its first host owns all partitions, and reads the declared state late
+    while `is_late` is set."""
+
+    def __init__(self, name):
+        super().__init__(name, hosts=3)
+        self.is_late = asyncio.Event()
+        self.own_store = sh.stand_in.HttpServer(self.handle_late)
+        self.own_store_ip = f"127.{self.net}.0.2"
+
+    def store_address(self, host):
+        ip = self.own_store_ip if host is self.hosts[0] else self.store_ip
+        return f"{ip}:{sh.STORE}"
+
+    async def handle_late(self, request, reader, writer):
+        if request[2].get("topic") == sh.stand_in.STATE_TOPIC:
+            while self.is_late.is_set():
+                await asyncio.sleep(0.02)
+            if int(request[2].get("waitMs", 0)) > SHORT_READ_MS:
+                request[2]["waitMs"] = str(SHORT_READ_MS)
+        return await self.store.handle(request, reader, writer)
+
+    async def __aenter__(self):
+        await self.own_store.start(self.own_store_ip, sh.STORE)
+        await super().__aenter__()
+        sh.assign_all(self, self.hosts[0].member)
+        await asyncio.sleep(1.5)
+        return self
+
+    async def __aexit__(self, kind, error, trace):
+        await super().__aexit__(kind, error, trace)
+        await self.own_store.stop()
+
+
+async def version_of(host):
+    """Returns the version of the declared state that a host has applied."""
+    return await host.metric("dogwood_state_version")
+
+
+async def job_on_a_route_its_owner_does_not_know(route):
+    """Guards against items that are given up, or run by an older route with a
+    shorter prefix, because the owner of their partition learns of their route
+    later than the host that accepted them."""
+    async with LateFleet("late_route") as fleet:
+        late, other = fleet.hosts[:2]
+        fleet.is_late.set()
+        await asyncio.sleep(3 * SHORT_READ_MS / 1000)  # Until no read is held that began before.
+        declared = sh.state(2)
+        declared["routes"].append(dict(declared["routes"][-1], name="late", pathPrefix=f"/{route}/"))
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", declared)
+
+        async def is_current():
+            return await version_of(other) == 2
+        await sh.until(is_current, "another host has the new route")
+        jobs = [fleet.new_id("job") for _ in range(4)]
+        for job in jobs:
+            answer = await fleet.submit(other, job, 3, route=route)
+            sh.check(answer.status == 202, f"job {job}: {answer}")
+        # The jobs were accepted by a substitute; reading them makes the owner find them.
+        for job in jobs:
+            await fleet.results(late, job)
+        sh.check(await version_of(late) == 1, "the owner has the new route too early for this test")
+        await asyncio.sleep(0.5)
+        ran = [job for job in jobs for i in range(3) if fleet.runs(f"{job}-{i}") > 0]
+        sh.check(not ran, f"the owner ran items by an older route: {ran}")
+        fleet.is_late.clear()
+        for job in jobs:
+            for item, end, output in await fleet.all_results(job, 3):
+                sh.check(end == "done", f"item {item} was given up although its route exists")
+                sh.check(output == sh.stand_in.whole_output(item), f"output of {item}: {output}")
+
+
+class SmallStore(sh.stand_in.Store):
+    """Refuses what is larger than a record or an append may be."""
+
+    RECORD_BYTES, APPEND_BYTES = 262144, 2097152
+    refused = 0
+
+    async def log_append(self, query, body, writer):
+        sizes, rest = [], body
+        while rest:
+            sizes.append(int.from_bytes(rest[:4], "big"))
+            rest = rest[4 + sizes[-1]:]
+        if max(sizes) > self.RECORD_BYTES or len(body) > self.APPEND_BYTES:
+            self.refused += 1
+            sh.stand_in.answer(writer, 413)
+            return
+        await super().log_append(query, body, writer)
+
+
+class SmallStoreFleet(sh.Fleet):
+    def __init__(self, name, **sizes):
+        super().__init__(name, **sizes)
+        self.store = SmallStore()
+        for engine in self.engines:
+            engine.store = self.store
+
+
+async def job_larger_than_an_append():
+    """Guards against accepted jobs whose results are never listed, because a
+    job that the store refuses stays first among what is to be written. Such a
+    job is rejected for good before it is accepted."""
+    async with SmallStoreFleet("large_job", hosts=2) as fleet:
+        store = fleet.store
+        for host in fleet.hosts:
+            for size, status in ((13000, 413), (2 << 20, 413), (9000, 202)):
+                items = 190 if size < 100000 else 1
+                job = fleet.new_id("job")
+                answer = await fleet.submit(host, job, items, body=b"x" * size)
+                sh.check(answer.status == status, f"job of {items} items of {size} bytes: {answer}")
+                if status != 202:
+                    sh.check(answer.json()["error"]["ran"] == "no", f"refusal of a large job: {answer}")
+                    answer = await fleet.results(host, job)
+                    sh.check(answer.status == 404, f"refused job: {answer}")
+        sh.check(store.refused == 0, f"{store.refused} appends that the store must refuse were sent")
+        jobs = [fleet.new_id("job") for _ in range(20)]
+        for job in jobs:
+            answer = await fleet.submit(fleet.hosts[0], job, 1)
+            sh.check(answer.status == 202, f"job {job}: {answer}")
+        for job in jobs:
+            await fleet.all_results(job, 1)
+
+
+async def output_larger_than_a_record():
+    """Guards against partitions that are blocked by an item whose output is
+    larger than a record, and against outputs without end."""
+    async with SmallStoreFleet("large_output", hosts=2) as fleet:
+        sh.assign_all(fleet, fleet.hosts[0].member)
+        await asyncio.sleep(1.5)
+        for text, outcome in (("a" * 120000, "done"), ("b" * 250000, "dead_letter")):
+            sh.stand_in.EVENT_TEXTS = {1: text, 2: text, 3: text, 4: text}
+            jobs = [fleet.new_id("job") for _ in range(4)]
+            for job in jobs:
+                answer = await fleet.submit(fleet.hosts[1], job, 1)
+                sh.check(answer.status == 202, f"job {job}: {answer}")
+            for job in jobs:
+                for item, end, output in await fleet.all_results(job, 1):
+                    sh.check(end == outcome, f"item {item} with texts of {len(text)} bytes: {end}")
+                    sh.check(end != "done" or output == sh.stand_in.whole_output(item), f"output of {item}")
+        sh.stand_in.EVENT_TEXTS = {}
+        sh.check(fleet.store.refused == 0, f"{fleet.store.refused} appends that the store must refuse were sent")
+        answer = await fleet.submit(fleet.hosts[1], "last", 2)
+        sh.check(answer.status == 202, f"last job: {answer}")
+        await fleet.all_results("last", 2)
+
+
+async def test():
+    await job_on_a_route_its_owner_does_not_know("late")
+    await job_on_a_route_its_owner_does_not_know("job/late")
+    await job_larger_than_an_append()
+    await output_larger_than_a_record()
+
+
+sh.run(test)
