Drop a record that the store refuses for good instead of repeating it

Callers would see: accepted jobs that are never listed, because a record of the same partition is larger than the store takes although the settings allow it.

Cause: the writer of a partition repeated every failed append first, and took 413 for an answer after which the append may have taken effect.

Change: 413 means that nothing was appended. Records that were refused together are appended one by one, a single one is dropped with an error: a submission is answered 413, a result counts as a failed run, progress is lost.

Test: site_batch store_smaller_than_the_settings (before: 0 of 2 items listed in 40 s), seen to fail and passing now.

--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -62,7 +62,7 @@
 auto batch_service::AwaitSettled(partition_ptr partition,
                                  std::shared_ptr<pending_record> record,
                                  time_point deadline) -> asio::awaitable<bool> {
-  while (!record->is_settled && partition->is_owned &&
+  while (!record->is_settled && !record->is_refused && partition->is_owned &&
          clock::now() < deadline) {
     co_await partition->changed.Wait(deadline);
   }
@@ -280,6 +280,10 @@
     accepting_.erase(job);
     co_return JsonResponse(202, "{}");
   }
+  if (record->is_refused && !record->may_be_in_log) {
+    accepting_.erase(job);
+    co_return TooLargeAnswer(host_.options.store_limits);
+  }
   if (!record->may_be_in_log && !partition->is_writing) {
     partition->pending.remove(record);
     accepting_.erase(job);
@@ -324,6 +328,9 @@
     if (appended) {
       co_return JsonResponse(202, "{}");
     }
+    if (appended.error().code == error_code::kTooLarge) {
+      co_return TooLargeAnswer(host_.options.store_limits);
+    }
     if (appended.error().code != error_code::kConflict) {
       may_be_in_log = appended.error().ran == ran_state::kMaybe;
       break;
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -85,6 +85,7 @@
     std::uint64_t after_event = 0;
     bool may_be_in_log = false;  ///< An append with it got no answer.
     bool is_settled = false;     ///< It is in the log or no longer needed.
+    bool is_refused = false;     ///< The store does not take it at all.
   };
   /** One partition that this host owns or has owned until recently. */
   struct owned_partition {
@@ -104,6 +105,9 @@
     async_mutex store_calls;
     /** Records to append, in order. */
     std::list<std::shared_ptr<pending_record>> pending;
+    /** Appends one pending record at a time, since the store has refused
+     * several as too large. */
+    bool appends_singly = false;
     async_condition changed;  ///< Notified of each change of the partition.
   };
   using partition_ptr = std::shared_ptr<owned_partition>;
@@ -150,6 +154,12 @@
       -> boost::asio::awaitable<void>;
   auto AppendOnce(partition_id id, partition_ptr partition)
       -> boost::asio::awaitable<bool>;
+  /** Drops what the store refused as too large, or lets it be found among
+   * several records. */
+  auto HandleTooLarge(partition_id id,
+                      owned_partition& partition,
+                      const std::vector<std::shared_ptr<pending_record>>& sent)
+      -> void;
   auto AwaitSettled(partition_ptr partition,
                     std::shared_ptr<pending_record> record,
                     time_point deadline) -> boost::asio::awaitable<bool>;
--- a/src/hostd_batch_log.cc
+++ b/src/hostd_batch_log.cc
@@ -255,8 +255,10 @@
     for (const auto& part : record->records) {
       size += part.size();
     }
-    if (!records.empty() &&
-        bytes + size > host_.options.store_limits.append_bytes / 2) {
+    const bool is_full =
+        partition->appends_singly ||
+        bytes + size > host_.options.store_limits.append_bytes / 2;
+    if (!records.empty() && is_full) {
       break;
     }
     bytes += size;
@@ -269,10 +271,15 @@
   auto appended = co_await partition->client.Append(
       where, records, at, clock::now() + kStoreTimeout);
   if (appended && appended->first == *at) {
+    partition->appends_singly = false;
     ApplyRecords(id, *partition, records);
     SettlePending(*partition);
     co_return true;
   }
+  if (!appended && appended.error().code == error_code::kTooLarge) {
+    HandleTooLarge(id, *partition, sent);
+    co_return true;
+  }
   if (!appended && appended.error().code != error_code::kConflict) {
     Log(log_level::kWarning, log_category::kJob,
         {"partition " + std::to_string(id.value) + ": " +
@@ -292,6 +299,29 @@
   co_return is_read;
 }
 
+auto batch_service::HandleTooLarge(
+    partition_id id,
+    owned_partition& partition,
+    const std::vector<std::shared_ptr<pending_record>>& sent) -> void {
+  if (sent.size() > 1) {
+    partition.appends_singly = true;  // Finds the one that is too large.
+    return;
+  }
+  // Kept in the queue, it would block all others of the partition.
+  const auto& record = sent.front();
+  partition.pending.remove(record);
+  record->is_refused = true;
+  Log(log_level::kError, log_category::kJob,
+      {"partition " + std::to_string(id.value) +
+           ": the store does not take a record of the size that the settings "
+           "allow; it is dropped",
+       "append to log", "store"});
+  if (record->result_item) {
+    HandleFailedRun(*record->result_item);
+  }
+  partition.changed.Notify();
+}
+
 auto batch_service::RecordResult(const batch_item_ref& ref,
                                  batch_item_outcome end,
                                  std::string output) -> void {
--- a/tests/site_batch.py
+++ b/tests/site_batch.py
@@ -155,11 +155,36 @@
         await fleet.all_results("last", 2)
 
 
+async def store_smaller_than_the_settings():
+    """Guards against partitions that are blocked for good by a record that the
+    store refuses although the settings allow its size."""
+    async with SmallStoreFleet("refused_append", hosts=2) as fleet:
+        sh.assign_all(fleet, fleet.hosts[0].member)
+        await asyncio.sleep(1.5)
+        fleet.store.APPEND_BYTES = 100000
+        sh.stand_in.EVENT_TEXTS = {1: "a" * 60000, 2: "b" * 60000}
+        # One job, so that all its records are in one partition. An item's number of events depends on its
+        # name; the first two texts of each are the large ones.
+        answer = await fleet.submit(fleet.hosts[1], "large", 2)
+        sh.check(answer.status == 202, f"job: {answer}")
+        for item, end, _ in await fleet.all_results("large", 2):
+            sh.check(end == "dead_letter", f"item {item} with an output that the store refuses: {end}")
+        answer = await fleet.submit(fleet.hosts[1], "refused", 1, body=b"x" * 150000)
+        sh.check(answer.status == 413, f"job that the store refuses: {answer}")
+        sh.check(fleet.store.refused >= 2, "the store refused nothing")
+        sh.stand_in.EVENT_TEXTS = {}
+        answer = await fleet.submit(fleet.hosts[1], "refused", 2)
+        sh.check(answer.status == 202, f"job with a name that was refused before: {answer}")
+        for item, end, output in await fleet.all_results("refused", 2):
+            sh.check((end, output) == ("done", sh.stand_in.whole_output(item)), f"item {item}: {end} {output}")
+
+
 async def test():
     await job_on_a_route_its_owner_does_not_know("late")
     await job_on_a_route_its_owner_does_not_know("job/late")
     await job_larger_than_an_append()
     await output_larger_than_a_record()
+    await store_smaller_than_the_settings()
 
 
 sh.run(test)
