Bound what is read ahead of a chunk and of a trailer

Other operators saw: a server sent bytes that were no answer without end, and the machine that had called it ran out of memory. Heads, interim answers, bodies and events were bounded already (site_trouble); the line before a chunk and the trailer were not, in answers and in requests: Beast reads on into the buffer until the line ends, and searches all of it each time.

Change: the read-ahead buffers of client and server have a maximum size.

Tests: site_trouble endless_bytes (chunk_extension, trailer), endless_request.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -24,6 +24,9 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+/** Maximum number of bytes read ahead. It bounds what the parser waits for in
+ * one piece: the head, the line before a chunk, and the trailer. */
+constexpr std::size_t kMaxReadAheadBytes = 128UL << 10;
 /** Maximum number of bytes that ReadSome() returns. */
 constexpr std::size_t kReadBytes = 16UL << 10;
 
@@ -40,8 +43,8 @@
 struct http_connection::state {
   explicit state(const asio::any_io_executor& executor) : stream(executor) {}
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;  ///< Bytes read ahead.
-  std::string peer;           ///< "ip:port" of the server.
+  beast::flat_buffer buffer{kMaxReadAheadBytes};  ///< Bytes read ahead.
+  std::string peer;                               ///< "ip:port" of the server.
   /** Parser of the current response. */
   std::optional<http::response_parser<http::buffer_body>> parser;
   bool is_head = false;   ///< The request is a HEAD.
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -44,6 +44,10 @@
 /** Finish() returns only after this long without an active request, because a
  * request that is still being read does not count as active. */
 constexpr std::chrono::milliseconds kQuietInterval{200};
+/** Maximum number of bytes read ahead beyond the longest head. With it, it
+ * bounds what the parser waits for in one piece: the head, the line before a
+ * chunk, and the trailer. */
+constexpr std::size_t kMaxReadAheadBytes = 64UL << 10;
 /** Maximum size of the first read of a request. */
 constexpr std::size_t kInitialReadBytes = 4096;
 
@@ -286,6 +290,7 @@
   while (true) {
     const http_limits limits = state->limits;
     const std::chrono::milliseconds idle(limits.idle_ms);
+    buffer.max_size(limits.header_bytes + kMaxReadAheadBytes);
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -295,7 +295,7 @@
         self.cut_after = None  # Breaks off streams after this many events.
         self.silent_after = None  # Falls silent after this many events.
         self.drip_after = None  # Sends a byte now and then, but no event, after this many events.
-        self.flood = None  # Sends bytes without end: "head", "interim", "plain" or "event".
+        self.flood = None  # Sends bytes without end of this kind, see send_flood().
         self.gap_s = EVENT_GAP_S  # Pause before each event.
         self.copy_after_s = None  # Sends each plain answer once more, this much later.
         self.cut_plain = False  # Closes in the middle of plain answers.
@@ -479,7 +479,10 @@
             "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
             "plain": (b"HTTP/1.1 200 OK\r\n" + sealed + b"Transfer-Encoding: chunked\r\n\r\n", chunk),
             "event": (b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + sealed
-                      + b"Transfer-Encoding: chunked\r\n\r\n", chunk)}[self.flood]
+                      + b"Transfer-Encoding: chunked\r\n\r\n", chunk),
+            "chunk_extension": (b"HTTP/1.1 200 OK\r\n" + sealed + b"Transfer-Encoding: chunked\r\n\r\n5;x=", b"x" * FLOOD_BYTES),
+            "trailer": (b"HTTP/1.1 200 OK\r\n" + sealed + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                        b"X-Junk: " + b"x" * FLOOD_BYTES + b"\r\n")}[self.flood]
         with contextlib.suppress(OSError):
             writer.write(start)
             while not writer.transport.is_closing():
--- a/tests/site_trouble.py
+++ b/tests/site_trouble.py
@@ -5,6 +5,7 @@
 silent for a moment."""
 
 import asyncio
+import contextlib
 import re
 import signal
 import time
@@ -61,7 +62,7 @@
 
 
 async def endless_bytes():
-    for flood in ("head", "interim", "plain", "event"):
+    for flood in ("head", "interim", "plain", "event", "chunk_extension", "trailer"):
         async with sh.Fleet(f"endless_{flood}", hosts=1, engines=1) as fleet:
             host, engine = fleet.hosts[0], fleet.engines[0]
             engine.slots = 50
@@ -84,6 +85,28 @@
             await sh.until(works, f"{flood}: the server is used again", 10)
 
 
+async def endless_request():
+    """Bytes without end from callers, where the size of a chunk or the end of a
+    body is due."""
+    async with sh.Fleet("endless_request", hosts=1, engines=1) as fleet:
+        host = fleet.hosts[0]
+        head = (f"POST /once/x HTTP/1.1\r\nHost: {sh.HOST_NAME}\r\nX-Key: {sh.KEY}\r\nX-Attempt-Id: endless\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n")
+
+        async def caller(start):
+            _, writer = await asyncio.open_connection(host.ip, sh.FRONT)
+            with contextlib.suppress(OSError):
+                writer.write((head + start).encode())
+                for _ in range(40 << 20 >> 16):
+                    writer.write(b"x" * 65536)
+                    await writer.drain()
+            writer.close()
+        await asyncio.gather(*(caller(start) for start in ("5;x=", "0\r\nX-Junk: ") for _ in range(4)))
+        sh.check(peak_mb(host) < MACHINE_MB, f"the host's memory reached {peak_mb(host):.0f} MB")
+        answer = await fleet.ask(host, "stream")
+        sh.check(answer.status == 200, f"after endless requests: {answer}")
+
+
 async def late_copies():
     """A second copy of an answer comes while its connection is idle, or in use
     again."""
@@ -140,6 +163,7 @@
     await slow_stream_lives()
     await dripping_stream_moves_on()
     await endless_bytes()
+    await endless_request()
 
 
 sh.run(test)
