Bound the answers of the store that a host reads at the same time

Other operators saw a machine run out of memory by bytes that were no answer and never ended. An answer of the store could have 64 MB, each of many at the same time, and the smallest machines have 130 MB.

A too long answer is a broken call, not a refusal of what the call wrote.

Test: site_trouble endless_store (heads, bodies, chunk extensions, trailers), with the peak of the host's memory.

--- a/src/core.h
+++ b/src/core.h
@@ -2,6 +2,7 @@
 #ifndef SRC_CORE_H_
 #define SRC_CORE_H_
 
+#include "src/byte_budget.h"
 #include "src/error_func.h"
 #include "src/error_type.h"
 #include "src/json_func.h"
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -191,6 +192,9 @@
   http_response response;
   response.status = head->status;
   response.headers = std::move(head->headers);
+  byte_budget unlimited(std::numeric_limits<std::size_t>::max());
+  byte_budget::share share(limits.budget == nullptr ? unlimited
+                                                    : *limits.budget);
   while (true) {
     const auto until = limits.max_pause < limits.deadline - clock::now()
                            ? clock::now() + limits.max_pause
@@ -209,10 +213,13 @@
       *limits.progress = clock::now();
     }
     response.body += part.value();
-    if (response.body.size() > max_body) {
+    const bool is_in_budget = share.Take(part->size());
+    if (response.body.size() > max_body || !is_in_budget) {
       failure error{.code = error_code::kTooLarge,
-                    .message = "answer is longer than " +
-                               std::to_string(max_body) + " bytes",
+                    .message = "answer is too long: " +
+                               std::to_string(response.body.size()) +
+                               " bytes so far, " + std::to_string(max_body) +
+                               " are permitted, fewer beside other answers",
                     .ran = ran_state::kMaybe,
                     .step = "read body",
                     .peer = connection.Peer()};
@@ -227,8 +234,7 @@
               std::size_t max_body) -> asio::awaitable<outcome<http_response>> {
   const response_limits limits{.head_deadline = deadline,
                                .deadline = deadline,
-                               .max_pause = duration::max(),
-                               .progress = nullptr};
+                               .max_pause = duration::max()};
   auto response = co_await Exchange(connection, request, limits, max_body);
   co_return response;
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "src/byte_budget.h"
 #include "src/error_type.h"
 #include "src/http_type.h"
 #include "src/unit_type.h"
@@ -60,11 +61,13 @@
   duration max_pause;        ///< Between two parts of the body.
   /** If not null, set to the arrival of each part of the body. */
   time_point* progress = nullptr;
+  /** If not null, a response that exceeds it while it is read fails. */
+  byte_budget* budget = nullptr;
 };
 
 /** Sends one request and reads the complete response. Fails with kTooLarge if
- * its body is longer than `max_body` bytes, and with kDeadlineExceeded if the
- * body makes no progress or takes too long. */
+ * its body is longer than `max_body` bytes or exceeds the budget, and with
+ * kDeadlineExceeded if the body makes no progress or takes too long. */
 auto Exchange(http_connection& connection,
               const http_request& request,
               const response_limits& limits,
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -156,6 +156,7 @@
         self.group_delay_s = 0  # Delay of answers to log-join and log-owners.
         self.lose_appends = 0  # Number of next appends that take effect but are not answered.
         self.calls = 0
+        self.flood = None  # Answers with bytes without end: "head", "body", "chunk_extension" or "trailer".
         self.bytes_per_s = None  # Rate of the link to all callers together.
         self.sent_bytes = 0  # Since the rate has been limited.
         self.link = None
@@ -180,6 +181,9 @@
     async def handle(self, request, reader, writer):
         method, path, query, headers, body = request
         self.calls += 1
+        if self.flood is not None:
+            await send_flood(self.flood, writer)
+            return False
         writer = PacedWriter(self, writer)
         if self.is_down:
             answer(writer, 503)
@@ -396,7 +400,7 @@
         if self.is_unframed:
             return await self.run_unframed(attempt, path, headers, body, writer)
         if self.flood is not None:
-            await self.send_flood(attempt, seal, writer)
+            await send_flood(self.flood, writer, f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {seal}\r\n".encode())
             return False
         if "poison" in path:
             answer(writer, 422, X_Attempt_Id=attempt, X_Server_Seal=seal)
@@ -470,25 +474,26 @@
             reset(writer)
         return False
 
-    async def send_flood(self, attempt, seal, writer):
-        """Sends bytes that are no answer until the caller closes."""
-        sealed = f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {seal}\r\n".encode()
-        chunk = f"{FLOOD_BYTES:x}\r\n".encode() + b"x" * FLOOD_BYTES + b"\r\n"
-        start, more = {
-            "head": (b"HTTP/1.1 200 OK\r\n" + sealed, b"X-Junk: " + b"x" * 1000 + b"\r\n"),
-            "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
-            "plain": (b"HTTP/1.1 200 OK\r\n" + sealed + b"Transfer-Encoding: chunked\r\n\r\n", chunk),
-            "event": (b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + sealed
-                      + b"Transfer-Encoding: chunked\r\n\r\n", chunk),
-            "chunk_extension": (b"HTTP/1.1 200 OK\r\n" + sealed + b"Transfer-Encoding: chunked\r\n\r\n5;x=", b"x" * FLOOD_BYTES),
-            "trailer": (b"HTTP/1.1 200 OK\r\n" + sealed + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
-                        b"X-Junk: " + b"x" * FLOOD_BYTES + b"\r\n")}[self.flood]
-        with contextlib.suppress(OSError):
-            writer.write(start)
-            while not writer.transport.is_closing():
-                writer.write(more)
-                await writer.drain()
-                await asyncio.sleep(0)
+
+async def send_flood(kind, writer, fields=b""):
+    """Sends bytes that are no answer until the caller closes; `fields` are
+    header fields of the answer's head."""
+    head = b"HTTP/1.1 200 OK\r\n" + fields
+    chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+    chunk = f"{FLOOD_BYTES:x}\r\n".encode() + b"x" * FLOOD_BYTES + b"\r\n"
+    start, more = {
+        "head": (head, b"X-Junk: " + b"x" * 1000 + b"\r\n"),
+        "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+        "body": (chunked, chunk),
+        "event": (head + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", chunk),
+        "chunk_extension": (chunked + b"5;x=", b"x" * FLOOD_BYTES),
+        "trailer": (chunked + b"0\r\n", b"X-Junk: " + b"x" * FLOOD_BYTES + b"\r\n")}[kind]
+    with contextlib.suppress(OSError):
+        writer.write(start)
+        while not writer.transport.is_closing():
+            writer.write(more)
+            await writer.drain()
+            await asyncio.sleep(0)
 
 
 def event_count(attempt):
--- a/tests/site_trouble.py
+++ b/tests/site_trouble.py
@@ -62,7 +62,7 @@
 
 
 async def endless_bytes():
-    for flood in ("head", "interim", "plain", "event", "chunk_extension", "trailer"):
+    for flood in ("head", "interim", "body", "event", "chunk_extension", "trailer"):
         async with sh.Fleet(f"endless_{flood}", hosts=1, engines=1) as fleet:
             host, engine = fleet.hosts[0], fleet.engines[0]
             engine.slots = 50
@@ -85,6 +85,25 @@
             await sh.until(works, f"{flood}: the server is used again", 10)
 
 
+async def endless_store():
+    """Answers of the store without end, while jobs are submitted."""
+    for flood in ("head", "body", "chunk_extension", "trailer"):
+        async with sh.Fleet(f"endless_store_{flood}", hosts=2, engines=1) as fleet:
+            fleet.store.flood = flood
+            end = time.monotonic() + 6
+            while time.monotonic() < end:
+                answers = await asyncio.gather(*(fleet.submit(fleet.hosts[i % 2], fleet.new_id("job"), 1) for i in range(12)))
+                for answer in answers:
+                    sh.check(answer.status in (503, 504), f"{flood}: {answer}")
+            fleet.store.flood = None
+            for host in fleet.hosts:
+                sh.check(peak_mb(host) < MACHINE_MB, f"{flood}: the host's memory reached {peak_mb(host):.0f} MB")
+
+            async def works():
+                return (await fleet.submit(fleet.hosts[0], fleet.new_id("job"), 1)).status == 202
+            await sh.until(works, f"{flood}: the store is used again", 10)
+
+
 async def endless_request():
     """Bytes without end from callers, where the size of a chunk or the end of a
     body is due."""
@@ -164,6 +183,7 @@
     await dripping_stream_moves_on()
     await endless_bytes()
     await endless_request()
+    await endless_store()
 
 
 sh.run(test)
