Take memory for frames as they arrive, and bound them

Change: 4 KB for frames of the handshake, 16 MB for frames between hosts, 32 MB for all that a host reads at the same time; the other daemons keep their limit for a frame.

Frames that are queued for a peer that never reads are not bounded.

Tests: site_trouble endless_hosts, link.

--- a/src/hostd_base.cc
+++ b/src/hostd_base.cc
@@ -51,7 +51,7 @@
       options(std::move(values)),
       self(SelfOf(options)),
       random(RandomSeed()),
-      links(context, {self.name, "hostd", options.secret}),
+      links(context, LinkIdentity()),
       pool(kPooledConnections, kDefaultIdleTimeout),
       registrations(std::make_unique<registration_table>(*this)),
       started(clock::now()),
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -30,6 +30,11 @@
 class caller_watch;
 class registration_table;
 
+/** Maximum size of a frame between hosts: the largest are batch jobs and the
+ * declared state. The smallest hosts have 130 MB. */
+inline constexpr std::size_t kMaxLinkFrameBytes = 16UL << 20;
+/** Maximum size of all frames that are being read. */
+inline constexpr std::size_t kMaxLinkBufferBytes = 32UL << 20;
 /** Time without an answer after which the store counts as lost. */
 inline constexpr std::chrono::milliseconds kStoreLostTimeout{900};
 
@@ -152,6 +157,10 @@
   }
   /** Whether this host may receive callers' requests. */
   auto IsReady() const -> bool { return !draining && CanPlace(); }
+  /** Identity of this process on links. */
+  auto LinkIdentity() const -> link_identity {
+    return {self.name, "hostd", options.secret, kMaxLinkFrameBytes};
+  }
   /** Returns the address "ip:port" of a member's link server. */
   auto LinkAddressOf(const fleet_member& member) const -> std::string;
   /** Returns a random number, uniform in [0, 1). */
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -289,7 +289,8 @@
   // One thread: a host has half a core, and nothing here blocks.
   asio::io_context io(1);
   host_state host(io, std::move(options));
-  link_server links(io, {host.self.name, "hostd", host.options.secret},
+  FrameBudget().SetLimit(kMaxLinkBufferBytes);
+  link_server links(io, host.LinkIdentity(),
                     [&host](link_peer, wire_message message) {
                       return HandleLink(host, std::move(message));
                     });
--- a/src/link_client.cc
+++ b/src/link_client.cc
@@ -72,10 +72,11 @@
 }
 
 /** Reads answers and completes their calls. Unmatched answers are ignored. */
-auto ReadLoop(std::shared_ptr<connection> conn, std::string peer)
-    -> asio::awaitable<void> {
+auto ReadLoop(std::shared_ptr<connection> conn,
+              std::string peer,
+              std::size_t max_frame_bytes) -> asio::awaitable<void> {
   while (!conn->broken) {
-    auto frame = co_await conn->channel->ReadFrame(peer);
+    auto frame = co_await conn->channel->ReadFrame(peer, max_frame_bytes);
     if (!frame) {
       conn->Fail(frame.error());
       co_return;
@@ -132,7 +133,7 @@
     }
     conn->is_ready = true;
     conn->ready.cancel();
-    co_await ReadLoop(conn, peer->Name());
+    co_await ReadLoop(conn, peer->Name(), self.max_frame_bytes);
   }
 
   /** Returns the connection in use, or starts to open a new one. */
--- a/src/link_codec.cc
+++ b/src/link_codec.cc
@@ -1,5 +1,6 @@
 #include "src/link_codec.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -7,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
+#include <limits>
 #include <utility>
 
 #include "src/core.h"
@@ -18,6 +20,8 @@
 
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kNonceBytes = 32;
+/** Size of the steps in which a frame is read. */
+constexpr std::size_t kReadBytes = 64UL << 10;
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
 /** Creates a failure of the link itself. It has ran=no; for calls that have
@@ -62,6 +66,11 @@
 
 }  // namespace
 
+auto FrameBudget() -> byte_budget& {
+  static byte_budget budget(std::numeric_limits<std::size_t>::max());
+  return budget;
+}
+
 auto LinkTotals() -> link_totals& {
   static link_totals totals;
   return totals;
@@ -114,7 +123,7 @@
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
-auto link_channel::ReadFrame(std::string peer)
+auto link_channel::ReadFrame(std::string peer, std::size_t max_bytes)
     -> asio::awaitable<outcome<link_frame>> {
   std::uint32_t length = 0;
   auto length_buffer = asio::buffer(&length, kLengthBytes);
@@ -123,16 +132,26 @@
     co_return MakeLinkFailure(ec.message(), "read frame", peer);
   }
   length = boost::endian::little_to_native(length);
-  if (length == 0 || length > kMaxFrameBytes) {
+  if (length == 0 || length > max_bytes) {
     co_return MakeLinkFailure(
         "frame of " + std::to_string(length) + " bytes is not permitted",
         "read frame", peer);
   }
-  std::string bytes(length, '\0');
-  auto body_buffer = asio::buffer(bytes);
-  auto [body_ec, m] = co_await asio::async_read(socket_, body_buffer, kAwait);
-  if (body_ec) {
-    co_return MakeLinkFailure(body_ec.message(), "read frame", peer);
+  // Memory is taken as bytes arrive, since the length is only announced.
+  byte_budget::share share(FrameBudget());
+  std::string bytes;
+  while (bytes.size() < length) {
+    const auto have = bytes.size();
+    bytes.resize(std::min<std::size_t>(length, have + kReadBytes));
+    auto part = asio::buffer(bytes.data() + have, bytes.size() - have);
+    auto [body_ec, m] = co_await asio::async_read(socket_, part, kAwait);
+    if (body_ec) {
+      co_return MakeLinkFailure(body_ec.message(), "read frame", peer);
+    }
+    if (!share.Take(part.size())) {
+      co_return MakeLinkFailure("too many bytes in frames that are being read",
+                                "read frame", peer);
+    }
   }
   LinkTotals().received_bytes += kLengthBytes + length;
   ++LinkTotals().received_frames;
@@ -195,7 +214,7 @@
     -> asio::awaitable<outcome<link_peer>> {
   const auto own = NewHello(self);
   Write(EncodeFrame(0, MakeMessage(wire::helloT(own))));
-  auto answer = co_await ReadFrame("server");
+  auto answer = co_await ReadFrame("server", kMaxHandshakeBytes);
   if (!answer) {
     co_return answer.error();
   }
@@ -205,7 +224,7 @@
   }
   Write(EncodeFrame(
       0, ProofMessage(ComputeMac(self, "client", own, *peer_hello))));
-  auto last = co_await ReadFrame(peer_hello->host);
+  auto last = co_await ReadFrame(peer_hello->host, kMaxHandshakeBytes);
   if (!last) {
     co_return last.error();
   }
@@ -224,7 +243,7 @@
 
 auto link_channel::HandshakeAsServer(const link_identity& self)
     -> asio::awaitable<outcome<link_peer>> {
-  auto first = co_await ReadFrame("client");
+  auto first = co_await ReadFrame("client", kMaxHandshakeBytes);
   if (!first) {
     co_return first.error();
   }
@@ -234,7 +253,7 @@
   }
   const auto own = NewHello(self);
   Write(EncodeFrame(0, MakeMessage(wire::helloT(own))));
-  auto second = co_await ReadFrame(peer_hello->host);
+  auto second = co_await ReadFrame(peer_hello->host, kMaxHandshakeBytes);
   if (!second) {
     co_return second.error();
   }
--- a/src/link_codec.h
+++ b/src/link_codec.h
@@ -33,9 +33,10 @@
  public:
   explicit link_channel(boost::asio::ip::tcp::socket socket);
 
-  /** Reads one frame. Fails if the frame is damaged, too long, of another wire
-   * version or of unknown kind. `peer` is named in failures. */
-  auto ReadFrame(std::string peer)
+  /** Reads one frame. Fails if the frame is damaged, longer than `max_bytes`,
+   * of another wire version or of unknown kind, or if the process reads too
+   * many bytes in frames at the same time. `peer` is named in failures. */
+  auto ReadFrame(std::string peer, std::size_t max_bytes)
       -> boost::asio::awaitable<outcome<link_frame>>;
   /** Queues an encoded frame; frames are sent in order. */
   auto Write(std::string frame) -> void;
--- a/src/link_server.cc
+++ b/src/link_server.cc
@@ -73,7 +73,8 @@
     co_return;
   }
   while (true) {
-    auto frame = co_await channel->ReadFrame(peer->Name());
+    auto frame =
+        co_await channel->ReadFrame(peer->Name(), self.max_frame_bytes);
     if (!frame) {
       const bool damaged = frame.error().step == "decode frame";
       Log(damaged ? log_level::kError : log_level::kDebug, log_category::kLink,
--- a/src/link_type.h
+++ b/src/link_type.h
@@ -8,19 +8,25 @@
 #include <string>
 
 #include "generated/wire_generated.h"
+#include "src/byte_budget.h"
 
 namespace dogwood {
 
 /** Version of the frame format; both ends must have the same. */
 constexpr std::uint16_t kWireVersion = 1;
-/** Maximum size of a frame in bytes; a longer one closes the connection. */
+/** Maximum size of a frame in bytes, unless a process sets its own; a longer
+ * one closes the connection. */
 constexpr std::size_t kMaxFrameBytes = 64UL << 20;
+/** Maximum size of a frame of the handshake, which anyone may send. */
+constexpr std::size_t kMaxHandshakeBytes = 4096;
 
 /** Identity of a process, and the secret that it proves knowledge of. */
 struct link_identity {
   std::string host;    ///< Name of the host.
   std::string daemon;  ///< "controld", "entryd", "batchd" or a tool.
   std::string secret;  ///< Shared secret; must never be logged.
+  /** Maximum size of a frame that this process reads. */
+  std::size_t max_frame_bytes = kMaxFrameBytes;
 };
 
 /** Identity of the other end after the handshake. */
@@ -41,6 +47,9 @@
 
 /** Returns the counters of this process. */
 auto LinkTotals() -> link_totals&;
+/** Budget of all frames that this process is reading; unlimited until a limit
+ * is set. */
+auto FrameBudget() -> byte_budget&;
 
 /** Returns the counters in the Prometheus text format. */
 auto PrintLinkTotals() -> std::string;
--- a/tests/link_test.cc
+++ b/tests/link_test.cc
@@ -125,6 +125,33 @@
   return CallAndWait(l, client_end, 5, kCallTimeout).has_value();
 }
 
+/** Sends a call of about `bytes` to a server that reads frames of up to
+ * `max_frame_bytes`; returns whether it is answered. */
+auto IsReadByServer(unsigned short port,
+                    std::size_t bytes,
+                    std::size_t max_frame_bytes) -> bool {
+  loop l;
+  auto self = Identity("server", "s");
+  self.max_frame_bytes = max_frame_bytes;
+  link_server server_end(
+      l.io, self,
+      [](link_peer, wire_message) -> asio::awaitable<outcome<wire_message>> {
+        co_return MakeMessage(wire::doneT());
+      });
+  if (!server_end.Listen(Endpoint(port))) {
+    return false;
+  }
+  link_client client_end(l.io, Identity("client", "s"), Endpoint(port));
+  wire::batch_callT call;
+  call.body = std::string(bytes, 'x');
+  auto message = MakeMessage(std::move(call));
+  auto answer = asio::co_spawn(
+      asio::make_strand(l.io),
+      client_end.Call(std::move(message), clock::now() + kCallTimeout),
+      asio::use_future);
+  return answer.get().has_value();
+}
+
 /** Returns the failure of a call to a listener that never answers. */
 auto CallSilentPeer(unsigned short port) -> failure {
   loop l;
@@ -216,6 +243,13 @@
   cr_assert(dogwood::test::IsClosedAfter(22904, "\xff\xff\xff\xff"));
 }
 
+// Guards against a known host whose frames take the memory of another one.
+Test(link, frame_above_the_limit_of_the_process_closes_the_connection) {
+  constexpr std::size_t kLimit = 200UL << 10;
+  cr_assert(dogwood::test::IsReadByServer(22920, kLimit / 2, kLimit));
+  cr_assert_not(dogwood::test::IsReadByServer(22921, 2 * kLimit, kLimit));
+}
+
 // Guards against answering calls before the handshake.
 Test(link, call_without_handshake_closes_the_connection) {
   const auto frame = dogwood::EncodeFrame(1, dogwood::test::Request(1));
--- a/tests/site_trouble.py
+++ b/tests/site_trouble.py
@@ -104,6 +104,27 @@
             await sh.until(works, f"{flood}: the store is used again", 10)
 
 
+async def endless_hosts():
+    """Frames without end from processes that connect as another host does."""
+    async with sh.Fleet("endless_hosts", hosts=1, engines=1) as fleet:
+        host = fleet.hosts[0]
+
+        async def peer():
+            reader, writer = await asyncio.open_connection(host.ip, sh.LINK)
+            with contextlib.suppress(OSError):
+                writer.write((60 << 20).to_bytes(4, "little"))
+                for _ in range(60 << 20 >> 16):
+                    if reader.at_eof():
+                        break
+                    writer.write(b"x" * 65536)
+                    await writer.drain()
+            writer.close()
+        await asyncio.gather(*(peer() for _ in range(10)))
+        sh.check(peak_mb(host) < MACHINE_MB, f"the host's memory reached {peak_mb(host):.0f} MB")
+        answer = await fleet.ask(host, "stream")
+        sh.check(answer.status == 200, f"after endless frames: {answer}")
+
+
 async def endless_request():
     """Bytes without end from callers, where the size of a chunk or the end of a
     body is due."""
@@ -184,6 +205,7 @@
     await endless_bytes()
     await endless_request()
     await endless_store()
+    await endless_hosts()
 
 
 sh.run(test)
