Read each request by the limits in force when it comes

A caller that goes by the new state finds its connection closed by the old idle limit, at the moment of its request at worst, or its longer request rejected.

Evidence, the test on the code before: 413 for a body that the new limit allows; with a short body, no answer on a connection that was idle for longer than the old limit.

Change: the server waits for the first byte without reading it, checks the newest idle limit when the time is up, and takes head and body limits when the request has come.

Test: site_stop limits_change_while_idle.

--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -4,12 +4,14 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
+#include <memory>
 #include <tuple>
 #include <utility>
 
@@ -48,8 +50,6 @@
  * bounds what the parser waits for in one piece: the head, the line before a
  * chunk, and the trailer. */
 constexpr std::size_t kMaxReadAheadBytes = 64UL << 10;
-/** Maximum size of the first read of a request. */
-constexpr std::size_t kInitialReadBytes = 4096;
 
 /** Creates the failure for an error on the caller's connection. */
 auto CallerFailure(const beast::error_code& ec,
@@ -247,8 +247,39 @@
   std::atomic<std::size_t>& count_;
 };
 
-/** Reads one request: waits for its first byte, then for its head, then for its
- * body, each with its own timeout. */
+/** Waits until bytes of the next request have come. Fails with timeout once the
+ * connection has been idle for longer than the limit in force, which may change
+ * during the wait. */
+template <typename State>
+auto AwaitRequest(const State& state, beast::tcp_stream& stream)
+    -> asio::awaitable<beast::error_code> {
+  const auto idle_since = clock::now();
+  asio::steady_timer timer(stream.get_executor());
+  while (true) {
+    const auto until =
+        idle_since + std::chrono::milliseconds(state.limits.idle_ms);
+    if (clock::now() >= until) {
+      co_return beast::error::timeout;
+    }
+    const auto is_waiting = std::make_shared<bool>(true);
+    timer.expires_at(until);
+    timer.async_wait([&stream, is_waiting](beast::error_code ec) {
+      if (!ec && *is_waiting) {
+        stream.socket().cancel(ec);
+      }
+    });
+    const auto [ec] =
+        co_await stream.socket().async_wait(tcp::socket::wait_read, kAwait);
+    *is_waiting = false;
+    timer.cancel();
+    if (ec != asio::error::operation_aborted) {
+      co_return ec;
+    }
+  }
+}
+
+/** Reads one request: waits for its head, then for its body, each with its own
+ * timeout. */
 auto ReadRequest(beast::tcp_stream& stream,
                  beast::flat_buffer& buffer,
                  http::request_parser<http::string_body>& parser,
@@ -257,15 +288,6 @@
   const std::chrono::milliseconds idle(limits.idle_ms);
   beast::error_code ec;
   std::size_t n = 0;
-  if (buffer.size() == 0) {
-    stream.expires_after(idle);
-    std::tie(ec, n) = co_await stream.async_read_some(
-        buffer.prepare(kInitialReadBytes), kAwait);
-    buffer.commit(n);
-    if (ec) {
-      co_return ec == asio::error::eof ? http::error::end_of_stream : ec;
-    }
-  }
   stream.expires_after(std::chrono::milliseconds(limits.header_ms));
   std::tie(ec, n) =
       co_await http::async_read_header(stream, buffer, parser, kAwait);
@@ -288,6 +310,14 @@
   beast::tcp_stream stream(std::move(accepted));
   beast::flat_buffer buffer;
   while (true) {
+    if (buffer.size() == 0) {
+      const auto wait_ec = co_await AwaitRequest(*state, stream);
+      if (wait_ec) {
+        break;
+      }
+    }
+    // The limits in force when the request comes, not those from before the
+    // connection was idle.
     const http_limits limits = state->limits;
     const std::chrono::milliseconds idle(limits.idle_ms);
     buffer.max_size(limits.header_bytes + kMaxReadAheadBytes);
--- a/tests/site_stop.py
+++ b/tests/site_stop.py
@@ -116,6 +116,40 @@
             sh.check(answer.status in ((502, 504) if ran else (503,)), f"ran: {ran}, {answer}")
 
 
+async def limits_change_while_idle():
+    """Guards against requests that are dropped or rejected on connections that
+    were idle while a new declared state raised the limits."""
+    async with sh.Fleet("limits_change", hosts=1, engines=1) as fleet:
+        host = fleet.hosts[0]
+        limits = {"maxHeaderBytes": 2000, "maxBodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 1500}
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", sh.state(2, limits=limits))
+        await asyncio.sleep(1.5)
+
+        async def ask(connection, body):
+            attempt = fleet.new_id()
+            return await sh.send(*connection, "POST", "/read/plain", body, Host=sh.HOST_NAME, X_Attempt_Id=attempt,
+                                 X_Deadline_Ms=8000, X_Key=sh.KEY)
+
+        kept = [await asyncio.open_connection(host.ip, sh.FRONT) for _ in range(4)]
+        for connection in kept:
+            answer = await ask(connection, b"short")
+            sh.check(answer.status == 200, f"before the change: {answer}")
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", sh.state(3))
+        for pause, connection in zip((1.0, 1.5, 0.5, 2.0), kept):
+            await asyncio.sleep(pause)
+            try:
+                answer = await ask(connection, b"x" * 20000)
+            except (OSError, asyncio.IncompleteReadError):
+                answer = None
+            sh.check(answer is not None and answer.status == 200, f"idle for more than the old limit: {answer}")
+        # A lower limit still closes connections that are idle for longer.
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", sh.state(4, limits=limits))
+        _, writer = await asyncio.open_connection(host.ip, sh.FRONT)
+        for reader, _ in kept:
+            sh.check(await asyncio.wait_for(reader.read(1), 20) == b"", "idle connection is not closed")
+        writer.close()
+
+
 async def lost_dispatcher():
     async with sh.Fleet("lost_dispatcher", hosts=3, engines=3) as fleet:
         for victim in range(3):
@@ -196,6 +230,7 @@
     await planned_stop()
     await late_in_the_grace()
     await waiting_at_the_end()
+    await limits_change_while_idle()
     await taken_metrics_port()
     await early_requests()
     await all_killed()
