Choose the text of a job's rejection outside of co_await

Callers would see: any malformed job (a body without items, a missing name) ends the host that gets it, and all requests that it serves with it (LOST).

Cause: a ?: between strings within the operand of a co_await, whose temporaries g++ 12 destroys twice. Evidence: "free(): double free detected in tcache 2" on the first such job; the test, ConnectionResetError before, passes now.

Change: a named variable; such rejections are logged and counted too. All other statements with co_await and ?: choose between values without destructors.

Test: site_batch malformed_jobs.

--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -576,9 +576,14 @@
     call.job = caller.attempt.value;
     auto items = adapter::DecodeItems(exchange.Request().body);
     if (!items || call.job.empty()) {
-      co_await exchange.Respond(FailureAnswer(
-          error_code::kBadRequest,
-          items ? "submission has no name" : items.error().message));
+      const std::string problem = items.has_value()
+                                      ? std::string("submission has no name")
+                                      : items.error().message;
+      LogEvent(log_level::kInfo, log_category::kJob, "batch_call_refused",
+               {{"job", call.job}, {"status", 400}, {"outcome", problem}});
+      auto refusal = FailureAnswer(error_code::kBadRequest, problem);
+      host.metrics.CountAnswer(refusal.status);
+      co_await exchange.Respond(std::move(refusal));
       co_return;
     }
     call.body =
--- a/tests/site_batch.py
+++ b/tests/site_batch.py
@@ -179,12 +179,29 @@
             sh.check((end, output) == ("done", sh.stand_in.whole_output(item)), f"item {item}: {end} {output}")
 
 
+async def malformed_jobs():
+    """Guards against a host that crashes on a job that it rejects, and takes the
+    requests of all its callers with it."""
+    async with sh.Fleet("malformed_jobs", hosts=1, engines=1) as fleet:
+        host = fleet.hosts[0]
+        for body in (b"", b"{}", b"[", b'{"items":[{"id":5}]}', b'{"items":[{"id":"a","path":"/job/x","body":"*"}]}'):
+            for attempt in ({"X_Attempt_Id": "odd"}, {}):
+                answer = await sh.call(host.ip, sh.FRONT, "POST", "/job/odd", body, Host=sh.HOST_NAME, X_Key=sh.KEY,
+                                       **attempt)
+                sh.check(answer.status == 400, f"job {body}: {answer}")
+        sh.check(host.process.returncode is None, f"the host ended with {host.process.returncode}")
+        answer = await fleet.submit(host, "sound", 1)
+        sh.check(answer.status == 202, f"sound job: {answer}")
+        await fleet.all_results("sound", 1)
+
+
 async def test():
     await job_on_a_route_its_owner_does_not_know("late")
     await job_on_a_route_its_owner_does_not_know("job/late")
     await job_larger_than_an_append()
     await output_larger_than_a_record()
     await store_smaller_than_the_settings()
+    await malformed_jobs()
 
 
 sh.run(test)
