Send no head that a server could read as several requests

A field above 64 KB makes the writer throw: the item never ends, and pointers into its coroutine stay among the runs.

Cause: fields of items come out of JSON and passed no check of the HTTP grammar.

Change: HeadProblem() checks target, names, values and sizes of each head before it is sent. A job with such an item is rejected whole with 400, which names item and field. The entry of a run belongs to its coroutine by type.

Tests: site_batch smuggled_requests (before: 202 for a field that holds another request), seen to fail and passing now; adapter; http, a property over random targets, names and values.

--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -68,7 +68,7 @@
   /** Number of items that have an outstanding placement request, and of those
    * that run. */
   auto AwaitingSlotCount() const -> std::size_t { return awaiting_slot_; }
-  auto RunningCount() const -> std::size_t { return running_; }
+  auto RunningCount() const -> std::size_t { return runs_.size(); }
 
  private:
   /** Records that are to be appended to the log together. */
@@ -124,6 +124,23 @@
     const std::string* output;  ///< Concatenated data of the events so far.
   };
 
+  using run_map = std::map<batch_item_ref, item_run>;
+  /** Entry of a run in `runs_` for as long as its coroutine lives. */
+  class run_entry {
+   public:
+    run_entry(run_map& runs, batch_item_ref ref, item_run run)
+        : runs_(runs), ref_(std::move(ref)) {
+      runs_[ref_] = run;
+    }
+    run_entry(const run_entry&) = delete;
+    auto operator=(const run_entry&) -> run_entry& = delete;
+    ~run_entry() { runs_.erase(ref_); }
+
+   private:
+    run_map& runs_;
+    batch_item_ref ref_;
+  };
+
   /** Whether this host may write to a partition: while it owns it and for
    * kWriteGrace after that. */
   static auto MayWrite(const owned_partition& partition) -> bool;
@@ -236,10 +253,9 @@
   host_state& host_;
   std::map<partition_id, partition_ptr> partitions_;
   batch_queue queue_;
-  std::map<batch_item_ref, item_run> runs_;
+  run_map runs_;
   std::size_t awaiting_slot_ =
       0;  // Items with an outstanding placement request.
-  std::size_t running_ = 0;
   std::map<batch_id, accepted_tokens> accepting_;
   std::uint64_t last_grant_ = 0;  // Number of the newest quota grant.
   double run_seconds_;            // Smoothed duration of a complete run.
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -224,6 +224,18 @@
     RecordResult(ref, batch_item_outcome::kAbandoned, "");
     co_return;
   }
+  const auto* item = job->FindItem(ref.item);
+  const auto problem =
+      item == nullptr
+          ? std::nullopt
+          : HeadProblem(adapter::ItemRequest(*item, job->submission.host));
+  if (problem) {
+    // Accepted by a version that did not check items.
+    Log(log_level::kWarning, log_category::kJob,
+        {"item " + ref.item.value + ": " + *problem, "run item", ""});
+    RecordResult(ref, batch_item_outcome::kAbandoned, "");
+    co_return;
+  }
   const auto now = clock::now();
   const auto ticket = host_.placement->NewTicket();
   placement_request request{
@@ -298,12 +310,11 @@
       std::min(kMaxOutputBytes, host_.options.store_limits.append_bytes / 2);
   item_sink sink(output, !is_first_run, max_output);
   attempt_handle handle;
-  runs_[ref] = {&handle, &progress, &output};
-  ++running_;
+  std::optional<run_entry> entry(std::in_place, runs_, ref,
+                                 item_run{&handle, &progress, &output});
   host_.placement->OnPreempt(ticket, [&handle] { handle.Abort(); });
   auto result = co_await RunAttempt(host_, spec, progress, handle, sink);
-  --running_;
-  runs_.erase(ref);
+  entry.reset();
   host_.placement->End({ticket, result.outcome, result.may_have_crashed});
   if (result.is_complete && is_first_run) {
     const auto seconds =
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -89,6 +89,13 @@
 
 auto http_connection::Send(const http_request& request, time_point deadline)
     -> asio::awaitable<outcome<void>> {
+  if (auto problem = HeadProblem(request)) {
+    co_return failure{.code = error_code::kBadRequest,
+                      .message = std::move(*problem),
+                      .ran = ran_state::kNo,
+                      .step = "send request",
+                      .peer = state_->peer};
+  }
   http::request<http::string_body> message;
   message.version(11);
   message.method_string(request.method);
--- a/src/http_type.cc
+++ b/src/http_type.cc
@@ -1,5 +1,6 @@
 #include "src/http_type.h"
 
+#include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/url/parse.hpp>
@@ -9,6 +10,68 @@
 #include "src/error_func.h"
 
 namespace dogwood {
+namespace {
+
+/** Maximum bytes of a field and of all fields of a head that is sent. */
+constexpr std::size_t kMaxFieldBytes = 32UL << 10;
+constexpr std::size_t kMaxHeadBytes = 64UL << 10;
+constexpr char kDelete = 0x7f;
+/** What a token may have beside letters and digits. */
+constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
+
+/** Whether a character is a control character; those of UTF-8 are not. */
+auto IsControl(char c) -> bool {
+  return (c >= 0 && c < ' ') || c == kDelete;
+}
+
+auto IsToken(std::string_view name) -> bool {
+  return !name.empty() && std::ranges::all_of(name, [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+           (c >= 'A' && c <= 'Z') ||
+           kTokenMarks.find(c) != std::string_view::npos;
+  });
+}
+
+/** Returns a name for a message, without what could break a line. */
+auto Printable(std::string_view name) -> std::string {
+  constexpr std::size_t kMaxNameBytes = 64;
+  std::string text(name.substr(0, kMaxNameBytes));
+  std::ranges::replace_if(text, IsControl, '?');
+  return "\"" + text + "\"";
+}
+
+}  // namespace
+
+auto HeadProblem(const http_request& request) -> std::optional<std::string> {
+  const auto& target = request.target;
+  if (!target.starts_with('/') || std::ranges::any_of(target, [](char c) {
+        return c == ' ' || IsControl(c);
+      })) {
+    return "path " + Printable(target) + " is not the path of a request";
+  }
+  auto bytes = request.method.size() + target.size();
+  for (const auto& field : request.headers.fields) {
+    if (!IsToken(field.name)) {
+      return "field name " + Printable(field.name) + " is not a token";
+    }
+    const bool has_control = std::ranges::any_of(
+        field.value, [](char c) { return c != '\t' && IsControl(c); });
+    if (has_control) {
+      return "field " + Printable(field.name) + " has a control character";
+    }
+    const auto size = field.name.size() + field.value.size();
+    if (size > kMaxFieldBytes) {
+      return "field " + Printable(field.name) + " has " + std::to_string(size) +
+             " bytes, " + std::to_string(kMaxFieldBytes) + " are permitted";
+    }
+    bytes += size;
+  }
+  if (bytes > kMaxHeadBytes) {
+    return "head has " + std::to_string(bytes) + " bytes, " +
+           std::to_string(kMaxHeadBytes) + " are permitted";
+  }
+  return std::nullopt;
+}
 
 auto http_headers::Get(std::string_view name) const -> std::string_view {
   for (const auto& field : fields) {
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -269,6 +269,22 @@
   cr_assert_not(adapter::DecodeItems("{}").has_value());
 }
 
+// Guards against items that make a server run other requests than their own.
+Test(adapter, items_that_are_no_single_request_are_rejected) {
+  for (const auto* item :
+       {R"({"id":"i1","path":"/p","headers":{"X-A":"1\r\nX-Tenant: beta"}})",
+        R"({"id":"i1","path":"/p","headers":{"X-A: 1\r\nX-B":"1"}})",
+        R"({"id":"i1","path":"/p HTTP/1.1\r\nX-A: 1\r\nX-B:"})",
+        R"({"id":"i1\r\n\r\nPOST /q HTTP/1.1","path":"/p"})",
+        R"({"id":"i1","path":"p"})"}) {
+    const auto items = adapter::DecodeItems(
+        R"({"items":[{"id":"i0","path":"/p"},)" + std::string(item) + "]}");
+    cr_assert(items.has_error(), "%s", item);
+    cr_assert(items.error().code == error_code::kBadRequest);
+    cr_assert(items.error().message.find("item \"i1") != std::string::npos);
+  }
+}
+
 // Guards against wrongly decoded base64.
 Test(adapter, base64_is_exact) {
   cr_assert_eq(*adapter::DecodeBase64(""), "");
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,10 +1,13 @@
 /** Tests of the HTTP client against the HTTP server over loopback. */
+#include <rapidcheck.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
 #include <memory>
 
 #include "src/core.h"
@@ -165,6 +168,48 @@
   });
 }
 
+/** Property: a server reads a head that passes the check as one request with
+ * the target and fields asked for. */
+auto CheckedHeadsAreOneRequest() -> bool {
+  return rc::check("a checked head is one request", [] {
+    const auto text = [](std::size_t most) {
+      const auto size = *rc::gen::inRange<std::size_t>(0, most);
+      return *rc::gen::container<std::string>(
+          size, rc::gen::element('a', 'Z', '0', '-', ':', ' ', '\t', '\r', '\n',
+                                 '\0', '\x7f', '/', '?', '\xc3', ','));
+    };
+    http_request request{.method = "POST",
+                         .target = "/" + text(12),
+                         .headers = {},
+                         .body = {},
+                         .peer = {}};
+    const auto count = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < count; ++i) {
+      request.headers.fields.push_back({"x" + text(3), text(6)});
+    }
+    if (HeadProblem(request)) {
+      return;
+    }
+    auto head = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const auto& field : request.headers.fields) {
+      head += field.name + ": " + field.value + "\r\n";
+    }
+    head += "\r\n";
+    boost::beast::http::request_parser<boost::beast::http::empty_body> parser;
+    boost::beast::error_code ec;
+    const auto used = parser.put(asio::buffer(head), ec);
+    RC_ASSERT(!ec);
+    RC_ASSERT(parser.is_done());
+    RC_ASSERT(used == head.size());
+    RC_ASSERT(parser.get().target() == request.target);
+    std::size_t fields = 0;
+    for (const auto& field : parser.get()) {
+      RC_ASSERT(field.name_string() == request.headers.fields[fields++].name);
+    }
+    RC_ASSERT(fields == request.headers.fields.size());
+  });
+}
+
 }  // namespace
 }  // namespace dogwood::testing
 
@@ -215,3 +260,21 @@
   cr_assert_eq(answer->status, 200);
   cr_assert(answer->body == "second");
 }
+
+// Guards against requests that are smuggled in the head of another one.
+Test(http, checked_heads_are_one_request) {
+  cr_assert(CheckedHeadsAreOneRequest());
+}
+
+// Guards against heads that the writer cannot write.
+Test(http, long_heads_are_found) {
+  using dogwood::HeadProblem;
+  dogwood::http_request request;
+  request.target = "/p";
+  request.headers.Set("X-Long", std::string(30 << 10, 'x'));
+  cr_assert_not(HeadProblem(request).has_value());
+  request.headers.Set("X-Long", std::string(70 << 10, 'x'));
+  cr_assert(HeadProblem(request)->find("X-Long") != std::string::npos);
+  request.headers.fields.assign(3, {"X-Long", std::string(30 << 10, 'x')});
+  cr_assert(HeadProblem(request).has_value());
+}
--- a/tests/site_batch.py
+++ b/tests/site_batch.py
@@ -195,6 +195,26 @@
         await fleet.all_results("sound", 1)
 
 
+async def smuggled_requests():
+    """Guards against a job whose items' header fields, paths or names hold
+    further requests, or are too long to be sent."""
+    async with sh.Fleet("smuggled", hosts=1, engines=1) as fleet:
+        host, engine = fleet.hosts[0], fleet.engines[0]
+        smuggled = "1\r\nContent-Length: 0\r\n\r\nPOST /job/smuggled HTTP/1.1\r\nX-Attempt-Id: smuggled\r\nX-Tenant: beta"
+        for fields in ({"X_Odd": smuggled}, {"X_Odd": "a\0b"}, {"X_Long": "x" * 70000}, {"X Odd": "1"}):
+            job = fleet.new_id("job")
+            answer = await fleet.submit(host, job, 2, **fields)
+            sh.check(answer.status == 400, f"job with fields {str(fields)[:80]}: {answer}")
+            sh.check(f"{job}-0" in answer.json()["error"]["message"], f"refusal of {job}: {answer}")
+            answer = await fleet.results(host, job)
+            sh.check(answer.status == 404, f"refused job: {answer}")
+        await asyncio.sleep(1)
+        sh.check(not engine.seen, f"servers ran {engine.seen}")
+        answer = await fleet.submit(host, "sound", 2)
+        sh.check(answer.status == 202, f"sound job: {answer}")
+        await fleet.all_results("sound", 2)
+
+
 async def test():
     await job_on_a_route_its_owner_does_not_know("late")
     await job_on_a_route_its_owner_does_not_know("job/late")
@@ -202,6 +222,7 @@
     await output_larger_than_a_record()
     await store_smaller_than_the_settings()
     await malformed_jobs()
+    await smuggled_requests()
 
 
 sh.run(test)
