--- a/src/http_type.h
+++ b/src/http_type.h
@@ -46,10 +46,10 @@
 };
 
 /** Returns why the head of a request cannot be sent as it is, naming the field;
- * nothing if it can. Whatever its parts come from, a head that passes is read by
- * a server as exactly one request: the target is a path without blanks, names of
- * fields are tokens and values have no control characters (RFC 9110, 5.5 and
- * 5.6.2), and neither a field nor the head is too long. */
+ * nothing if it can. Whatever its parts come from, a head that passes is read
+ * by a server as exactly one request: the target is a path without blanks,
+ * names of fields are tokens and values have no control characters (RFC
+ * 9110, 5.5 and 5.6.2), and neither a field nor the head is too long. */
 auto HeadProblem(const http_request& request) -> std::optional<std::string>;
 
 /** Status and header fields of a response. */
--- a/src/sse_func.cc
+++ b/src/sse_func.cc
@@ -25,7 +25,8 @@
 auto ParseEventFields(std::string_view event) -> event_fields {
   event_fields fields;
   while (!event.empty()) {
-    // A line ends with CR, LF or both; the empty line within CR LF has no field.
+    // A line ends with CR, LF or both; the empty line within CR LF has no
+    // field.
     const auto end = event.find_first_of("\r\n");
     const auto line = event.substr(0, end);
     event = end == std::string_view::npos ? "" : event.substr(end + 1);
