--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -46,15 +46,20 @@
 /** Retry-After for callers while the owner of the job cannot serve them. */
 constexpr milliseconds kOwnerRetryAfter{300};
 
+/** Returns the failure of a call, which may have taken effect only if its time
+ * is over. */
+auto CallFailure(error_code code, std::string message) -> failure {
+  return {.code = code,
+          .message = std::move(message),
+          .ran = code == error_code::kDeadlineExceeded ? ran_state::kMaybe
+                                                       : ran_state::kNo,
+          .step = "answer batch call",
+          .peer = ""};
+}
+
 /** Returns an answer that reports a failure. */
 auto FailureAnswer(error_code code, std::string message) -> http_response {
-  return FailureResponse({.code = code,
-                          .message = std::move(message),
-                          .ran = code == error_code::kDeadlineExceeded
-                                     ? ran_state::kMaybe
-                                     : ran_state::kNo,
-                          .step = "answer batch call",
-                          .peer = ""});
+  return FailureResponse(CallFailure(code, std::move(message)));
 }
 
 }  // namespace
@@ -229,14 +234,19 @@
                        "workspace has too many tokens waiting on the route");
 }
 
-/** Returns the answer to a job that the store has no room for in one append.
+/** Returns the failure of a job that the store has no room for in one append.
  * Its caller need not repeat it. */
+auto TooLargeFailure(const append_limits& limits) -> failure {
+  return CallFailure(error_code::kTooLarge,
+                     "batch job does not fit the store: its items may have " +
+                         std::to_string(limits.append_bytes) +
+                         " bytes in all, with their headers and decoded "
+                         "bodies");
+}
+
+/** Returns the answer that reports TooLargeFailure(). */
 auto TooLargeAnswer(const append_limits& limits) -> http_response {
-  return FailureAnswer(
-      error_code::kTooLarge,
-      "batch job does not fit the store: its items may have " +
-          std::to_string(limits.append_bytes) +
-          " bytes in all, with their headers and decoded bodies");
+  return FailureResponse(TooLargeFailure(limits));
 }
 
 }  // namespace
@@ -547,6 +557,55 @@
                           : *owner_answer->response;
 }
 
+/** Adds the job of a submission to its call. Fails if the job is malformed or
+ * larger than the store takes. */
+auto EncodeJob(const host_state& host,
+               const http_request& request,
+               const caller_request& caller,
+               wire::batch_callT& call) -> outcome<void> {
+  auto items = adapter::DecodeItems(request.body);
+  if (!items) {
+    return items.error();
+  }
+  call.job = caller.attempt.value;
+  if (call.job.empty()) {
+    return CallFailure(error_code::kBadRequest, "submission has no name");
+  }
+  call.body =
+      EncodeSubmission({.id = batch_id(call.job),
+                        .workspace = workspace_id(call.workspace),
+                        .host = caller.host,
+                        .path = caller.path,
+                        .submitted = UnixNow(),
+                        .accepted_under = host.deployment->state().version,
+                        .items = std::move(items.value())});
+  const auto& limits = host.options.store_limits;
+  const auto records =
+      SplitSubmission(batch_id(call.job), call.body, limits.record_bytes);
+  if (!FitAppend(records, limits)) {
+    return TooLargeFailure(limits);
+  }
+  return outcome<void>();
+}
+
+/** Rejects a call before it is sent to the owner of its job. */
+auto RejectCall(host_state& host,
+                http_exchange& exchange,
+                const caller_request& caller,
+                failure error) -> asio::awaitable<void> {
+  auto refusal = FailureResponse(error);
+  if (error.code == error_code::kUnavailable) {
+    adapter::SetRetryAfter(refusal.headers, kOwnerRetryAfter);
+  }
+  const bool is_job = caller.call == caller_call::kServe;
+  LogEvent(log_level::kInfo, log_category::kJob, "batch_call_refused",
+           {{"job", is_job ? caller.attempt.value : caller.job},
+            {"status", refusal.status},
+            {"outcome", error.message}});
+  host.metrics.CountAnswer(refusal.status);
+  co_await exchange.Respond(std::move(refusal));
+}
+
 }  // namespace
 
 auto HandleBatchCall(host_state& host,
@@ -558,55 +617,27 @@
                        caller.call == caller_call::kJobItem;
   const auto longest = is_read ? kLongestRead : kLongestChange;
   if (arrived > LatestDrainStart(host.drain, arrived + longest, duration())) {
-    auto refusal =
-        FailureAnswer(error_code::kUnavailable,
-                      "this host stops before the call could be answered");
-    adapter::SetRetryAfter(refusal.headers, kOwnerRetryAfter);
-    host.metrics.CountAnswer(refusal.status);
-    LogEvent(log_level::kInfo, log_category::kJob, "batch_call_refused",
-             {{"attempt", caller.attempt.value},
-              {"job", caller.job},
-              {"status", refusal.status},
-              {"outcome", "host stops"}});
-    co_await exchange.Respond(std::move(refusal));
+    const auto error =
+        CallFailure(error_code::kUnavailable,
+                    "this host stops before the call could be answered");
+    co_await RejectCall(host, exchange, caller, error);
     co_return;
   }
   auto call = EncodeCall(caller, workspace);
   if (caller.call == caller_call::kServe) {
-    call.job = caller.attempt.value;
-    auto items = adapter::DecodeItems(exchange.Request().body);
-    if (!items || call.job.empty()) {
-      const std::string problem = items.has_value()
-                                      ? std::string("submission has no name")
-                                      : items.error().message;
-      LogEvent(log_level::kInfo, log_category::kJob, "batch_call_refused",
-               {{"job", call.job}, {"status", 400}, {"outcome", problem}});
-      auto refusal = FailureAnswer(error_code::kBadRequest, problem);
-      host.metrics.CountAnswer(refusal.status);
-      co_await exchange.Respond(std::move(refusal));
+    auto encoded = EncodeJob(host, exchange.Request(), caller, call);
+    if (!encoded) {
+      co_await RejectCall(host, exchange, caller, encoded.error());
       co_return;
     }
-    call.body =
-        EncodeSubmission({.id = batch_id(call.job),
-                          .workspace = workspace,
-                          .host = caller.host,
-                          .path = caller.path,
-                          .submitted = UnixNow(),
-                          .accepted_under = host.deployment->state().version,
-                          .items = std::move(items.value())});
   }
   call.partition =
       PartitionOf(batch_id(call.job), host.options.partitions_per_topic).value;
   const auto job = call.job;
   const auto kind = call.call;
   const auto partition = call.partition;
-  const auto& limits = host.options.store_limits;
   http_response response;
-  if (caller.call == caller_call::kServe &&
-      !FitAppend(SplitSubmission(batch_id(job), call.body, limits.record_bytes),
-                 limits)) {
-    response = TooLargeAnswer(limits);
-  } else if (caller.call == caller_call::kServe) {
+  if (caller.call == caller_call::kServe) {
     response = co_await SubmitJob(host, std::move(call));
   } else {
     response = co_await CallOwner(host, std::move(call));
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -91,6 +91,7 @@
   }
 }
 
+/** Returns a number of seconds as a duration. */
 auto ToDuration(double seconds) -> duration {
   return std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(seconds));
