Name the requests that a stop cuts, and how late the event loop was

Change: request_cut for each request that is open at the exit, stopped with the time since the signal and the largest delay of the event loop, and the gauge dogwood_loop_delay_seconds. No decision changes.

--- a/src/dispatch_drain.h
+++ b/src/dispatch_drain.h
@@ -8,6 +8,8 @@
 
 /** Times of a planned stop; unlimited while none is under way. */
 struct drain_times {
+  /** When the host learned that it is to stop. */
+  time_point begun = time_point::max();
   /** Until then callers may not have learned that the host stops. */
   time_point learned = time_point::max();
   /** Answers that are not complete by then are cut off. */
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -22,6 +22,7 @@
 #include "src/fleet.h"
 #include "src/hostd_setting.h"
 #include "src/link.h"
+#include "src/loop_delay.h"
 
 namespace dogwood {
 
@@ -111,6 +112,7 @@
   /** Set once the registrations have been read completely. */
   bool servers_known = false;
   time_point started;  ///< Start time of the process.
+  loop_delay delay;    ///< How late the timers of `io` fire.
   /** Notified when a declared state is applied and when the registrations are
    * read. */
   async_condition readiness_changed;
--- a/src/hostd_caller.cc
+++ b/src/hostd_caller.cc
@@ -34,6 +34,18 @@
   on_drain_check_ = std::move(on_drain_check);
 }
 
+auto caller_watch::entry::OnExit(std::function<void()> on_exit) -> void {
+  on_exit_ = std::move(on_exit);
+}
+
+auto caller_watch::Exit() const -> void {
+  for (const auto* e : entries_) {
+    if (e->on_exit_) {
+      e->on_exit_();
+    }
+  }
+}
+
 auto caller_watch::DrainCheck() -> void {
   std::vector<std::function<void()>> calls;
   for (const auto* e : entries_) {
@@ -52,7 +64,9 @@
 
 auto caller_watch::Run() -> boost::asio::awaitable<void> {
   while (true) {
+    const auto due = clock::now() + kCheckInterval;
     co_await Sleep(kCheckInterval);
+    host_.delay.Record(due, clock::now());
     std::vector<std::function<void()>> calls;
     for (auto* e : entries_) {
       if (!e->is_disconnected_ && e->exchange_.IsCallerDisconnected()) {
--- a/src/hostd_caller.h
+++ b/src/hostd_caller.h
@@ -30,6 +30,8 @@
     /** Calls `on_drain_check` at every DrainCheck(). Replaces the previous
      * callback. */
     auto OnDrainCheck(std::function<void()> on_drain_check) -> void;
+    /** Calls `on_exit` if the process exits while the request is open. */
+    auto OnExit(std::function<void()> on_exit) -> void;
     /** Whether the caller has disconnected. */
     auto is_disconnected() const -> bool { return is_disconnected_; }
     /** Marks the caller as disconnected, after a write to it has failed. */
@@ -41,6 +43,7 @@
     http_exchange& exchange_;
     std::function<void()> on_disconnect_;
     std::function<void()> on_drain_check_;
+    std::function<void()> on_exit_;
     bool is_disconnected_ = false;
   };
 
@@ -51,6 +54,8 @@
   /** Lets each request check whether it can still be finished; called
    * periodically while the host drains. */
   auto DrainCheck() -> void;
+  /** Tells each open request that the process exits. */
+  auto Exit() const -> void;
   /** Number of registered requests. */
   auto Count() const -> std::size_t { return entries_.size(); }
 
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -97,6 +97,11 @@
       std::chrono::duration<double>(seconds));
 }
 
+/** Returns a duration in whole milliseconds. */
+auto Millis(duration d) -> std::int64_t {
+  return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
 /** Returns the failure of a request that this host is too near its stop to
  * finish. */
 auto StopFailure() -> failure {
@@ -145,6 +150,7 @@
                            : remaining;
     deadline_ = arrived_ + limit;
     progress_.last_event = caller.resume_after;
+    watch_.OnExit([this] { LogCut(); });
     is_retry_ = caller.time_remaining &&
                 host.history[route.id].detector.RecordAndCheckRetry(
                     route, remaining, caller.resume_after);
@@ -474,6 +480,21 @@
     co_await RespondRefusal(exchange_, error, retry_after);
   }
 
+  /** Logs that the process exits in the middle of the request. */
+  auto LogCut() const -> void {
+    const auto now = clock::now();
+    LogEvent(log_level::kWarning, log_category::kRoute, "request_cut",
+             {{"request", caller_.attempt.value},
+              {"route", route_.id.value},
+              {"ms", Millis(now - arrived_)},
+              {"arrived_after_stop_ms", Millis(arrived_ - host_.drain.begun)},
+              {"time_left_ms", Millis(deadline_ - now)},
+              {"attempts", attempts_},
+              {"is_running", running_ != nullptr},
+              {"last_event", progress_.last_event},
+              {"server", last_server_.value}});
+  }
+
   /** Logs the end of the request and records its total time. Called once for
    * each request. */
   auto Finish(std::string what, unsigned status = 200) -> void {
@@ -483,9 +504,6 @@
     }
     const auto now = clock::now();
     host_.metrics.RecordTotal(route_.id.value, now - arrived_);
-    const auto millis = [](duration d) {
-      return std::chrono::duration_cast<milliseconds>(d).count();
-    };
     json::object fields{
         {"request", caller_.attempt.value},
         {"workspace", workspace_.value},
@@ -493,15 +511,15 @@
         {"state_version", deployment_->state().version.value},
         {"outcome", std::move(what)},
         {"status", status},
-        {"ms", millis(now - arrived_)},
+        {"ms", Millis(now - arrived_)},
         {"first_event_ms",
-         first_event_ == time_point() ? -1 : millis(first_event_ - arrived_)},
-        {"time_left_ms", millis(deadline_ - now)},
+         first_event_ == time_point() ? -1 : Millis(first_event_ - arrived_)},
+        {"time_left_ms", Millis(deadline_ - now)},
         {"attempts", attempts_},
         {"not_run", not_run_count_},
         {"last_event", progress_.last_event},
         {"silences", silences_},
-        {"placed_ms", millis(placed_at_ - arrived_)},
+        {"placed_ms", Millis(placed_at_ - arrived_)},
         {"asks_waiting", last_answer_.waiting},
         {"slots_free", last_answer_.free},
         {"returning", is_retry_},
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -112,6 +112,8 @@
           count(host.feed.announced_leaving)},
          {"dogwood_prompts_quarantined", count(quarantine.parts.size())},
          {"dogwood_requests_quarantined", count(quarantine.requests.size())},
+         {"dogwood_loop_delay_seconds",
+          std::chrono::duration<double>(host.delay.Largest()).count()},
          {"dogwood_draining", host.draining ? 1 : 0}});
     response.body += PrintLinkTotals();
     co_await exchange.Respond(std::move(response));
@@ -167,21 +169,36 @@
 auto RunDrainChecks(host_state& host) -> asio::awaitable<void> {
   while (true) {
     host.callers->DrainCheck();
+    const auto due = clock::now() + kDrainPollInterval;
     co_await Sleep(kDrainPollInterval);
+    host.delay.Record(due, clock::now());
   }
 }
 
+/** Logs the end of a stop, and each request that it cuts. */
+auto LogStop(const host_state& host, std::size_t active_requests) -> void {
+  const auto millis = [](duration d) {
+    return std::chrono::duration_cast<milliseconds>(d).count();
+  };
+  host.callers->Exit();
+  LogEvent(log_level::kInfo, log_category::kCore, "stopped",
+           {{"active_requests", active_requests},
+            {"ms", millis(clock::now() - host.drain.begun)},
+            {"loop_delay_ms", millis(host.delay.Largest())}});
+}
+
 /** Waits for SIGTERM, then drains: lets active requests finish before the
  * process stops. */
 auto StopOnSignal(host_state& host, host_servers& servers)
     -> asio::awaitable<void> {
   co_await AwaitStopSignal(host.io, second_signal::kIgnored);
-  const auto end = clock::now() + host.options.drain_limit - kKillMargin;
-  const auto listen_until = clock::now() +
-                            kAddressTtlFactor * host.options.address_keep +
-                            kAddressTtlMargin;
+  const auto begun = clock::now();
+  const auto end = begun + host.options.drain_limit - kKillMargin;
+  const auto listen_until =
+      begun + kAddressTtlFactor * host.options.address_keep + kAddressTtlMargin;
   host.draining = true;
-  host.drain = {.learned = clock::now() + host.options.address_keep,
+  host.drain = {.begun = begun,
+                .learned = begun + host.options.address_keep,
                 .ends = end - kAnswerMargin};
   servers.front.BeginDrain();
   asio::co_spawn(host.io, RunDrainChecks(host), AbortOnException);
@@ -192,10 +209,7 @@
   }
   servers.front.StopListening();
   co_await servers.front.Finish(end);
-  Log(log_level::kInfo, log_category::kCore,
-      {"stopped with " + std::to_string(servers.front.ActiveRequests()) +
-           " active requests",
-       "stop", ""});
+  LogStop(host, servers.front.ActiveRequests());
   FlushLog();
   host.io.stop();
 }
--- a/tests/hostd_test.cc
+++ b/tests/hostd_test.cc
@@ -140,4 +140,21 @@
   cr_assert_eq(host.links.Size(), 2);
 }
 
+// Guards against delays of the event loop that metrics forget at once, or never.
+Test(hostd, loop_delay_is_kept_for_a_while) {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  loop_delay delay;
+  const auto start = clock::now();
+  delay.Record(start, start + milliseconds(300));
+  delay.Record(start + seconds(1), start + seconds(1));
+  cr_assert(delay.Largest() == milliseconds(300));
+  delay.Record(start + seconds(11), start + seconds(11) + milliseconds(5));
+  cr_assert(delay.Largest() == milliseconds(300));
+  delay.Record(start + seconds(22), start + seconds(22));
+  cr_assert(delay.Largest() == milliseconds(5));
+  delay.Record(start + seconds(60), start + seconds(60));
+  cr_assert(delay.Largest() == duration());
+}
+
 }  // namespace dogwood::testing
--- a/tests/site_rolling.py
+++ b/tests/site_rolling.py
@@ -66,6 +66,7 @@
                             list(sh.ZONES)[i % len(sh.ZONES)]) for i in range(engines)]
         for engine in self.engines:
             engine.gap_s = rng.uniform(0.02, 0.2)  # Streams of 0.1 s to 4.8 s.
+            engine.slots = 8
 
 
 class Request:
@@ -235,6 +236,15 @@
             engine.born += 1
             await engine.start()
 
+    async def silence_servers(self):
+        """Sound servers fall silent for a second or so and go on."""
+        while time.monotonic() < self.end:
+            await asyncio.sleep(self.random.uniform(0.2, 2))
+            engine = self.random.choice(self.fleet.engines)
+            engine.silent_after = 0
+            await asyncio.sleep(self.random.uniform(0.3, 1.5))
+            engine.silent_after = None
+
     def check_request(self, request):
         """Returns what is wrong with the end of a request; None if nothing is."""
         self.counts[f"{request.answer.status if request.answer else None}"
@@ -266,6 +276,7 @@
         half = len(order) // 2
         work = [self.stop_in_turn(order[:half] * 9)] + [self.stop_in_turn(order[half:] * 9)]
         work += [self.change_states(), self.reload(), self.replace_servers()]
+        work += [self.silence_servers() for _ in range(2)]
         await asyncio.gather(self.traffic(), *work)
         broken = [text for text in map(self.check_request, self.requests) if text is not None]
         print(f"{len(self.requests)} requests, {dict(self.counts)}")
--- a/tests/site_stop.py
+++ b/tests/site_stop.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import signal
 import time
 
@@ -116,6 +117,28 @@
             sh.check(answer.status in ((502, 504) if ran else (503,)), f"ran: {ran}, {answer}")
 
 
+async def cut_requests_are_named():
+    """Guards against a stop that cuts requests without a line that names them."""
+    async with sh.Fleet("cut_requests", hosts=2, engines=2) as fleet:
+        stopping = fleet.hosts[0]
+        declared = sh.state(2)
+        for route in declared["routes"]:
+            route["timeoutMs"] = 20000
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", declared)
+        await asyncio.sleep(1)
+        for engine in fleet.engines:
+            engine.silent_after = 2  # Streams that have begun and do not end.
+        attempt = fleet.new_id()
+        caller = asyncio.create_task(fleet.ask(stopping, "once", attempt, X_Deadline_Ms=20000))
+        await asyncio.sleep(0.5)
+        await stopping.end(signal.SIGTERM)
+        sh.check(not (await caller).is_whole, "the stream ended although its server was silent")
+        lines = [json.loads(line) for line in stopping.log_path.read_text().splitlines() if "event" in line]
+        cut = [line["request"] for line in lines if line["event"] == "request_cut"]
+        active = [line["active_requests"] for line in lines if line["event"] == "stopped"]
+        sh.check(cut == [attempt] and active == [1], f"{attempt} was cut, the log names {cut} and counts {active}")
+
+
 async def limits_change_while_idle():
     """Guards against requests that are dropped or rejected on connections that
     were idle while a new declared state raised the limits."""
@@ -230,6 +253,7 @@
     await planned_stop()
     await late_in_the_grace()
     await waiting_at_the_end()
+    await cut_requests_are_named()
     await limits_change_while_idle()
     await taken_metrics_port()
     await early_requests()
