Exit only after requests that came while the process was late are answered

What callers saw: a request on a kept connection to a stopping host got no answer although it was sent 0.3 s before the exit. Cause: a stop ends after 200 ms without a request. On a busy machine the process may not have run in that time; the check came first when it did run again, and the requests that waited in the sockets were dropped with the process. Change: a check that comes late does not end the stop; the next one may. Why it works: between two checks that are 20 ms apart the event loop reads what waits, and a request counts as soon as it has been read.

--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -46,6 +46,9 @@
 /** Finish() returns only after this long without an active request, because a
  * request that is still being read does not count as active. */
 constexpr std::chrono::milliseconds kQuietInterval{200};
+/** A check of Finish() that comes this long after the one before says nothing:
+ * requests that came meanwhile have not been read yet. */
+constexpr std::chrono::milliseconds kLateCheck = kQuietInterval / 2;
 /** Maximum number of bytes read ahead beyond the longest head. With it, it
  * bounds what the parser waits for in one piece: the head, the line before a
  * chunk, and the trailer. */
@@ -402,13 +405,17 @@
 
 auto http_server::Finish(time_point deadline) const -> asio::awaitable<void> {
   auto quiet_since = clock::now();
+  auto checked_at = quiet_since;
   while (clock::now() < deadline) {
+    const auto now = clock::now();
     if (ActiveRequests() > 0) {
-      quiet_since = clock::now();
+      quiet_since = now;
     }
-    if (clock::now() - quiet_since >= kQuietInterval) {
+    const bool is_late = now - checked_at > kLateCheck;
+    if (!is_late && now - quiet_since >= kQuietInterval) {
       co_return;
     }
+    checked_at = now;
     co_await Sleep(kFinishPollInterval);
   }
 }
--- a/tests/site_stop.py
+++ b/tests/site_stop.py
@@ -189,6 +189,27 @@
         os.close(reads)
 
 
+async def late_process_at_the_exit(exit_s, is_idle):
+    """Guards against a stop that takes time in which the process did not run for
+    quiet: requests that came meanwhile are answered before the exit."""
+    async with sh.Fleet("late_process", hosts=2, engines=2) as fleet:
+        host = fleet.hosts[0]
+        if not is_idle:
+            for engine in fleet.engines:
+                engine.silent_after = 2  # The stream lasts until the exit.
+            asyncio.create_task(fleet.ask(host, "once"))
+            await asyncio.sleep(0.5)
+
+        async def pause():
+            await asyncio.sleep(exit_s - 0.1)
+            host.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.4)
+            host.process.send_signal(signal.SIGCONT)
+        stop = asyncio.create_task(stop_by_platform(host))
+        await asyncio.gather(kept_callers(fleet, host, [exit_s - 0.07, exit_s - 0.02, exit_s + 0.05]), pause())
+        sh.check(await stop == 0, f"ended with {host.process.returncode}")
+
+
 async def limits_change_while_idle():
     """Guards against requests that are dropped or rejected on connections that
     were idle while a new declared state raised the limits."""
@@ -305,6 +326,8 @@
     await waiting_at_the_end()
     await cut_requests_are_named()
     await reader_of_the_log_is_slow()
+    await late_process_at_the_exit(4.7, is_idle=True)
+    await late_process_at_the_exit(5.3, is_idle=False)
     await limits_change_while_idle()
     await taken_metrics_port()
     await early_requests()
