Let a retry wait for the end of a backoff

What callers saw: a stream was cut in the middle, or a returning request refused, with 'no slot is free in time' although a server was free 0.3 s later. Cause: the estimate of the wait counts the runs that will end. If none is left, since the servers are in backoff, it was infinite, and the request was refused at once, however long it could wait. Evidence: dispatch, retry_waits_for_the_end_of_a_backoff failed before. Change: without runs, the estimate is the end of the first backoff among the servers that the request may use. Why it works: a retry may wait until its latest start, which is seconds away; the queue is served at the end of the backoff.

--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -300,14 +300,20 @@
 auto dispatcher::EstimateWait(const placement_request& request,
                               time_point now) const -> duration {
   std::size_t runs = 0;
+  auto backoff_ends = time_point::max();
   for (const auto& [id, row] : servers_) {
     if (row.listed && !row.info.leaving &&
         row.info.service == request.service) {
       runs += row.used;
+      if (now < row.backs_off_until &&
+          std::ranges::find(request.avoided, id) == request.avoided.end()) {
+        backoff_ends = std::min(backoff_ends, row.backs_off_until);
+      }
     }
   }
   if (runs == 0) {
-    return duration::max();
+    return backoff_ends == time_point::max() ? duration::max()
+                                             : backoff_ends - now;
   }
   const auto ahead = std::ranges::count_if(online_, [&](const auto& other) {
     return other.service == request.service &&
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -276,6 +276,30 @@
   cr_assert_gt(refused->retry_at, Begin());
 }
 
+// Guards against streams that are cut because all servers are in backoff for a
+// moment: a retry waits for the end of the shortest one.
+Test(dispatch, retry_waits_for_the_end_of_a_backoff) {
+  auto d = MakeReadyDispatcher(1);
+  d.RequestSlot(MakeRequest(1, work_class::kOnline, Begin()), {}, Begin());
+  d.End(host_id("h"), {ticket_id(1), run_outcome::kUnreachable}, Begin());
+  d.DrainNotices();
+  auto retry = MakeRequest(2, work_class::kOnline, Begin());
+  retry.is_retry = true;
+  d.RequestSlot(retry, {}, Begin());
+  cr_assert(d.DrainNotices().empty());
+  auto avoiding = retry;
+  avoiding.ticket = ticket_id(3);
+  avoiding.avoided = {server_id("s0")};
+  d.RequestSlot(avoiding, {}, Begin());
+  const auto refused = d.DrainNotices();
+  cr_assert_eq(refused.size(), 1);
+  cr_assert(refused[0].answer.verdict == placement_verdict::kNoCapacity);
+  d.Advance(Begin() + dispatch_policy().min_backoff);
+  const auto granted = d.DrainNotices();
+  cr_assert_eq(granted.size(), 1);
+  cr_assert(granted[0].answer.verdict == placement_verdict::kGranted);
+}
+
 // Guards against serving new requests while a retry waits, whose caller gives
 // up when it is refused a second time.
 Test(dispatch, retry_goes_first) {
