Let a stream return to its silent server if the next one does not take it

What callers saw: a stream of a sound server ended in the middle: its server was silent for a second, and the one that was chosen in its place refused, or could not be reached any more. Cause: the silent server was left before the next one had taken the request, and was excluded from then on. Without a third server with room the stream was cut. Evidence: site_silence, next_server_does_not_take_the_stream failed in both forms on the code before; request_end said 'broken off: no slot is free in time'. Change: if the next server has not run the request, those that were left for their silence may be chosen again. Why it works: the silent server's slot has just become free, so there is room for the stream, which goes on after its last event. Related paths: a server that has run the request and broke off still excludes the silent ones; batch items end silent runs by themselves and choose anew.

--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -421,7 +421,7 @@
       co_return true;
     }
     host_.metrics.CountRetry();
-    avoided_.push_back(server.id);
+    AvoidServer(server.id, result);
     Log(log_level::kInfo, log_category::kRoute,
         {"request " + caller_.attempt.value +
              " goes on elsewhere after event " +
@@ -430,6 +430,22 @@
     co_return false;
   }
 
+  /** Keeps the next placement requests away from a server. */
+  auto AvoidServer(const server_id& server, const attempt_result& result)
+      -> void {
+    avoided_.push_back(server);
+    if (result.was_left_silent) {
+      left_silent_.push_back(server);
+    } else if (!result.may_have_run) {
+      // The servers that were left may be sound, and this one has not replaced
+      // them.
+      std::erase_if(avoided_, [this](const server_id& id) {
+        return std::ranges::find(left_silent_, id) != left_silent_.end();
+      });
+      left_silent_.clear();
+    }
+  }
+
   /** Whether the request may be sent to another server although one may have
    * run it. */
   auto MayRetry() const -> bool {
@@ -545,7 +561,8 @@
   time_point first_event_;
   stream_progress progress_;
   std::vector<server_id> avoided_;
-  attempt_handle* running_ = nullptr;  // The attempt in progress.
+  std::vector<server_id> left_silent_;  // Those of avoided_ that were silent.
+  attempt_handle* running_ = nullptr;   // The attempt in progress.
   /** Slot that was granted while the server was silent. */
   struct granted_slot {
     ticket_id ticket;
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -564,6 +564,7 @@
     // was sent on the stale connection.
     result_.may_have_run = result_.may_have_run || was_stale;
     result_.may_have_crashed = MayHaveCrashed(was_stale);
+    result_.was_left_silent = handle_.has_moved;
   }
 
   host_state& host_;
--- a/src/hostd_relay.h
+++ b/src/hostd_relay.h
@@ -70,6 +70,9 @@
   /** Outcome reported to the placement. */
   run_outcome outcome = run_outcome::kComplete;
   bool may_have_run = false;  ///< The server may have run the request.
+  /** The attempt was ended because the server was silent and another one had
+   * room. */
+  bool was_left_silent = false;
   /** The server broke off as one does that crashes on the request. */
   bool may_have_crashed = false;
   bool is_complete = false;  ///< The answer arrived completely.
--- a/tests/site_silence.py
+++ b/tests/site_silence.py
@@ -53,6 +53,37 @@
         await other
 
 
+async def next_server_does_not_take_the_stream(how):
+    """A sound server is silent for 1.5 s, and the server that was chosen in its
+    place refuses, or cannot be reached any more."""
+    async with sh.Fleet("next_server", hosts=1, engines=2) as fleet:
+        asked = []
+        for _ in range(2):
+            attempt = attempt_with(fleet, 10, 24)
+            asked.append((attempt, asyncio.ensure_future(fleet.ask(fleet.hosts[0], "stream", attempt))))
+        for engine in fleet.engines:
+            engine.gap_s = 0.1
+        await asyncio.sleep(0.3)
+        silent = fleet.engines[0] if fleet.engines[0].running else fleet.engines[1]
+        other = next(engine for engine in fleet.engines if engine is not silent)
+        while other.running:
+            await asyncio.sleep(0.05)  # Its own stream ends whole.
+        if how == "refuses":
+            other.slots = other.queue_limit = 0
+        else:
+            await other.http.stop()
+        attempt = attempt_with(fleet, 20, 24)
+        asked.append((attempt, asyncio.ensure_future(fleet.ask(fleet.hosts[0], "stream", attempt))))
+        while fleet.runs(attempt) == 0:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.5)
+        silent.silent_after = 0
+        await asyncio.sleep(1.5)
+        silent.silent_after = None
+        for attempt, answer in asked:
+            check_whole(attempt, await answer, f"the next server {how}")
+
+
 async def broken_stream_waits_for_room():
     """A server breaks off a stream that has lasted longer than a caller waits for
     an event, and the other server has room only some time later."""
@@ -69,6 +100,8 @@
 async def test():
     await broken_stream_waits_for_room()
     await silent_server_without_room_elsewhere()
+    await next_server_does_not_take_the_stream("refuses")
+    await next_server_does_not_take_the_stream("is gone")
 
 
 sh.run(test)
