--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -66,6 +66,13 @@
   set_tests_properties(soak_short PROPERTIES LABELS failure TIMEOUT 300
                        RUN_SERIAL TRUE ENVIRONMENT
                        "DOGWOOD_BUILD=${CMAKE_BINARY_DIR}")
+  # The long runs are started by hand: tests/site_rolling.py --fresh 50.
+  add_test(NAME site_rolling
+           COMMAND ${CMAKE_SOURCE_DIR}/tests/site_rolling.py --seed 20261219
+                   --seconds 30 --hosts 6 --engines 6 --rate 25)
+  set_tests_properties(site_rolling PROPERTIES LABELS failure TIMEOUT 300
+                       RUN_SERIAL TRUE ENVIRONMENT
+                       "DOGWOOD_BUILD=${CMAKE_BINARY_DIR}")
   add_test(NAME platform_names
            COMMAND ${CMAKE_SOURCE_DIR}/tests/platform_names.py)
   add_test(NAME settings_doc COMMAND ${CMAKE_SOURCE_DIR}/tests/settings_doc.py)
--- a/tests/site_rolling.py
+++ b/tests/site_rolling.py
@@ -13,6 +13,7 @@
 import contextlib
 import json
 import multiprocessing
+import os
 import random
 import signal
 import sys
@@ -59,7 +60,9 @@
 
 class RollingFleet(sh.Fleet):
     def __init__(self, seed, hosts, engines, rng):
-        super().__init__(f"rolling-{seed}", 0, 0, net=80 + seed % 100)
+        # Seeds that run in parallel use separate networks.
+        net = int(os.environ.get("DOGWOOD_TEST_NET", 80 + seed % 100))
+        super().__init__(f"rolling-{seed}", 0, 0, net=net)
         self.hosts = [RollingHost(self, i) for i in range(hosts)]
         self.engines = [
             RecordingEngine(self.store, f"e{i}", sh.SERVICE, f"127.{self.net}.2.{i + 1}", sh.ENGINE,
@@ -255,10 +258,12 @@
         work = [w for engine in self.fleet.engines for w in engine.work.get(request.attempt, [])]
         took = request.ended - request.sent if request.sent else 0
         if not request.is_written or took >= TIME_LIMIT_S - LOSS_SLACK_S / 2:
-            return None  # The time limit was reached.
+            self.counts["time limit reached"] += 1
+            return None
         if not stops:
             return None if not work else f"{request.attempt} was cut without a stop of its host after {took:.2f} s"
         if not work and took <= LOSS_SLACK_S:
+            self.counts["crossed the close"] += 1
             return None
         after = request.ended - stops[-1]
         if (request.sent <= stops[-1] + EXCUSED_SENT_S and after >= EXCUSED_END_S and
