Count failed runs of items across owners of their partition

Cause: the owner of a partition counted failed runs in memory, so each new owner began at 0, and a paused one went on with its own count.

Fix: a failed run is a record of the partition's log, and its item does not run again before the record is there. Owners count the records; the number of the run tells a repeated append from a second failure. The last failure is the item's result instead. An item that does not fail costs nothing, one that always fails maxAttempts - 1 small records, appended with what else waits. An item whose route a host does not know has no limit of failures; the default was 1, which only mattered from now on.

Mutations caught by batch_test: no replay of failures, a run before the record, failures that are not told apart by their run. Passed: batch, site_owner, site_batch, site_stop.

--- a/src/batch_projection.cc
+++ b/src/batch_projection.cc
@@ -27,6 +27,13 @@
   return found == progress.end() ? kNone : found->second;
 }
 
+auto batch_job::FailedRunsOf(const batch_item_id& item) const
+    -> const std::set<batch_run_id>& {
+  static const std::set<batch_run_id> kNone;
+  const auto found = failed_runs.find(item);
+  return found == failed_runs.end() ? kNone : found->second;
+}
+
 auto batch_partition::Reset(log_offset first) -> void {
   next_ = first;
   jobs_.clear();
@@ -57,6 +64,9 @@
   if (auto* progress = std::get_if<progress_record>(&record)) {
     return ApplyProgress(std::move(*progress));
   }
+  if (const auto* failure = std::get_if<failure_record>(&record)) {
+    return ApplyFailure(*failure);
+  }
   if (const auto* end = std::get_if<end_record>(&record)) {
     return ApplyEnd(*end);
   }
@@ -124,6 +134,7 @@
   }
   job.results.push_back(std::move(record.result));
   job.progress.erase(item);
+  job.failed_runs.erase(item);
   batch_change change;
   change.listed = std::pair(record.job, item);
   return change;
@@ -150,6 +161,23 @@
   return change;
 }
 
+auto batch_partition::ApplyFailure(const failure_record& record)
+    -> batch_change {
+  const auto found = jobs_.find(record.job);
+  if (found == jobs_.end()) {
+    return {};
+  }
+  auto& job = found->second;
+  if (job.ended || !job.index.contains(record.item) ||
+      job.listed.contains(record.item) ||
+      !job.failed_runs[record.item].insert(record.run).second) {
+    return {};
+  }
+  batch_change change;
+  change.failed = std::pair(record.job, record.item);
+  return change;
+}
+
 auto batch_partition::ApplyEnd(const end_record& record) -> batch_change {
   const auto found = jobs_.find(record.job);
   if (found == jobs_.end() || found->second.ended) {
@@ -157,6 +185,7 @@
   }
   found->second.ended = true;
   found->second.progress.clear();
+  found->second.failed_runs.clear();
   batch_change change;
   change.ended = record.job;
   return change;
--- a/src/batch_projection.h
+++ b/src/batch_projection.h
@@ -4,7 +4,8 @@
  * whichever host wrote the records. The first submission of a job is accepted,
  * and the first result of an item takes the next position in its job. Progress
  * is accepted only if it directly follows the recorded progress, so that an
- * item's output neither misses nor repeats an event. The store retains records
+ * item's output neither misses nor repeats an event. A failed run counts once,
+ * however often it is recorded. The store retains records
  * longer than the lifetime of a job, so no record needs to be rewritten. */
 #ifndef SRC_BATCH_PROJECTION_H_
 #define SRC_BATCH_PROJECTION_H_
@@ -28,6 +29,8 @@
   std::set<batch_item_id> listed;                    ///< Items with a result.
   std::vector<batch_result> results;                 ///< In order of position.
   std::map<batch_item_id, batch_progress> progress;  ///< Of open items.
+  std::map<batch_item_id, std::set<batch_run_id>>
+      failed_runs;     ///< Of open items.
   bool ended = false;  ///< The caller ended the job.
 
   /** Returns whether no further result is expected: the caller ended the job or
@@ -43,6 +46,9 @@
   auto FindItem(const batch_item_id& item) const -> const batch_item*;
   /** Returns the recorded progress of an item; empty if there is none. */
   auto ProgressOf(const batch_item_id& item) const -> const batch_progress&;
+  /** Returns the recorded failed runs of an item. */
+  auto FailedRunsOf(const batch_item_id& item) const
+      -> const std::set<batch_run_id>&;
 };
 
 /** Effect of a record; at most one member is set. */
@@ -53,6 +59,8 @@
       listed;  ///< Item with a new result.
   std::optional<std::pair<batch_id, batch_item_id>>
       progressed;  ///< Open item with new events.
+  std::optional<std::pair<batch_id, batch_item_id>>
+      failed;  ///< Open item with a new failed run.
 };
 
 /** Jobs of one partition. It is a deterministic function of the applied
@@ -83,6 +91,7 @@
   auto ApplyPart(submission_part part) -> batch_change;
   auto ApplyResult(result_record record) -> batch_change;
   auto ApplyProgress(progress_record record) -> batch_change;
+  auto ApplyFailure(const failure_record& record) -> batch_change;
   auto ApplyEnd(const end_record& record) -> batch_change;
 
   log_offset next_;
--- a/src/batch_queue.cc
+++ b/src/batch_queue.cc
@@ -25,7 +25,7 @@
   std::tuple<bool, time_point> best_rank;
   for (auto it = items_.begin(); it != items_.end(); ++it) {
     const auto& item = it->second;
-    if (item.running || now < item.not_before) {
+    if (!item.MayStart(now)) {
       continue;
     }
     const std::tuple rank(now + run_time > item.due, item.due);
@@ -49,23 +49,44 @@
   }
 }
 
-auto batch_queue::CountFailure(const batch_item_ref& ref) -> bool {
+auto batch_queue::NoteFailure(const batch_item_ref& ref,
+                              batch_run_id run,
+                              time_point not_before) -> bool {
   auto* item = Find(ref);
   if (item == nullptr) {
     return false;
   }
-  ++item->failures;
-  return item->failures >= item->max_attempts;
+  if (item->failures + 1 >= item->max_attempts) {
+    return true;
+  }
+  item->unrecorded_failure = run;
+  Requeue(ref, not_before);
+  return false;
+}
+
+auto batch_queue::CountFailures(const batch_item_ref& ref,
+                                const std::set<batch_run_id>& recorded)
+    -> void {
+  auto* item = Find(ref);
+  if (item == nullptr) {
+    return;
+  }
+  item->failures = recorded.size();
+  if (item->unrecorded_failure &&
+      recorded.contains(*item->unrecorded_failure)) {
+    item->unrecorded_failure.reset();
+  }
 }
 
-auto batch_queue::Expired(time_point now) const -> std::vector<batch_item_ref> {
-  std::vector<batch_item_ref> expired;
+auto batch_queue::Hopeless(time_point now) const
+    -> std::vector<batch_item_ref> {
+  std::vector<batch_item_ref> hopeless;
   for (const auto& [ref, item] : items_) {
-    if (now >= item.expires && !item.running) {
-      expired.push_back(ref);
+    if (!item.running && (now >= item.expires || item.IsExhausted())) {
+      hopeless.push_back(ref);
     }
   }
-  return expired;
+  return hopeless;
 }
 
 auto batch_queue::Find(const batch_item_ref& ref) -> queued_item* {
--- a/src/batch_queue.h
+++ b/src/batch_queue.h
@@ -10,8 +10,10 @@
 #define SRC_BATCH_QUEUE_H_
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,10 +38,22 @@
   time_point due = time_point::max();  ///< Objective; max() if it has none.
   time_point expires = time_point::max();  ///< May be abandoned from then on.
   time_point not_before;                   ///< End of the pause after a run.
-  unsigned max_attempts = 1;  ///< Failures after which it is abandoned.
-  unsigned failures = 0;      ///< Answers counted as failures so far.
-  batch_progress progress;    ///< Progress of the previous runs.
-  bool running = false;       ///< Returned by StartNext(), not requeued since.
+  /** Failures after which it is abandoned; unlimited until its route is known.
+   */
+  std::size_t max_attempts = std::numeric_limits<std::size_t>::max();
+  std::size_t failures = 0;  ///< Failed runs that are in the log.
+  /** Failed run that is not in the log yet; the item does not run again before
+   * it is. */
+  std::optional<batch_run_id> unrecorded_failure;
+  batch_progress progress;  ///< Progress of the previous runs.
+  bool running = false;     ///< Returned by StartNext(), not requeued since.
+
+  /** Whether it has failed too often to run again. */
+  auto IsExhausted() const -> bool { return failures >= max_attempts; }
+  auto MayStart(time_point now) const -> bool {
+    return !running && !unrecorded_failure && !IsExhausted() &&
+           now >= not_before;
+  }
 };
 
 /** Queue of the items in the partitions that this host owns. Not
@@ -59,11 +73,18 @@
   /** Requeues a running item, which may run again from `not_before` on and
    * keeps its progress. */
   auto Requeue(const batch_item_ref& ref, time_point not_before) -> void;
-  /** Counts a failed answer of a server. Returns true if the item has reached
-   * its maximum number of attempts. */
-  auto CountFailure(const batch_item_ref& ref) -> bool;
-  /** Returns the expired items that are not running. */
-  auto Expired(time_point now) const -> std::vector<batch_item_ref>;
+  /** Notes a failed run of a running item. Returns true if it was the last that
+   * the item may have. Else the item is requeued and may run again from
+   * `not_before` on, once CountFailures() has been called with that run. */
+  auto NoteFailure(const batch_item_ref& ref,
+                   batch_run_id run,
+                   time_point not_before) -> bool;
+  /** Applies the recorded failures of an item. */
+  auto CountFailures(const batch_item_ref& ref,
+                     const std::set<batch_run_id>& recorded) -> void;
+  /** Returns the items to abandon: they do not run, and have expired or failed
+   * too often. */
+  auto Hopeless(time_point now) const -> std::vector<batch_item_ref>;
   /** Returns the entry, or nullptr if the item is not queued. */
   auto Find(const batch_item_ref& ref) -> queued_item*;
   auto Size() const -> std::size_t { return items_.size(); }
--- a/src/batch_record.cc
+++ b/src/batch_record.cc
@@ -195,6 +195,16 @@
       std::string_view(now.output).substr(recorded.output.size()));
 }
 
+auto FailureRecord(const batch_id& job,
+                   const batch_item_id& item,
+                   batch_run_id run) -> std::string {
+  return JoinRecord({{"kind", "failure"},
+                     {"job", job.value},
+                     {"item", item.value},
+                     {"run", run.value}},
+                    "");
+}
+
 auto EndRecord(const batch_id& job) -> std::string {
   return JoinRecord({{"kind", "end"}, {"job", job.value}}, "");
 }
@@ -242,6 +252,11 @@
                            NumberField(line, "after"),
                            {NumberField(line, "last"), std::string(bytes)}};
   }
+  if (kind == "failure") {
+    return failure_record{job,
+                          batch_item_id(std::string(TextField(line, "item"))),
+                          batch_run_id(NumberField(line, "run"))};
+  }
   if (kind == "end") {
     return end_record{job};
   }
--- a/src/batch_record.h
+++ b/src/batch_record.h
@@ -41,6 +41,14 @@
   batch_progress added;           ///< New last event, and the added output.
 };
 
+/** Failed run of an item that has not ended. It is in the log before the item
+ * runs again, so that a new owner of the partition goes on counting. */
+struct failure_record {
+  batch_id job;
+  batch_item_id item;
+  batch_run_id run;  ///< Tells a repeated record from another failure.
+};
+
 /** Section of a record that is larger than the store accepts. The sections of a
  * record are appended together, in order. */
 struct record_section {
@@ -57,6 +65,7 @@
 using batch_record = std::variant<submission_part,
                                   result_record,
                                   progress_record,
+                                  failure_record,
                                   end_record,
                                   record_section>;
 
@@ -91,6 +100,10 @@
                     const batch_item_id& item,
                     const batch_progress& recorded,
                     const batch_progress& now) -> std::string;
+/** Returns the record of a failed run. */
+auto FailureRecord(const batch_id& job,
+                   const batch_item_id& item,
+                   batch_run_id run) -> std::string;
 /** Returns the record of the end of a job. */
 auto EndRecord(const batch_id& job) -> std::string;
 
@@ -99,7 +112,8 @@
 auto SplitRecordToFit(std::string record, std::size_t record_bytes)
     -> std::vector<std::string>;
 
-/** Parses a record. Returns std::nullopt if it is malformed. */
+/** Parses a record. Returns std::nullopt if it is malformed or of a kind that
+ * this version does not know. */
 auto ParseBatchRecord(std::string_view record) -> std::optional<batch_record>;
 
 }  // namespace dogwood
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -15,6 +15,8 @@
 
 using batch_id = strong<struct batch_tag, std::string>;
 using batch_item_id = strong<struct batch_item_tag, std::string>;
+/** One run of an item; random, so that runs of different hosts differ. */
+using batch_run_id = strong<struct batch_run_tag, std::uint64_t>;
 
 /** One item as submitted. */
 struct batch_item {
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -83,6 +83,9 @@
     std::optional<batch_item_ref> progress_item;
     /** Last event already in the log before that progress. */
     std::uint64_t after_event = 0;
+    /** Set if the record is a failed run of an item. */
+    std::optional<batch_item_ref> failed_item;
+    batch_run_id failed_run;     ///< That run.
     bool may_be_in_log = false;  ///< An append with it got no answer.
     bool is_settled = false;     ///< It is in the log or no longer needed.
     bool is_refused = false;     ///< The store does not take it at all.
@@ -227,8 +230,10 @@
                     stream_progress progress,
                     std::string output,
                     const server_id& server) -> void;
-  /** Counts a failed run of an item, which runs again or is given up. */
+  /** Records a failed run of an item, which runs again once the record is in
+   * the log, or is given up. */
   auto HandleFailedRun(const batch_item_ref& ref) -> void;
+  auto RecordFailure(const batch_item_ref& ref, batch_run_id run) -> void;
   auto RecordResult(const batch_item_ref& ref,
                     batch_item_outcome end,
                     std::string output) -> void;
--- a/src/hostd_batch_log.cc
+++ b/src/hostd_batch_log.cc
@@ -173,6 +173,11 @@
     ApplyProgress({id, job, item},
                   partition.projection.Find(job)->ProgressOf(item));
   }
+  if (change.failed) {
+    const auto& [job, item] = *change.failed;
+    queue_.CountFailures({id, job, item},
+                         partition.projection.Find(job)->FailedRunsOf(item));
+  }
   if (change.ended) {
     DropItems(id, *partition.projection.Find(*change.ended));
   }
@@ -197,6 +202,12 @@
       is_in_log = job == nullptr || job->IsClosed() ||
                   job->listed.contains(item) ||
                   job->ProgressOf(item).last_event != record.after_event;
+    } else if (record.failed_item) {
+      const auto* job = partition.projection.Find(record.failed_item->job);
+      const auto& item = record.failed_item->item;
+      is_in_log = job == nullptr || job->IsClosed() ||
+                  job->listed.contains(item) ||
+                  job->FailedRunsOf(item).contains(record.failed_run);
     }
     if (is_in_log) {
       record.is_settled = true;
@@ -341,6 +352,19 @@
   Write(ref.partition, found->second, std::move(record));
 }
 
+auto batch_service::RecordFailure(const batch_item_ref& ref, batch_run_id run)
+    -> void {
+  const auto found = partitions_.find(ref.partition);
+  if (found == partitions_.end()) {
+    return;
+  }
+  auto record = std::make_shared<pending_record>();
+  record->records = {FailureRecord(ref.job, ref.item, run)};
+  record->failed_item = ref;
+  record->failed_run = run;
+  Write(ref.partition, found->second, std::move(record));
+}
+
 auto batch_service::ApplyProgress(const batch_item_ref& ref,
                                   const batch_progress& recorded) -> void {
   auto* queued = queue_.Find(ref);
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -153,6 +153,7 @@
     const batch_item_ref ref{id, job.submission.id, item.id};
     queue_.Add(ref, std::move(queued));
     ApplyProgress(ref, job.ProgressOf(item.id));
+    queue_.CountFailures(ref, job.FailedRunsOf(item.id));
   }
 }
 
@@ -180,7 +181,7 @@
 auto batch_service::RunDispatch() -> asio::awaitable<void> {
   while (true) {
     const auto now = clock::now();
-    for (const auto& ref : queue_.Expired(now)) {
+    for (const auto& ref : queue_.Hopeless(now)) {
       queue_.Find(ref)->running = true;
       RecordResult(ref, batch_item_outcome::kAbandoned, "");
     }
@@ -264,8 +265,10 @@
     co_return;
   }
   const auto* found = host_.placement->FindServer(placed.server);
-  if (found == nullptr || found->leaving || queue_.Find(ref) == nullptr ||
-      host_.draining) {
+  // Meanwhile a record of the previous owner may have ended or counted it.
+  const auto* granted = queue_.Find(ref);
+  if (found == nullptr || found->leaving || granted == nullptr ||
+      granted->IsExhausted() || host_.draining) {
     host_.placement->End({ticket, run_outcome::kUnused});
     queue_.Requeue(ref, clock::now());
     co_return;
@@ -338,10 +341,11 @@
   if (queue_.Find(ref) == nullptr) {
     return;
   }
-  if (queue_.CountFailure(ref)) {
+  const batch_run_id run(host_.random());
+  if (queue_.NoteFailure(ref, run, clock::now() + kFailedRunBackoff)) {
     RecordResult(ref, batch_item_outcome::kAbandoned, "");
   } else {
-    queue_.Requeue(ref, clock::now() + kFailedRunBackoff);
+    RecordFailure(ref, run);
   }
 }
 
--- a/tests/batch_test.cc
+++ b/tests/batch_test.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
+#include <utility>
 
 #include "src/batch.h"
 
@@ -154,6 +156,112 @@
   return {partition_id(1), batch_id("j"), batch_item_id(item)};
 }
 
+/** A host that runs the item "a" of job j, which always fails, as the owner of
+ * its partition or as a former one that does not know it yet. */
+class item_owner {
+ public:
+  /** Replays the log from its beginning. */
+  explicit item_owner(const std::vector<std::string>& log) {
+    ReadToEnd(log);
+    queue_.Add(Ref("a"), Item(kNow, 10));
+    Count();
+  }
+
+  auto ReadToEnd(const std::vector<std::string>& log) -> void {
+    for (; read_ < log.size(); ++read_) {
+      partition_.Apply(log[read_]);
+    }
+    Count();
+  }
+
+  auto Start() -> void {
+    is_running_ = is_running_ || queue_.StartNext(kNow, seconds(1)).has_value();
+  }
+
+  /** The server answers 500. Returns whether it had run the item. */
+  auto Fail(batch_run_id run) -> bool {
+    if (!std::exchange(is_running_, false)) {
+      return false;
+    }
+    pending_ =
+        queue_.NoteFailure(Ref("a"), run, kNow)
+            ? ResultRecord(batch_id("j"), {batch_item_id("a"),
+                                           batch_item_outcome::kAbandoned, ""})
+            : FailureRecord(batch_id("j"), batch_item_id("a"), run);
+    return true;
+  }
+
+  /** Appends what is pending, if the log ends where this host has read to. An
+   * answer that is lost makes the host repeat the record. */
+  auto Append(std::vector<std::string>& log, bool is_answered) -> void {
+    if (pending_.empty() || read_ != log.size()) {
+      ReadToEnd(log);
+      return;
+    }
+    log.push_back(pending_);
+    if (is_answered) {
+      pending_.clear();
+      ReadToEnd(log);
+    }
+  }
+
+ private:
+  static constexpr time_point kNow = time_point() + seconds(1000);
+
+  auto Count() -> void {
+    if (const auto* job = partition_.Find(batch_id("j"))) {
+      queue_.CountFailures(Ref("a"), job->FailedRunsOf(batch_item_id("a")));
+      if (job->listed.contains(batch_item_id("a"))) {
+        queue_.Remove(Ref("a"));
+      }
+    }
+  }
+
+  batch_partition partition_;
+  batch_queue queue_;
+  std::size_t read_ = 0;
+  bool is_running_ = false;
+  std::string pending_;
+};
+
+/** Property: whenever owners are killed, or paused and back, an item that
+ * always fails gets at most `max_attempts` failures and one for each run whose
+ * owner never recorded its end, and it is given up after `max_attempts` of them
+ * at the earliest. */
+auto FailuresSurviveChangesOfOwner() -> bool {
+  return rc::check("failures survive changes of owner", [] {
+    auto submission = Submission("j", 1, 1);
+    submission.items[0].id = batch_item_id("a");
+    auto log = SubmissionRecords(submission, kRecordBytes);
+    std::vector<item_owner> owners(2, item_owner(log));
+    std::size_t failures = 0;
+    std::size_t killed = 0;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 12));
+    for (const auto step : steps) {
+      auto& owner = owners[static_cast<std::size_t>(step % 2)];
+      if (step < 4) {
+        owner.Start();
+      } else if (step < 8) {
+        failures += owner.Fail(batch_run_id(failures + 1)) ? 1 : 0;
+      } else if (step < 10) {
+        owner.Append(log, step == 8 || *rc::gen::arbitrary<bool>());
+      } else if (step == 10 && *rc::gen::inRange(0, 4) == 0) {
+        ++killed;
+        owner = item_owner(log);
+      } else {
+        owner.ReadToEnd(log);
+      }
+      batch_partition replayed;
+      ApplyAll(replayed, log);
+      const auto* job = replayed.Find(batch_id("j"));
+      RC_ASSERT(job->results.empty() || failures >= 3U);
+      // Both hosts may be within a run when the last record comes.
+      RC_ASSERT(failures <= 3U + 1U + killed);
+    }
+  });
+}
+
 }  // namespace
 
 // Guards against a submission that is changed by encoding and replay, also when
@@ -316,11 +424,82 @@
   const auto now = time_point() + seconds(1000);
   batch_queue queue;
   queue.Add(Ref("a"), Item(now, 10));
-  cr_assert_not(queue.CountFailure(Ref("a")));
-  cr_assert_not(queue.CountFailure(Ref("a")));
-  cr_assert(queue.CountFailure(Ref("a")));
-  cr_assert(queue.Expired(now + seconds(59)).empty());
-  cr_assert_eq(queue.Expired(now + seconds(60)).size(), 1);
+  std::set<batch_run_id> recorded;
+  for (std::uint64_t run = 1; run <= 2; ++run) {
+    cr_assert(queue.StartNext(now, seconds(1)).has_value());
+    cr_assert_not(queue.NoteFailure(Ref("a"), batch_run_id(run), now));
+    recorded.insert(batch_run_id(run));
+    queue.CountFailures(Ref("a"), recorded);
+  }
+  cr_assert(queue.StartNext(now, seconds(1)).has_value());
+  cr_assert(queue.NoteFailure(Ref("a"), batch_run_id(3), now));
+  queue.Requeue(Ref("a"), now);
+  cr_assert(queue.Hopeless(now + seconds(59)).empty());
+  cr_assert_eq(queue.Hopeless(now + seconds(60)).size(), 1);
+}
+
+// Guards against a failed item that runs again before its failure is in the
+// log, so that a new owner does not know of it.
+Test(batch, failed_item_waits_for_its_record) {
+  const auto now = time_point() + seconds(1000);
+  batch_queue queue;
+  queue.Add(Ref("a"), Item(now, 10));
+  queue.StartNext(now, seconds(1));
+  queue.NoteFailure(Ref("a"), batch_run_id(7), now + seconds(2));
+  queue.CountFailures(Ref("a"), {batch_run_id(6)});  // Of another owner.
+  cr_assert_not(queue.StartNext(now + seconds(5), seconds(1)).has_value());
+  queue.CountFailures(Ref("a"), {batch_run_id(6), batch_run_id(7)});
+  cr_assert_not(queue.StartNext(now + seconds(1), seconds(1)).has_value());
+  cr_assert(queue.StartNext(now + seconds(2), seconds(1)).has_value());
+}
+
+// Guards against items given up by a host that does not know their route.
+Test(batch, failures_do_not_end_an_item_whose_route_is_unknown) {
+  const auto now = time_point() + seconds(1000);
+  batch_queue queue;
+  queue.Add(Ref("a"), {});
+  queue.CountFailures(Ref("a"), {batch_run_id(1), batch_run_id(2)});
+  cr_assert(queue.Hopeless(now).empty());
+  queue.Find(Ref("a"))->max_attempts = 2;
+  cr_assert_eq(queue.Hopeless(now).size(), 1);
+  cr_assert_not(queue.StartNext(now, seconds(1)).has_value());
+}
+
+// Guards against items that always fail and run more often than their route
+// allows, or are given up too early, after changes of their owner.
+Test(batch, failures_survive_changes_of_owner) {
+  cr_assert(FailuresSurviveChangesOfOwner());
+}
+
+// Guards against records that another version cannot read.
+Test(batch, records_of_other_versions_are_understood_or_skipped) {
+  batch_partition partition;
+  ApplyAll(partition, SubmissionRecords(Submission("j", 2, 1), kRecordBytes));
+  const batch_item_id item("j-0");
+  const std::string failure =
+      R"({"kind":"failure","job":"j","item":"j-0","run":18446744073709551615})";
+  cr_assert_eq(
+      FailureRecord(batch_id("j"), item, batch_run_id(~std::uint64_t{0})),
+      failure + "\n");
+  partition.Apply(failure + "\n");
+  const auto next = partition.next();
+  const auto change =
+      partition.Apply(R"({"kind":"unknown","job":"j","item":"j-1"})"
+                      "\n");
+  cr_assert_not(change.opened || change.ended || change.listed ||
+                change.progressed || change.failed);
+  cr_assert_eq(partition.next().value, next.value + 1);
+  partition.Apply(
+      R"({"kind":"progress","job":"j","item":"j-0","after":0,"last":1})"
+      "\none");
+  const auto* job = partition.Find(batch_id("j"));
+  cr_assert_eq(job->FailedRunsOf(item).size(), 1);
+  cr_assert_eq(job->ProgressOf(item).output, "one");
+  partition.Apply(R"({"kind":"result","job":"j","item":"j-0","done":false})"
+                  "\n");
+  partition.Apply(failure + "\n");
+  cr_assert_eq(job->results.size(), 1);
+  cr_assert(job->failed_runs.empty());
 }
 
 namespace {
--- a/tests/site_owner.py
+++ b/tests/site_owner.py
@@ -115,6 +115,37 @@
         sh.check(not again, f"the new owner ran items from their first event: {again}")
 
 
+async def failures_survive(how):
+    """Guards against items that always fail and run more often than their route
+    allows, since each new owner of their partition counts failures from 0. Each
+    owner is killed after two failures, or paused beyond its membership."""
+    attempts = next(route["maxAttempts"] for route in sh.state()["routes"] if route["name"] == "job")
+    async with sh.Fleet("failures_survive", hosts=5) as fleet:
+        owner = fleet.hosts[0]
+        sh.assign_all(fleet, owner.member)
+        await asyncio.sleep(1.5)
+        items = [f"job-{i}" for i in range(3)]
+        answer = await fleet.submit(owner, "job", len(items), kinds=["fail"] * len(items))
+        sh.check(answer.status == 202, f"job: {answer}")
+        for following in fleet.hosts[1:]:
+            wanted = {item: fleet.runs(item) + 2 for item in items}
+            end = time.monotonic() + 3  # Later than that they do not run again.
+            while any(fleet.runs(item) < wanted[item] for item in items) and time.monotonic() < end:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)  # Less than the pause after a failed run.
+            owner.process.send_signal(how)
+            sh.assign_all(fleet, following.member)
+            owner = following
+        for item, end, _ in await fleet.all_results("job", len(items), hosts=[owner]):
+            sh.check(end == "dead_letter", f"{item}: {end}")
+        for host in fleet.hosts[:-1] if how == signal.SIGSTOP else ():
+            host.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(2)
+        runs = {item: fleet.runs(item) for item in items}
+        sh.check(all(count >= attempts for count in runs.values()), f"given up before {attempts} failures: {runs}")
+        sh.check(all(count <= 3 * attempts for count in runs.values()), f"over {3 * attempts} failures: {runs}")
+
+
 async def silent_owner():
     """Guards against jobs that are refused, or accepted only after seconds,
     while the owner of their partition does not answer but is still a
@@ -173,6 +204,8 @@
     # Killed after the interval of progress records (1 s), and stopped before the first record.
     await progress_survives(signal.SIGKILL, 1.6)
     await progress_survives(signal.SIGTERM, 0.5)
+    await failures_survive(signal.SIGKILL)
+    await failures_survive(signal.SIGSTOP)
     await silent_owner()
     await lost_answers()
     await ended_job()
