Let jobs of public routes be read and ended

What callers saw: on a batch route with `public` true a job was answered 202 and ran, and no read of it could succeed: 404 with a key, 401 without one.

Cause: a submission finds its route by its path and needs no key there, so its job belongs to no workspace. Reads, items' bodies and ends name a job only: HandleCaller() always asked for a key, and the owner compared the workspace of that key with the job's, which is empty.

Fix: access is decided by the owner, which knows the job. A job of a public route belongs to no workspace; whoever knows its name may read and end it, also after its route has gone, since the job itself tells. A workspace's job is for its keys only: others with a key get 404 as before, and callers without a known one 401 for every other name, so that they learn nothing about which jobs exist. Such callers cause no reads of the store unless the state has a public batch route.

Related: jobs accepted while the declared state had no workspaces could not be read once it had some; the same rule covers them. Quotas of waiting tokens count such jobs under the empty workspace, as before.

--- a/src/deployment_query.cc
+++ b/src/deployment_query.cc
@@ -9,6 +9,8 @@
     : state_(std::move(state)) {
   for (const auto& route : state_.routes) {
     routes_by_host_[route.host].push_back(&route);
+    has_open_batch_route_ = has_open_batch_route_ ||
+                            (route.open && route.kind == request_kind::kBatch);
   }
   for (auto& [host, routes] : routes_by_host_) {
     std::ranges::sort(routes, [](const auto* a, const auto* b) {
--- a/src/deployment_query.h
+++ b/src/deployment_query.h
@@ -32,6 +32,8 @@
   auto FindWorkspaceByKey(std::string_view hash) const -> const workspace_rule*;
   /** Returns nullptr if there is no such workspace. */
   auto FindWorkspace(const workspace_id& id) const -> const workspace_rule*;
+  /** Whether jobs can be submitted without a key on some route. */
+  auto HasOpenBatchRoute() const -> bool { return has_open_batch_route_; }
   /** Returns nullptr if there is no such service. */
   auto FindService(const service_id& id) const -> const service_rule*;
 
@@ -42,6 +44,7 @@
   std::unordered_map<std::string, const workspace_rule*> by_key_;
   std::map<workspace_id, const workspace_rule*> workspaces_;
   std::map<service_id, const service_rule*> services_;
+  bool has_open_batch_route_ = false;
 };
 
 /** Selects a service of a route by weight. `random` is uniform in [0, 1). The
--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -57,6 +57,14 @@
           .peer = ""};
 }
 
+/** Whether a caller may read and end a job. A job of an open route belongs to
+ * no workspace; whoever knows its name has access. */
+auto HasAccess(const wire::batch_callT& call, const batch_submission& job)
+    -> bool {
+  const auto& workspace = job.workspace.value;
+  return workspace.empty() || (!call.lacks_key && workspace == call.workspace);
+}
+
 /** Returns an answer that reports a failure. */
 auto FailureAnswer(error_code code, std::string message) -> http_response {
   return FailureResponse(CallFailure(code, std::move(message)));
@@ -121,8 +129,10 @@
                             "the store does not tell whether the job exists");
   }
   const auto* job = partition->projection.Find(batch_id(call.job));
-  if (job == nullptr || job->submission.workspace.value != call.workspace) {
-    co_return FailureAnswer(error_code::kNotFound, "no such batch job");
+  if (job == nullptr || !HasAccess(call, job->submission)) {
+    co_return call.lacks_key
+        ? FailureAnswer(error_code::kUnauthorized, "unknown key")
+        : FailureAnswer(error_code::kNotFound, "no such batch job");
   }
   if (kind == batch_call_kind::kEnd) {
     co_return co_await End(id, partition, call);
@@ -145,7 +155,9 @@
                                   const wire::batch_callT& call)
     -> asio::awaitable<bool> {
   const auto* job = partition->projection.Find(batch_id(call.job));
-  if (job != nullptr && call.position <= job->results.size()) {
+  const bool is_known = job != nullptr && call.position <= job->results.size();
+  const bool has_access = job != nullptr && HasAccess(call, job->submission);
+  if (is_known || (call.skips_store && !has_access)) {
     co_return true;
   }
   // This host may have lost the partition without knowing it yet.
@@ -611,7 +623,8 @@
 auto HandleBatchCall(host_state& host,
                      http_exchange& exchange,
                      const caller_request& caller,
-                     const workspace_id& workspace) -> asio::awaitable<void> {
+                     const workspace_id& workspace,
+                     bool lacks_key) -> asio::awaitable<void> {
   const auto arrived = clock::now();
   const bool is_read = caller.call == caller_call::kJobResults ||
                        caller.call == caller_call::kJobItem;
@@ -624,6 +637,9 @@
     co_return;
   }
   auto call = EncodeCall(caller, workspace);
+  call.lacks_key = lacks_key;
+  // Without a key, only who may have submitted a job causes reads of the store.
+  call.skips_store = lacks_key && !host.deployment->HasOpenBatchRoute();
   if (caller.call == caller_call::kServe) {
     auto encoded = EncodeJob(host, exchange.Request(), caller, call);
     if (!encoded) {
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -32,12 +32,15 @@
   kSubmitForOwner,  ///< Like kSubmit, but sent to a host that is not the owner.
 };
 
-/** Handles a caller's request on a batch job and responds to it. */
+/** Handles a caller's request on a batch job and responds to it. `workspace` is
+ * empty for a submission on an open route. `lacks_key` tells that the caller
+ * has no known key although the declared state has workspaces; it has access to
+ * the jobs of open routes only. */
 auto HandleBatchCall(host_state& host,
                      http_exchange& exchange,
                      const caller_request& caller,
-                     const workspace_id& workspace)
-    -> boost::asio::awaitable<void>;
+                     const workspace_id& workspace,
+                     bool lacks_key) -> boost::asio::awaitable<void>;
 
 /** Manages the jobs of the partitions that this host owns. Used on the thread
  * of the event loop only. */
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -616,18 +616,23 @@
   workspace_id workspace;
   const bool needs_key =
       deployment->state().has_workspaces && (route == nullptr || !route->open);
+  bool lacks_key = false;
   if (needs_key) {
     const auto* owner = deployment->FindWorkspaceByKey(caller.key_hash);
-    if (owner == nullptr) {
+    lacks_key = owner == nullptr;
+    // A job call names no route: the job's owner knows whether it needs a key.
+    if (lacks_key && !is_job_call) {
       co_await RefuseEarly(
           host, exchange, caller,
           NotRunFailure(error_code::kUnauthorized, "unknown key", "check key"));
       co_return;
     }
-    workspace = owner->id;
+    if (owner != nullptr) {
+      workspace = owner->id;
+    }
   }
   if (is_job_call || route->kind == request_kind::kBatch) {
-    co_await HandleBatchCall(host, exchange, caller, workspace);
+    co_await HandleBatchCall(host, exchange, caller, workspace, lacks_key);
     co_return;
   }
   request_run run(host, exchange, caller, deployment, *route, workspace,
--- a/tests/deployment_test.cc
+++ b/tests/deployment_test.cc
@@ -68,6 +68,17 @@
   cr_assert_null(index.FindWorkspace(workspace_id("x")));
 }
 
+// Guards against callers without keys that search the store where no job can be
+// submitted without one.
+Test(deployment, open_batch_routes_are_found) {
+  auto state = State();
+  state.routes[0].kind = request_kind::kBatch;
+  state.routes[1].open = true;
+  cr_assert_not(deployment_index(state).HasOpenBatchRoute());
+  state.routes[1].kind = request_kind::kBatch;
+  cr_assert(deployment_index(state).HasOpenBatchRoute());
+}
+
 // Guards against selecting the wrong service at the bounds of a weighted split.
 Test(deployment, shares_follow_their_weights) {
   const auto route = Route("r", "one", "/");
--- a/tests/site_batch.py
+++ b/tests/site_batch.py
@@ -215,6 +215,74 @@
         await fleet.all_results("sound", 2)
 
 
+async def jobs_on_a_public_route():
+    """Guards against jobs that are accepted on a public route and that nobody
+    can read or end, and against jobs of a workspace that others can read."""
+    async with sh.Fleet("public_jobs", hosts=3, engines=2) as fleet:
+        declared = sh.state(2)
+        declared["routes"].append(dict(declared["routes"][-1], name="public", pathPrefix="/public/", public=True))
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", declared)
+
+        async def are_current():
+            return all([await version_of(host) == 2 for host in fleet.hosts])
+        await sh.until(are_current, "all hosts have the public route")
+        # Callers without a key, with one of a workspace and with one that is not known.
+        keys = (None, sh.KEY, "key-of-beta", "unknown")
+        for key in keys:
+            job = fleet.new_id("job")
+            answer = await fleet.submit(fleet.hosts[0], job, 2, key=key, route="public")
+            sh.check(answer.status == 202, f"public job of key {key}: {answer}")
+            for host in fleet.hosts:
+                for reader in keys:
+                    answer = await fleet.results(host, job, key=reader)
+                    sh.check(answer.status == 200, f"job of key {key} read with key {reader}: {answer}")
+            await fleet.all_results(job, 2)
+            seen = [fields for engine in fleet.engines for name, fields, *_ in engine.seen if name.startswith(job)]
+            sh.check(seen and not any("x-tenant" in fields or "x-key" in fields for fields in seen),
+                     f"items of a public job ran with {seen}")
+        # An item's body, and the end of the job, while no server takes its items.
+        for engine in fleet.engines:
+            await engine.register("draining")
+        for key in keys:
+            job = fleet.new_id("job")
+            answer = await fleet.submit(fleet.hosts[0], job, 1, key=key, route="public", body=b"own")
+            sh.check(answer.status == 202, f"public job of key {key}: {answer}")
+            answer = await fleet.item_body(fleet.hosts[1], job, f"{job}-0", key=None)
+            sh.check((answer.status, answer.body) == (200, b"own"), f"body of an item of a public job: {answer}")
+            answer = await fleet.item_body(fleet.hosts[1], job, "other", key=None)
+            sh.check(answer.status == 404, f"body of no item: {answer}")
+            answer = await fleet.end_job(fleet.hosts[2], job, key=None)
+            sh.check(answer.status == 200, f"end of a public job: {answer}")
+        for engine in fleet.engines:
+            await engine.register("ready")
+        # A workspace's jobs stay its own, and a caller without a key learns nothing about them.
+        own, kept = fleet.new_id("job"), fleet.new_id("job")
+        for job, route in ((own, "job"), (kept, "public")):
+            answer = await fleet.submit(fleet.hosts[0], job, 1, route=route)
+            sh.check(answer.status == 202, f"job {job}: {answer}")
+
+        async def check_own():
+            for host in fleet.hosts:
+                for job in (own, "none"):
+                    for key, status in ((None, 401), ("unknown", 401), ("key-of-beta", 404)):
+                        answers = [await fleet.results(host, job, key=key), await fleet.end_job(host, job, key=key),
+                                   await fleet.item_body(host, job, f"{job}-0", key=key)]
+                        sh.check(all(a.status == status for a in answers), f"job {job} with key {key}: {answers}")
+        await check_own()
+        # A job outlives its route: who could read it still can.
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", sh.state(3))
+
+        async def are_without():
+            return all([await version_of(host) == 3 for host in fleet.hosts])
+        await sh.until(are_without, "no host has the public route")
+        for host in fleet.hosts:
+            for key in keys:
+                answer = await fleet.results(host, kept, key=key)
+                sh.check(answer.status == 200, f"job of a removed public route with key {key}: {answer}")
+        await check_own()
+        await fleet.all_results(own, 1)
+
+
 async def test():
     await job_on_a_route_its_owner_does_not_know("late")
     await job_on_a_route_its_owner_does_not_know("job/late")
@@ -223,6 +291,7 @@
     await store_smaller_than_the_settings()
     await malformed_jobs()
     await smuggled_requests()
+    await jobs_on_a_public_route()
 
 
 sh.run(test)
--- a/tests/site_helper.py
+++ b/tests/site_helper.py
@@ -171,6 +171,11 @@
     return await asyncio.wait_for(run(), limit)
 
 
+def key_field(key):
+    """Returns the field with a caller's key; none if it has no key."""
+    return {} if key is None else {"X_Key": key}
+
+
 class Fleet:
     """Fixture with the hosts, servers and store of one test."""
 
@@ -235,10 +240,8 @@
     async def ask(self, host, route, attempt=None, key=KEY, body=b"hello", **headers):
         """Sends one request to a route through one host."""
         attempt = attempt or self.new_id()
-        fields = {"Host": HOST_NAME, "X_Attempt_Id": attempt, "X_Deadline_Ms": 8000, **headers}
-        if key is not None:
-            fields["X_Key"] = key
-        return await call(host.ip, FRONT, "POST", f"/{route}/x", body, **fields)
+        return await call(host.ip, FRONT, "POST", f"/{route}/x", body, Host=HOST_NAME, X_Attempt_Id=attempt,
+                          X_Deadline_Ms=8000, **headers, **key_field(key))
 
     async def ask_plain(self, route, body):
         """Sends a request whose answer is no stream through the first host.
@@ -259,11 +262,17 @@
                            "headers": {"X-Model": "m", **{k.replace("_", "-"): v for k, v in headers.items()}},
                            "body": base64.b64encode(body).decode(), "tokens": 10})
         return await call(host.ip, FRONT, "POST", f"/{route}/{job}", json.dumps({"items": listed}).encode(),
-                          Host=HOST_NAME, X_Attempt_Id=job, X_Key=key)
+                          Host=HOST_NAME, X_Attempt_Id=job, **key_field(key))
 
     async def results(self, host, job, after=0, key=KEY):
         return await call(host.ip, FRONT, "GET", f"/api/lots/{job}?after={after}", Host=HOST_NAME,
-                          X_Key=key, X_Wait_Ms=200)
+                          X_Wait_Ms=200, **key_field(key))
+
+    async def item_body(self, host, job, item, key=KEY):
+        return await call(host.ip, FRONT, "GET", f"/api/items/{job}?id={item}", Host=HOST_NAME, **key_field(key))
+
+    async def end_job(self, host, job, key=KEY):
+        return await call(host.ip, FRONT, "DELETE", f"/api/lots/{job}", Host=HOST_NAME, **key_field(key))
 
     async def all_results(self, job, total, limit=40, hosts=None):
         """Polls the results until every item is listed; refused reads are retried."""
