Check every field of the store's entries against its range

What callers saw: entries of another writer among the servers, with a port out of range, port 0, no address or 1e30 slots, counted as usable servers, so that requests were placed on them and lost attempts. A request whose timeout was 2^64 - 1 ms got 504.

Cause: the decoder checked the types of three fields only, and converted numbers from floating point without ranges, which is undefined for those that do not fit. Numbers in callers' and servers' heads were cast in the same way: a reported load of 2^32 + 1 became 1.

An entry of a server with a problem is not used; it is logged once, with entry, field and value, and counted in dogwood_entries_rejected; those beside it are used. In the declared state a number above its range becomes the largest of it, and a negative one counts as absent: dropping its route would refuse all requests of it. An unnamed workspace is skipped, since the empty name stands for none. Messages never show keys.

Related: loads, keep-alive times, timeouts and waits of callers, tokens of items, and offsets and generations told by the store are bounded or converted exactly. Retry-After is written by hosts only, never decoded.

--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -70,6 +70,9 @@
   std::uint64_t restored_removals = 0;  ///< It registered again in time.
   std::uint64_t expired_removals = 0;   ///< It did not: the server is gone.
   std::uint64_t announced_leaving = 0;  ///< Servers that said that they leave.
+  /** Registrations that name no usable server, and entries or fields of the
+   * declared state that were skipped or changed. */
+  std::uint64_t rejected_entries = 0;
 };
 
 /** Exponentially smoothed answer times of a service. */
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -110,6 +110,7 @@
          {"dogwood_removals_expired", count(host.feed.expired_removals)},
          {"dogwood_servers_announced_leaving",
           count(host.feed.announced_leaving)},
+         {"dogwood_entries_rejected", count(host.feed.rejected_entries)},
          {"dogwood_prompts_quarantined", count(quarantine.parts.size())},
          {"dogwood_requests_quarantined", count(quarantine.requests.size())},
          {"dogwood_draining", host.draining ? 1 : 0}});
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -24,13 +25,17 @@
  * (the platform's pages, "Service discovery": about two seconds). */
 constexpr std::chrono::milliseconds kRegistrationGrace{2300};
 
+/** Maximum number of problems of a declared state that are logged. */
+constexpr std::size_t kMaxLogged = 20;
+
 /** A server that has said that it leaves ends within seconds. */
 constexpr std::chrono::minutes kLeavingNoteTtl{10};
 
 }  // namespace
 
 auto ApplyState(host_state& host, const std::string& text) -> bool {
-  auto decoded = adapter::DecodeState(text);
+  std::vector<failure> problems;
+  auto decoded = adapter::DecodeState(text, &problems);
   if (!decoded) {
     Log(log_level::kError, log_category::kConfig,
         {decoded.error().message, decoded.error().step, "store"});
@@ -47,6 +52,14 @@
             {"routes", decoded->routes.size()},
             {"services", decoded->services.size()},
             {"workspaces", decoded->workspaces.size()}});
+  host.feed.rejected_entries += problems.size();
+  for (const auto& problem :
+       std::span(problems).first(std::min(problems.size(), kMaxLogged))) {
+    LogEvent(log_level::kWarning, log_category::kConfig, "entry_rejected",
+             {{"entry", problem.peer},
+              {"problem", problem.message},
+              {"state_version", version.value}});
+  }
   std::set<route_id> routes;
   for (const auto& route : decoded->routes) {
     routes.insert(route.id);
@@ -126,13 +139,13 @@
   auto decoded = adapter::DecodeServer(id, *text);
   const auto known = registered_.find(server_id(id));
   if (!decoded) {
-    Log(log_level::kDebug, log_category::kConfig,
-        {decoded.error().message, decoded.error().step, decoded.error().peer});
+    Reject(decoded.error());
     journal_.Put(id, *text, known != registered_.end());
     registered_.erase(server_id(id));
     host_.servers.erase(server_id(id));
     return;
   }
+  rejected_.erase(id);
   const bool is_change =
       known == registered_.end() || known->second != decoded.value();
   journal_.Put(id, *text, is_change);
@@ -150,6 +163,17 @@
   host_.servers[decoded->id] = std::move(decoded.value());
 }
 
+auto registration_table::Reject(const failure& error) -> void {
+  auto& logged = rejected_[error.peer];
+  if (logged == error.message) {
+    return;
+  }
+  logged = error.message;
+  ++host_.feed.rejected_entries;
+  LogEvent(log_level::kWarning, log_category::kConfig, "entry_rejected",
+           {{"entry", error.peer}, {"problem", error.message}});
+}
+
 auto registration_table::HasSaidLeaving(const registered_server& server) const
     -> bool {
   const auto found = leaving_.find(server.id);
@@ -205,6 +229,7 @@
 auto registration_table::Drop(const std::string& id) -> void {
   journal_.Remove(id);
   deferred_.erase(id);
+  rejected_.erase(id);
   registered_.erase(server_id(id));
   if (host_.servers.erase(server_id(id)) > 0) {
     LogEvent(log_level::kInfo, log_category::kConfig, "server_gone",
--- a/src/hostd_state.h
+++ b/src/hostd_state.h
@@ -77,6 +77,8 @@
 
  private:
   auto Remove(const std::string& id) -> void;
+  /** Counts a registration that names no usable server, and logs it once. */
+  auto Reject(const failure& error) -> void;
 
   /** A server's statement that it leaves. */
   struct leaving_note {
@@ -90,6 +92,8 @@
   /** Servers by their registrations alone. */
   std::map<server_id, registered_server> registered_;
   std::map<server_id, leaving_note> leaving_;
+  /** Messages that were logged about unusable registrations, by id. */
+  std::map<std::string, std::string> rejected_;
   std::uint64_t published_ = 0;  // Revision at the last Publish().
   /** Removals are deferred until then. */
   time_point doubtful_until_;
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -2,13 +2,16 @@
  */
 #include <rapidcheck.h>
 
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cctype>
 #include <list>
+#include <map>
 
 #include "platform/adapter.h"
 #include "platform/base64.h"
@@ -153,6 +156,179 @@
   }
 }
 
+namespace {
+
+/** JSON texts that no field of a registration but an ignored one may have. */
+constexpr std::array<std::string_view, 14> kOddValues{"1e30",
+                                                      "-1e30",
+                                                      "1e400",
+                                                      "-1",
+                                                      "0.5",
+                                                      "true",
+                                                      "[]",
+                                                      "{}",
+                                                      R"("")",
+                                                      "\"\\u0000\"",
+                                                      "18446744073709551616",
+                                                      R"("1e30")",
+                                                      "[[[[1]]]]",
+                                                      R"("127.0.0.1:70000")"};
+
+/** Property: an entry with an odd value of one of the fields in use names no
+ * server, and the failure names entry, field and value. */
+auto OddEntriesNameNoServer() -> bool {
+  return rc::check("an odd entry names no server", [] {
+    const auto field = *rc::gen::elementOf(std::vector<std::string>{
+        "service", "address", "state", "slots", "born", "zone"});
+    const auto value = std::string(*rc::gen::elementOf(kOddValues));
+    // A string is a proper service or data centre.
+    RC_PRE(!value.starts_with('"') || (field != "service" && field != "zone"));
+    std::map<std::string, std::string> fields{
+        {"service", R"("s1")"},  {"address", R"("10.0.0.1:80")"},
+        {"state", R"("ready")"}, {"slots", "8"},
+        {"zone", R"("a")"},      {"born", "12"}};
+    fields[field] = value;
+    std::string text;
+    for (const auto& [name, given] : fields) {
+      text += (text.empty() ? "{\"" : ",\"") + name + "\":" + given;
+    }
+    const auto server = adapter::DecodeServer("i-1", text + "}");
+    RC_ASSERT(!server.has_value());
+    RC_ASSERT(server.error().peer == "i-1");
+    const auto& message = server.error().message;
+    const bool names_field =
+        message.find("\"" + field + "\"") != std::string::npos;
+    const bool is_unreadable = message.starts_with("is no JSON object");
+    RC_ASSERT(names_field || is_unreadable);
+  });
+}
+
+/** Property: whatever the numbers of a state, times and counts of its routes,
+ * limits and workspaces are within their ranges. */
+auto DeclaredNumbersAreBounded() -> bool {
+  return rc::check("declared numbers are bounded", [] {
+    auto text = std::string(kState);
+    const auto number = *rc::gen::elementOf(
+        std::vector<std::string>{"1e30", "-1e30", "-7", "1e308", "9e18",
+                                 "18446744073709551616", "\"7\"", "null"});
+    std::vector<std::pair<std::size_t, std::size_t>> numbers;
+    for (std::size_t at = 13; at < text.size(); ++at) {
+      if (text[at - 1] == ':' && std::isdigit(text[at]) != 0) {
+        numbers.emplace_back(at, text.find_first_of(",}", at) - at);
+      }
+    }
+    const auto [at, size] = *rc::gen::elementOf(numbers);
+    text.replace(at, size, number);
+    std::vector<failure> problems;
+    const auto state = adapter::DecodeState(text, &problems);
+    RC_ASSERT(state.has_value());
+    using std::chrono::milliseconds;
+    const milliseconds longest = std::chrono::hours(24 * 30);
+    const auto in_range = [&](milliseconds d) {
+      return d >= milliseconds(0) && d <= longest;
+    };
+    for (const auto& route : state->routes) {
+      RC_ASSERT(in_range(route.answer_timeout));
+      RC_ASSERT(in_range(route.objective));
+      RC_ASSERT(in_range(route.event_gap_objective));
+      RC_ASSERT(in_range(route.completion_objective));
+      RC_ASSERT(in_range(route.retention));
+      RC_ASSERT(route.max_attempts >= 1U);
+    }
+    for (const auto& workspace : state->workspaces) {
+      RC_ASSERT(workspace.rate_per_s >= 0);
+      RC_ASSERT(workspace.rate_per_s <= 1e9);
+      RC_ASSERT(workspace.burst >= 0);
+      RC_ASSERT(workspace.burst <= 1e9);
+    }
+    RC_ASSERT(in_range(state->limits.idle_timeout));
+    RC_ASSERT(in_range(state->limits.header_timeout));
+    const bool is_told = number == "null" || problems.size() > 1;
+    RC_ASSERT(is_told);
+  });
+}
+
+}  // namespace
+
+// Guards against odd entries of another writer that are used as servers.
+Test(adapter, odd_entries_name_no_server) {
+  cr_assert(OddEntriesNameNoServer());
+  for (const auto* address :
+       {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:80x",
+        "10.0.0.1", "host:80", "0.0.0.0:80", "255.255.255.255:80", "[::1]:80",
+        ":80", "10.0.0.1:"}) {
+    const auto server = adapter::DecodeServer(
+        "i-1", R"({"service":"s1","slots":8,"state":"ready","address":")" +
+                   std::string(address) + R"("})");
+    cr_assert_not(server.has_value(), "%s", address);
+    cr_assert(server.error().message.find(address) != std::string::npos);
+  }
+}
+
+// Guards against deep nesting that overflows the stack.
+Test(adapter, deeply_nested_entries_are_refused) {
+  for (const std::size_t depth : {40UL, 200000UL}) {
+    const auto nested =
+        R"({"service":"s1","address":"10.0.0.1:80","slots":8,"state":"ready","a":)" +
+        std::string(depth, '[') + std::string(depth, ']') + "}";
+    cr_assert_not(adapter::DecodeServer("i-1", nested).has_value());
+    cr_assert_not(adapter::DecodeState(R"({"version":1,"a":)" + nested + "}")
+                      .has_value());
+    cr_assert_not(adapter::DecodeItems(nested).has_value());
+  }
+}
+
+// Guards against times and limits that overflow when they are used.
+Test(adapter, declared_numbers_are_bounded) {
+  cr_assert(DeclaredNumbersAreBounded());
+}
+
+// Guards against keys in the messages about a malformed state.
+Test(adapter, messages_show_no_keys) {
+  std::vector<failure> problems;
+  adapter::DecodeState(
+      R"({"version":1,"tenants":[{"name":5,"apiKeys":"key-one","burst":-1},
+          {"name":"","apiKeys":{"a":"key-one"}}]})",
+      &problems);
+  cr_assert_eq(problems.size(), 3);
+  for (const auto& problem : problems) {
+    cr_assert(problem.message.find("key-one") == std::string::npos);
+  }
+}
+
+// Guards against numbers in heads that overflow when they are used.
+Test(adapter, numbers_in_heads_are_bounded) {
+  for (const auto* huge : {"18446744073709551615", "9223372036854775808",
+                           "4294967297", "99999999999999999999999"}) {
+    const std::string text = huge;
+    const auto answer =
+        adapter::DecodeAnswer({200,
+                               {{{"X-Server-Load", text + "," + text + ",8"},
+                                 {"Keep-Alive", "timeout=" + text}}}});
+    if (answer.load) {
+      cr_assert_leq(answer.load->running, 1000000);
+      cr_assert_leq(answer.load->waiting, 1000000);
+      // Not what the number is modulo a power of two.
+      cr_assert_geq(answer.load->running, 1000000);
+    }
+    cr_assert(!answer.keep_alive_s || *answer.keep_alive_s == 86400);
+    http_request request;
+    request.method = "GET";
+    request.target = "/api/lots/a";
+    request.headers.fields = {{"X-Deadline-Ms", text}, {"X-Wait-Ms", text}};
+    const auto caller = adapter::DecodeRequest(request);
+    if (caller.time_remaining) {
+      cr_assert_eq(caller.time_remaining->count(), 86400000);
+    }
+    cr_assert_geq(caller.result_wait.count(), 0);
+    cr_assert_leq(caller.result_wait.count(), 86400000);
+    const auto items = adapter::DecodeItems(
+        R"({"items":[{"id":"a","path":"/b/","body":"","tokens":)" + text +
+        "}]}");
+    cr_assert(!items || items.value()[0].tokens <= 1000000000);
+  }
+}
+
 // Guards against forwarding a key, a forged workspace or hop-by-hop fields to a
 // server.
 Test(adapter, servers_get_neither_keys_nor_forged_fields) {
--- a/tests/site_store.py
+++ b/tests/site_store.py
@@ -1,8 +1,8 @@
 #!/usr/bin/python3
 """Guards against an outage of the store that stops online requests, against a
 host that starts during the outage and refuses valid requests, against an older
-declared state that replaces a newer one, and against keys and limits that are
-not enforced."""
+declared state that replaces a newer one, against keys and limits that are not
+enforced, and against odd entries that are used or end hosts."""
 
 import asyncio
 
@@ -66,10 +66,95 @@
         sh.check(all("retry-after" in a.headers for a in answers if a.status == 429), "a 429 answer has no Retry-After")
 
 
+ODD_FIELDS = ({"address": "127.0.0.1:70000"}, {"address": "127.0.0.1:0"}, {"address": "0.0.0.0:7201"},
+              {"address": "nowhere:7201"}, {"address": 7201}, {"slots": 1e30}, {"slots": -1}, {"slots": 0}, {"slots": 0.5},
+              {"slots": "8"}, {"slots": None}, {"slots": 10**9}, {"state": "strange"}, {"service": None}, {"service": ""},
+              {"zone": 5}, {"born": 1e30}, {"born": -1}, {"born": 0.5}, {"born": "now"})
+
+
+async def odd_entries():
+    """Guards against entries of another writer that are used as servers and
+    cost attempts, that end hosts, or that hide the entries beside them."""
+    async with sh.Fleet("odd_entries", hosts=2) as fleet:
+        engine, topic = fleet.engines[0], sh.stand_in.SERVER_TOPIC
+
+        async def write(seq):
+            for i, fields in enumerate(ODD_FIELDS):
+                sound = {"service": sh.SERVICE, "address": f"{engine.ip}:{sh.ENGINE + 1}", "zone": engine.zone,
+                         "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": seq, "born": 1}
+                await fleet.store.put(topic, f"odd{i}", {**sound, **fields})
+            for key, text in (("deep", b"[" * 200000), ("deepfield", b'{"service":' + b"[" * 100 + b"]" * 100 + b"}"),
+                              ("bytes", b"\xff\x00"), ("huge", b'{"slots":1' + b"0" * 400 + b"}")):
+                await fleet.store.append(topic, 0, [bytes([len(key)]) + key.encode() + text])
+        await write(1)
+        await asyncio.sleep(1)
+        odd = len(ODD_FIELDS) + 4
+        for host in fleet.hosts:
+            servers = await host.metric("dogwood_servers")
+            sh.check(servers == len(fleet.engines), f"{servers} servers in use")
+        for _ in range(10):
+            answers = await asyncio.gather(*(fleet.ask(host, route) for host in fleet.hosts
+                                             for route in ("stream", "read/plain", "once")))
+            sh.check(all(a.status == 200 and a.is_whole for a in answers), f"statuses: {[a.status for a in answers]}")
+        # Entries are written again and again; each is told once.
+        await write(2)
+        await asyncio.sleep(1)
+        for host in fleet.hosts:
+            rejected = await host.metric("dogwood_entries_rejected")
+            sh.check(rejected == odd, f"{rejected} entries rejected, {odd} are odd")
+            lines = [line for line in host.log_path.read_text().splitlines() if "entry_rejected" in line]
+            sh.check(len(lines) == odd, f"{len(lines)} messages about {odd} odd entries")
+            told = [line for line in lines if '"odd0"' in line]
+            sh.check(len(told) == 1 and "address" in told[0] and ":70000" in told[0], f"message: {told}")
+        # A server of which nothing odd is told any more is used.
+        await fleet.store.put(topic, "odd0", {"service": sh.SERVICE, "address": f"{engine.ip}:{sh.ENGINE}", "slots": 8,
+                                              "zone": engine.zone, "state": "ready", "born": 1})
+
+        async def is_used():
+            return await fleet.hosts[0].metric("dogwood_servers") == len(fleet.engines) + 1
+        await sh.until(is_used, "an entry that is sound again is used", 5)
+
+
+async def odd_numbers():
+    """Guards against numbers of the declared state, of callers and of servers'
+    answers that overflow when they are used."""
+    async with sh.Fleet("odd_numbers", hosts=2) as fleet:
+        for version, number in enumerate((1e30, -1e30, 1e308, 2**63, -7), start=2):
+            state = sh.state(version)
+            for route in state["routes"]:
+                route.update(timeoutMs=number, targetLatencyMs=number, gapAimMs=number)
+            state["routes"][-1].update(completionTargetMs=number, maxAttempts=number)
+            state["routes"][-1]["retentionS"] = max(abs(number), 60)
+            state["tenants"][0].update(ratePerS=abs(number), burst=abs(number))
+            await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", state)
+
+            async def applied():
+                return all([await host.metric("dogwood_state_version") == version for host in fleet.hosts])
+            await sh.until(applied, f"both hosts apply the state with {number}")
+            for host in fleet.hosts:
+                for deadline in ("8000", "18446744073709551615", "9223372036854775807"):
+                    answer = await sh.call(host.ip, sh.FRONT, "POST", "/stream/x", b"", Host=sh.HOST_NAME,
+                                           X_Attempt_Id=fleet.new_id(), X_Deadline_Ms=deadline, X_Key=sh.KEY)
+                    sh.check(answer.status == 200 and answer.is_whole, f"{number}, deadline {deadline}: {answer}")
+            job = fleet.new_id("job")
+            answer = await fleet.submit(fleet.hosts[0], job, 2)
+            sh.check(answer.status == 202, f"job with {number}: {answer}")
+            for item, end, output in await fleet.all_results(job, 2):
+                sh.check((end, output) == ("done", sh.stand_in.whole_output(item)), f"{number}: item {item}: {end}")
+            answer = await sh.call(fleet.hosts[1].ip, sh.FRONT, "GET", f"/api/lots/{job}?after=2", Host=sh.HOST_NAME,
+                                   X_Key=sh.KEY, X_Wait_Ms="18446744073709551615")
+            sh.check(answer.status == 200, f"read with a long wait: {answer}")
+            for host in fleet.hosts:
+                sh.check(host.process.returncode is None, f"{host.log_path.name} has ended")
+                sh.check(await host.metric("dogwood_entries_rejected") > 0, "no odd number was counted")
+
+
 async def test():
     await outage()
     await states()
     await limits()
+    await odd_entries()
+    await odd_numbers()
 
 
 sh.run(test)
