Keep items for their whole retention whatever the clocks

What callers would see: an item given up before retentionS had passed, by the error of the wall clocks of two hosts: of the one that accepted the job and of the owner of its partition.

Cause: SteadyAfter() subtracted the submission's wall time from the owner's wall clock without a margin, at each takeover and at each change of the declared state, so that each step of the owner's clock counted.

Fix: the owner estimates the time of submission once, on its steady clock, when it queues the items; a new state starts from that time. The expiry lies two clock errors of 5 s beyond the retention, on the side that keeps the item. A steady clock that stands still while its host is suspended keeps items too.

Due times, which only order items, use the same estimate without a margin.

--- a/src/batch_queue.cc
+++ b/src/batch_queue.cc
@@ -41,6 +41,18 @@
   return best->first;
 }
 
+auto EstimateSubmission(unix_ms submitted, unix_ms wall_now, time_point now)
+    -> time_point {
+  return submitted < wall_now
+             ? now - std::chrono::milliseconds(wall_now.value - submitted.value)
+             : now;
+}
+
+auto ExpiryOf(time_point estimated_submission,
+              std::chrono::milliseconds retention) -> time_point {
+  return estimated_submission + retention + 2 * kMaxClockError;
+}
+
 auto batch_queue::Requeue(const batch_item_ref& ref, time_point not_before)
     -> void {
   if (auto* item = Find(ref)) {
--- a/src/batch_queue.h
+++ b/src/batch_queue.h
@@ -9,6 +9,7 @@
 #ifndef SRC_BATCH_QUEUE_H_
 #define SRC_BATCH_QUEUE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -30,10 +31,30 @@
       default;  // NOLINT(modernize-use-nullptr)
 };
 
+/** Largest error of one host's wall clock. The platform's clocks are close to
+ * true time, and may step by some seconds. */
+inline constexpr std::chrono::milliseconds kMaxClockError{5000};
+
+/** Returns the time at which a job was submitted, on the steady clock of this
+ * host, as wall clocks tell it: `submitted` by the clock of the host that
+ * accepted the job, `wall_now` by that of this one. Wrong by the errors of both
+ * clocks; never after `now`. */
+auto EstimateSubmission(unix_ms submitted, unix_ms wall_now, time_point now)
+    -> time_point;
+
+/** Returns the time from which an item may be abandoned. It is not before
+ * `retention` after the true time of submission, if the estimate of that is
+ * wrong by two clock errors at most. */
+auto ExpiryOf(time_point estimated_submission,
+              std::chrono::milliseconds retention) -> time_point;
+
 /** Entry of the queue. */
 struct queued_item {
-  service_id service;                  ///< Service that the item may run on.
-  time_point due = time_point::max();  ///< Objective; max() if it has none.
+  service_id service;  ///< Service that the item may run on.
+  /** Estimated time of its job's submission. Taken once, since the steady clock
+   * goes on evenly while wall clocks step. */
+  time_point submitted;
+  time_point due = time_point::max();      ///< Objective; max() if it has none.
   time_point expires = time_point::max();  ///< May be abandoned from then on.
   time_point not_before;                   ///< End of the pause after a run.
   unsigned max_attempts = 1;  ///< Failures after which it is abandoned.
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -42,12 +42,14 @@
 /** Weight of the newest run in the smoothed duration. */
 constexpr double kRunWeight = 0.05;
 
-/** Returns the steady time at which `length` has passed since the wall time
- * `since`. */
-auto SteadyAfter(unix_ms since, milliseconds length) -> time_point {
-  const auto passed = milliseconds(static_cast<std::int64_t>(UnixNow().value) -
-                                   static_cast<std::int64_t>(since.value));
-  return clock::now() + (length - std::max(passed, milliseconds(0)));
+/** Sets what an item has from the route of its job. `random` selects a service.
+ */
+auto ApplyRoute(const route_rule& route, double random, queued_item& item)
+    -> void {
+  item.service = PickService(route, random);
+  item.max_attempts = route.max_attempts;
+  item.due = item.submitted + route.completion_objective;
+  item.expires = ExpiryOf(item.submitted, route.retention);
 }
 
 /** Appends the data of an item's events to its output. */
@@ -143,12 +145,10 @@
       continue;
     }
     queued_item queued;
+    queued.submitted =
+        EstimateSubmission(job.submission.submitted, UnixNow(), clock::now());
     if (route != nullptr) {
-      queued.service = PickService(*route, host_.RandomUnit());
-      queued.due =
-          SteadyAfter(job.submission.submitted, route->completion_objective);
-      queued.expires = SteadyAfter(job.submission.submitted, route->retention);
-      queued.max_attempts = route->max_attempts;
+      ApplyRoute(*route, host_.RandomUnit(), queued);
     }
     const batch_item_ref ref{id, job.submission.id, item.id};
     queue_.Add(ref, std::move(queued));
@@ -166,12 +166,7 @@
         if (queued == nullptr || route == nullptr) {
           continue;
         }
-        queued->service = PickService(*route, host_.RandomUnit());
-        queued->max_attempts = route->max_attempts;
-        queued->due =
-            SteadyAfter(job.submission.submitted, route->completion_objective);
-        queued->expires =
-            SteadyAfter(job.submission.submitted, route->retention);
+        ApplyRoute(*route, host_.RandomUnit(), *queued);
       }
     }
   }
--- a/tests/batch_test.cc
+++ b/tests/batch_test.cc
@@ -433,4 +433,39 @@
   cr_assert_eq(partition.Find(batch_id("j"))->OpenTokens(), 0);
 }
 
+namespace {
+
+/** Property: whatever the errors of the two clocks, an item is kept for its
+ * retention, and not much longer. */
+auto ItemsAreKeptForTheirRetention() -> bool {
+  return rc::check("items are kept for their retention", [] {
+    using std::chrono::milliseconds;
+    constexpr std::int64_t kEpoch = 1700000000000;
+    const auto most = kMaxClockError.count();
+    const auto clock_error = [most] {
+      return *rc::gen::inRange<std::int64_t>(-most, most + 1);
+    };
+    const milliseconds age(*rc::gen::inRange<std::int64_t>(0, 300000));
+    const milliseconds retention(*rc::gen::inRange<std::int64_t>(0, 300000));
+    const auto now = clock::now();
+    const unix_ms submitted(
+        static_cast<std::uint64_t>(kEpoch - age.count() + clock_error()));
+    const unix_ms wall_now(static_cast<std::uint64_t>(kEpoch + clock_error()));
+    const auto estimate = EstimateSubmission(submitted, wall_now, now);
+    RC_ASSERT(estimate <= now);
+    const auto expires = ExpiryOf(estimate, retention);
+    const auto earliest = now - age + retention;
+    RC_ASSERT(expires >= earliest);
+    RC_ASSERT(expires <= earliest + 4 * kMaxClockError);
+  });
+}
+
+}  // namespace
+
+// Guards against items that are given up too early, because the clocks of two
+// hosts differ.
+Test(batch, items_are_kept_for_their_retention) {
+  cr_assert(ItemsAreKeptForTheirRetention());
+}
+
 }  // namespace dogwood::testing
--- a/tests/site_batch.py
+++ b/tests/site_batch.py
@@ -3,10 +3,14 @@
 never finished."""
 
 import asyncio
+import re
+import time
 
 import site_helper as sh
 
 SHORT_READ_MS = 100
+# A step of a host's clock on the users' platform (clock_step).
+CLOCK_ERROR_MS = 2000
 
 
 class LateFleet(sh.Fleet):
@@ -99,12 +103,19 @@
         await super().log_append(query, body, writer)
 
 
-class SmallStoreFleet(sh.Fleet):
-    def __init__(self, name, **sizes):
+class StoreFleet(sh.Fleet):
+    """A fleet with a store of its own kind."""
+
+    def __init__(self, name, store, **sizes):
         super().__init__(name, **sizes)
-        self.store = SmallStore()
+        self.store = store
         for engine in self.engines:
-            engine.store = self.store
+            engine.store = store
+
+
+class SmallStoreFleet(StoreFleet):
+    def __init__(self, name, **sizes):
+        super().__init__(name, SmallStore(), **sizes)
 
 
 async def job_larger_than_an_append():
@@ -283,6 +294,48 @@
         await fleet.all_results(own, 1)
 
 
+class ShiftedClocksStore(sh.stand_in.Store):
+    """Stores jobs as hosts do whose clock is behind that of the others."""
+
+    BEHIND_MS = 0
+
+    async def log_append(self, query, body, writer):
+        def shift(found):
+            return b'"submitted":%d' % (int(found.group(1)) - self.BEHIND_MS)
+        await super().log_append(query, re.sub(rb'"submitted":(\d+)', shift, body), writer)
+
+
+async def clocks_of_two_hosts():
+    """Guards against items that are given up too early, because the clock of the
+    host that accepted their job is behind that of the owner."""
+    retention_s, late_s = 5, 20
+    async with StoreFleet("clocks", ShiftedClocksStore(), hosts=2, engines=1) as fleet:
+        fleet.store.BEHIND_MS = 2 * CLOCK_ERROR_MS
+        declared = sh.state(2)
+        declared["routes"][-1].update(retentionS=retention_s)
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", declared)
+        await fleet.engines[0].register("draining")
+        sh.assign_all(fleet, fleet.hosts[0].member)
+        await asyncio.sleep(1.5)
+        sent_at = time.monotonic()
+        answer = await fleet.submit(fleet.hosts[0], "job", 2)
+        sh.check(answer.status == 202, f"job: {answer}")
+        # Its new owner reads the job from the log.
+        sh.assign_all(fleet, fleet.hosts[1].member)
+        version = 3
+        while time.monotonic() < sent_at + retention_s:
+            answer = await fleet.results(fleet.hosts[1], "job")
+            age = time.monotonic() - sent_at
+            given_up = answer.status == 200 and answer.json()["results"]
+            sh.check(not given_up, f"items were given up {age:.1f} s after their job was sent")
+            # Each state decides anew what it says about items that wait.
+            await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", dict(declared, version=version))
+            version += 1
+            await asyncio.sleep(0.3)
+        for item, end, _ in await fleet.all_results("job", 2, limit=late_s):
+            sh.check(end == "dead_letter", f"item {item} that no server could run: {end}")
+
+
 async def test():
     await job_on_a_route_its_owner_does_not_know("late")
     await job_on_a_route_its_owner_does_not_know("job/late")
@@ -292,6 +345,7 @@
     await malformed_jobs()
     await smuggled_requests()
     await jobs_on_a_public_route()
+    await clocks_of_two_hosts()
 
 
 sh.run(test)
