--- a/tests/site_batch.py
+++ b/tests/site_batch.py
@@ -3,10 +3,14 @@
 never finished."""
 
 import asyncio
+import re
+import time
 
 import site_helper as sh
 
 SHORT_READ_MS = 100
+# A step of a host's clock on the users' platform (clock_step).
+CLOCK_ERROR_MS = 2000
 
 
 class LateFleet(sh.Fleet):
@@ -99,12 +103,19 @@
         await super().log_append(query, body, writer)
 
 
-class SmallStoreFleet(sh.Fleet):
-    def __init__(self, name, **sizes):
+class StoreFleet(sh.Fleet):
+    """A fleet with a store of its own kind."""
+
+    def __init__(self, name, store, **sizes):
         super().__init__(name, **sizes)
-        self.store = SmallStore()
+        self.store = store
         for engine in self.engines:
-            engine.store = self.store
+            engine.store = store
+
+
+class SmallStoreFleet(StoreFleet):
+    def __init__(self, name, **sizes):
+        super().__init__(name, SmallStore(), **sizes)
 
 
 async def job_larger_than_an_append():
@@ -215,6 +226,116 @@
         await fleet.all_results("sound", 2)
 
 
+async def jobs_on_a_public_route():
+    """Guards against jobs that are accepted on a public route and that nobody
+    can read or end, and against jobs of a workspace that others can read."""
+    async with sh.Fleet("public_jobs", hosts=3, engines=2) as fleet:
+        declared = sh.state(2)
+        declared["routes"].append(dict(declared["routes"][-1], name="public", pathPrefix="/public/", public=True))
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", declared)
+
+        async def are_current():
+            return all([await version_of(host) == 2 for host in fleet.hosts])
+        await sh.until(are_current, "all hosts have the public route")
+        # Callers without a key, with one of a workspace and with one that is not known.
+        keys = (None, sh.KEY, "key-of-beta", "unknown")
+        for key in keys:
+            job = fleet.new_id("job")
+            answer = await fleet.submit(fleet.hosts[0], job, 2, key=key, route="public")
+            sh.check(answer.status == 202, f"public job of key {key}: {answer}")
+            for host in fleet.hosts:
+                for reader in keys:
+                    answer = await fleet.results(host, job, key=reader)
+                    sh.check(answer.status == 200, f"job of key {key} read with key {reader}: {answer}")
+            await fleet.all_results(job, 2)
+            seen = [fields for engine in fleet.engines for name, fields, *_ in engine.seen if name.startswith(job)]
+            sh.check(seen and not any("x-tenant" in fields or "x-key" in fields for fields in seen),
+                     f"items of a public job ran with {seen}")
+        # An item's body, and the end of the job, while no server takes its items.
+        for engine in fleet.engines:
+            await engine.register("draining")
+        for key in keys:
+            job = fleet.new_id("job")
+            answer = await fleet.submit(fleet.hosts[0], job, 1, key=key, route="public", body=b"own")
+            sh.check(answer.status == 202, f"public job of key {key}: {answer}")
+            answer = await fleet.item_body(fleet.hosts[1], job, f"{job}-0", key=None)
+            sh.check((answer.status, answer.body) == (200, b"own"), f"body of an item of a public job: {answer}")
+            answer = await fleet.item_body(fleet.hosts[1], job, "other", key=None)
+            sh.check(answer.status == 404, f"body of no item: {answer}")
+            answer = await fleet.end_job(fleet.hosts[2], job, key=None)
+            sh.check(answer.status == 200, f"end of a public job: {answer}")
+        for engine in fleet.engines:
+            await engine.register("ready")
+        # A workspace's jobs stay its own, and a caller without a key learns nothing about them.
+        own, kept = fleet.new_id("job"), fleet.new_id("job")
+        for job, route in ((own, "job"), (kept, "public")):
+            answer = await fleet.submit(fleet.hosts[0], job, 1, route=route)
+            sh.check(answer.status == 202, f"job {job}: {answer}")
+
+        async def check_own():
+            for host in fleet.hosts:
+                for job in (own, "none"):
+                    for key, status in ((None, 401), ("unknown", 401), ("key-of-beta", 404)):
+                        answers = [await fleet.results(host, job, key=key), await fleet.end_job(host, job, key=key),
+                                   await fleet.item_body(host, job, f"{job}-0", key=key)]
+                        sh.check(all(a.status == status for a in answers), f"job {job} with key {key}: {answers}")
+        await check_own()
+        # A job outlives its route: who could read it still can.
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", sh.state(3))
+
+        async def are_without():
+            return all([await version_of(host) == 3 for host in fleet.hosts])
+        await sh.until(are_without, "no host has the public route")
+        for host in fleet.hosts:
+            for key in keys:
+                answer = await fleet.results(host, kept, key=key)
+                sh.check(answer.status == 200, f"job of a removed public route with key {key}: {answer}")
+        await check_own()
+        await fleet.all_results(own, 1)
+
+
+class ShiftedClocksStore(sh.stand_in.Store):
+    """Stores jobs as hosts do whose clock is behind that of the others."""
+
+    BEHIND_MS = 0
+
+    async def log_append(self, query, body, writer):
+        def shift(found):
+            return b'"submitted":%d' % (int(found.group(1)) - self.BEHIND_MS)
+        await super().log_append(query, re.sub(rb'"submitted":(\d+)', shift, body), writer)
+
+
+async def clocks_of_two_hosts():
+    """Guards against items that are given up too early, because the clock of the
+    host that accepted their job is behind that of the owner."""
+    retention_s, late_s = 5, 20
+    async with StoreFleet("clocks", ShiftedClocksStore(), hosts=2, engines=1) as fleet:
+        fleet.store.BEHIND_MS = 2 * CLOCK_ERROR_MS
+        declared = sh.state(2)
+        declared["routes"][-1].update(retentionS=retention_s)
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", declared)
+        await fleet.engines[0].register("draining")
+        sh.assign_all(fleet, fleet.hosts[0].member)
+        await asyncio.sleep(1.5)
+        sent_at = time.monotonic()
+        answer = await fleet.submit(fleet.hosts[0], "job", 2)
+        sh.check(answer.status == 202, f"job: {answer}")
+        # Its new owner reads the job from the log.
+        sh.assign_all(fleet, fleet.hosts[1].member)
+        version = 3
+        while time.monotonic() < sent_at + retention_s:
+            answer = await fleet.results(fleet.hosts[1], "job")
+            age = time.monotonic() - sent_at
+            given_up = answer.status == 200 and answer.json()["results"]
+            sh.check(not given_up, f"items were given up {age:.1f} s after their job was sent")
+            # Each state decides anew what it says about items that wait.
+            await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", dict(declared, version=version))
+            version += 1
+            await asyncio.sleep(0.3)
+        for item, end, _ in await fleet.all_results("job", 2, limit=late_s):
+            sh.check(end == "dead_letter", f"item {item} that no server could run: {end}")
+
+
 async def test():
     await job_on_a_route_its_owner_does_not_know("late")
     await job_on_a_route_its_owner_does_not_know("job/late")
@@ -223,6 +344,8 @@
     await store_smaller_than_the_settings()
     await malformed_jobs()
     await smuggled_requests()
+    await jobs_on_a_public_route()
+    await clocks_of_two_hosts()
 
 
 sh.run(test)
