Refuse new requests at once while all servers are in backoff

Cause: made the estimate of the wait finite for them too, so that they were queued. Evidence: dispatch, retry_waits_for_the_end_of_a_backoff, extended by a new request whose objective lies behind the backoff, failed before. Change: only retries wait for the end of a backoff. Why it works: a refused new request may return; a retry, or the rest of a stream, would be lost. Measured: dispatch_test passes.

--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -312,8 +312,9 @@
     }
   }
   if (runs == 0) {
-    return backoff_ends == time_point::max() ? duration::max()
-                                             : backoff_ends - now;
+    // Others are told at once to return when a server can be reached again.
+    const bool may_wait = request.is_retry && backoff_ends != time_point::max();
+    return may_wait ? backoff_ends - now : duration::max();
   }
   const auto ahead = std::ranges::count_if(online_, [&](const auto& other) {
     return other.service == request.service &&
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -287,6 +287,11 @@
   retry.is_retry = true;
   d.RequestSlot(retry, {}, Begin());
   cr_assert(d.DrainNotices().empty());
+  // A new request is refused at once, so that its caller may return.
+  auto fresh = MakeRequest(4, work_class::kOnline, Begin());
+  fresh.latest_on_time_start = Begin() + seconds(1);
+  d.RequestSlot(fresh, {}, Begin());
+  cr_assert_eq(d.DrainNotices().size(), 1);
   auto avoiding = retry;
   avoiding.ticket = ticket_id(3);
   avoiding.avoided = {server_id("s0")};
