Count runs that end together as one failure of their server

What callers saw: if a server with four streams or more was silent for a second and the next one refused them, all were cut, although the silent server went on. Cause: each stream that leaves a server reports it as unreachable, and each report doubled the server's backoff: 0.3 s, 0.6 s, up to 3 s, longer than a caller waits for an event. Change: a report within a backoff does not lengthen it. Why it works: what comes within a backoff was begun before it; a failure after it doubles it as before. Related paths: a server that is granted and then found to leave also lets the silent ones be chosen again (by reading, without a test of its own).

--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -452,7 +452,8 @@
   const auto row = servers_.find(found->second.server);
   if (row != servers_.end()) {
     auto& server = row->second;
-    if (end.outcome == run_outcome::kUnreachable) {
+    const bool backs_off = now < server.backs_off_until;
+    if (end.outcome == run_outcome::kUnreachable && !backs_off) {
       server.last_backoff = std::clamp<duration>(
           2 * server.last_backoff, policy_.min_backoff, policy_.max_backoff);
       server.backs_off_until = now + server.last_backoff;
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -174,7 +174,7 @@
       const auto* found = host_.placement->FindServer(placed.server);
       if (found == nullptr || found->service != service_ || found->leaving) {
         ReleaseUnused(placed);
-        avoided_.push_back(placed.server);
+        AvoidServer(placed.server, {});
         if (++not_run_count_ > kMaxNotRun) {
           co_await Fail(NotRunFailure(error_code::kUnavailable,
                                       "no server could be used",
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -276,6 +276,26 @@
   cr_assert_gt(refused->retry_at, Begin());
 }
 
+// Guards against a backoff of seconds after one short silence: each of the runs
+// that leave the server at that time counted as a failure after the others.
+Test(dispatch, runs_that_end_together_are_one_failure) {
+  auto d = MakeReadyDispatcher(1);
+  Fill(d, 1, work_class::kOnline, 1);
+  d.DrainNotices();
+  for (std::uint64_t i = 1; i <= kSlots; ++i) {
+    d.End(host_id("h"), {ticket_id(i), run_outcome::kUnreachable}, Begin());
+  }
+  const auto ends = Begin() + dispatch_policy().min_backoff;
+  auto retry = MakeRequest(100, work_class::kOnline, ends);
+  retry.is_retry = true;
+  const auto granted = Place(d, retry, ends);
+  cr_assert(granted.has_value());
+  cr_assert(granted->verdict == placement_verdict::kGranted);
+  d.End(host_id("h"), {ticket_id(100), run_outcome::kUnreachable}, ends);
+  retry.ticket = ticket_id(101);
+  cr_assert_not(Place(d, retry, ends + dispatch_policy().min_backoff));
+}
+
 // Guards against streams that are cut because all servers are in backoff for a
 // moment: a retry waits for the end of the shortest one.
 Test(dispatch, retry_waits_for_the_end_of_a_backoff) {
--- a/tests/site_silence.py
+++ b/tests/site_silence.py
@@ -74,8 +74,10 @@
             await other.http.stop()
         attempt = attempt_with(fleet, 20, 24)
         asked.append((attempt, asyncio.ensure_future(fleet.ask(fleet.hosts[0], "stream", attempt))))
-        while fleet.runs(attempt) == 0:
-            await asyncio.sleep(0.05)
+
+        async def runs():
+            return fleet.runs(attempt) == 1
+        await sh.until(runs, "the stream runs on the server that is left")
         await asyncio.sleep(0.5)
         silent.silent_after = 0
         await asyncio.sleep(1.5)
@@ -84,6 +86,35 @@
             check_whole(attempt, await answer, f"the next server {how}")
 
 
+async def many_streams_return_to_their_silent_server():
+    """A sound server with eight streams is silent for 1.2 s, and the other one
+    refuses all of them. Callers wait 2.4 s for an event."""
+    async with sh.Fleet("many_streams", hosts=1, engines=2) as fleet:
+        declared = sh.state(2)
+        for route in declared["routes"]:
+            if route["name"] == "stream":
+                route.update(targetLatencyMs=300, gapAimMs=300, maxAttempts=2)
+        await fleet.store.put(sh.stand_in.STATE_TOPIC, "config", declared)
+        silent, other = fleet.engines
+        silent.gap_s = 0.08
+        await other.register("draining")
+        await asyncio.sleep(1)
+        attempts = [attempt_with(fleet, 18, 24) for _ in range(8)]
+        asked = [asyncio.ensure_future(fleet.ask(fleet.hosts[0], "stream", attempt)) for attempt in attempts]
+
+        async def all_run():
+            return silent.running == len(asked)
+        await sh.until(all_run, "all streams run on one server")
+        await other.register("ready")
+        other.slots = other.queue_limit = 0
+        await asyncio.sleep(0.6)
+        silent.silent_after = 0
+        await asyncio.sleep(1.2)
+        silent.silent_after = None
+        for attempt, answer in zip(attempts, await asyncio.gather(*asked)):
+            check_whole(attempt, answer, "one of many")
+
+
 async def broken_stream_waits_for_room():
     """A server breaks off a stream that has lasted longer than a caller waits for
     an event, and the other server has room only some time later."""
@@ -102,6 +133,7 @@
     await silent_server_without_room_elsewhere()
     await next_server_does_not_take_the_stream("refuses")
     await next_server_does_not_take_the_stream("is gone")
+    await many_streams_return_to_their_silent_server()
 
 
 sh.run(test)
