Write the last lines of a stop when nobody is served any more

What operators saw: request_cut named requests that were answered all the same, and requests that came after the line 'stopped' were missing from it. Cause: since the event loop served callers for up to 0.3 s after these lines, while the log was written. Change: the lines come last, and the stop waits 100 ms at most for the writer thread, which does not wait for more lines then. Why it works: nothing is served between the lines and the exit. That time is short: the writer begins at once, and a reader that is behind costs 100 ms, less than the 200 ms in which a request may cross the close of its connection.

--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -50,8 +50,9 @@
 /** Maximum time to record the progress of batch runs after SIGTERM. */
 constexpr milliseconds kHandOverTimeout{600};
 constexpr milliseconds kDrainPollInterval{20};
-/** Maximum time to write the last lines before the exit; below kKillMargin. */
-constexpr milliseconds kLogTimeout{300};
+/** Maximum time to write the last lines before the exit. Nobody is served
+ * meanwhile. */
+constexpr milliseconds kLogTimeout{100};
 
 /** The HTTP servers of the process. */
 struct host_servers {
@@ -212,11 +213,7 @@
   servers.front.StopListening();
   co_await servers.front.Finish(end);
   LogStop(host, servers.front.ActiveRequests());
-  const auto log_deadline = clock::now() + kLogTimeout;
-  while (!IsLogFlushed() && clock::now() < log_deadline) {
-    co_await Sleep(kDrainPollInterval);
-  }
-  co_await servers.front.Finish(end);
+  FlushLog(clock::now() + kLogTimeout);
   host.io.stop();
 }
 
--- a/src/log_func.cc
+++ b/src/log_func.cc
@@ -130,15 +130,11 @@
    * `deadline`. */
   auto AwaitWritten(time_point deadline) -> bool {
     std::unique_lock lock(mutex_);
+    is_awaited_ = true;
+    flush_requested_.notify_all();
     return written_.wait_until(lock, deadline, [this] { return HasWritten(); });
   }
 
-  /** Whether all lines have been written. */
-  auto IsWritten() -> bool {
-    const std::lock_guard lock(mutex_);
-    return HasWritten();
-  }
-
  private:
   /** Maximum number of queued lines. */
   static constexpr std::size_t kMaxLines = 4096;
@@ -186,14 +182,16 @@
       {
         std::unique_lock lock(mutex_);
         line_added_.wait(lock, [this] { return !lines_.empty(); });
+        flush_requested_.wait_for(lock, kWriteInterval,
+                                  [this] { return is_awaited_; });
       }
-      std::this_thread::sleep_for(kWriteInterval);
       WriteLines();
     }
   }
 
   std::mutex mutex_;
   std::condition_variable line_added_;
+  std::condition_variable flush_requested_;
   std::condition_variable written_;
   std::deque<std::pair<log_level, std::string>> lines_;
   double rate_ = 0;    // Lines per second.
@@ -202,6 +200,7 @@
   std::chrono::steady_clock::time_point refilled_at_;
   bool has_writer_ = false;
   bool is_writing_ = false;  // The writer thread holds lines.
+  bool is_awaited_ = false;  // AwaitWritten() has been called.
 };
 
 /** Returns the queue of this process. It is never destroyed, because the writer
@@ -274,8 +273,4 @@
   return Queue().AwaitWritten(deadline);
 }
 
-auto IsLogFlushed() -> bool {
-  return Queue().IsWritten();
-}
-
 }  // namespace dogwood
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -59,8 +59,6 @@
  * `deadline`: whoever reads standard output may be slow. Blocks the calling
  * thread. Returns whether all lines have been written. */
 auto FlushLog(time_point deadline) -> bool;
-/** Whether the writer thread has written all lines. Does not block. */
-auto IsLogFlushed() -> bool;
 
 /** Logs one line as event "message" if the category's level includes it.
  * Thread-safe. */
