Keep signals that come during the start

What callers saw: a host that got SIGHUP while it started was gone until the platform started it again; SIGTERM or SIGINT during the start ended it, and entryd, batchd and controld too, with the signal instead of a stop in order.

Cause: the handlers were installed by the coroutines that wait for the signals, after the settings are read and the process listens.

Fix: RunDaemon() blocks SIGTERM and SIGINT, hostd's main() SIGHUP, before anything else. HandleSignals() creates the set and unblocks them, so that a pending one is delivered to the handler. Threads started before inherit the mask, and the thread that waits unblocks them, so that signals go there.

Related paths: all four daemons share RunDaemon() and AwaitStopSignal(). SIGHUP keeps its default action in entryd, batchd and controld, which reload nothing.

--- a/src/daemon.h
+++ b/src/daemon.h
@@ -4,7 +4,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <initializer_list>
 #include <iostream>
+#include <memory>
 #include <string_view>
 #include <utility>
 
@@ -13,6 +16,19 @@
 
 namespace dogwood {
 
+/** Blocks `signals` in this thread and in those that it starts, so that one
+ * that comes before its handler exists is kept until HandleSignals(). */
+auto HoldSignals(std::initializer_list<int> signals) -> void;
+
+/** Returns a set that handles `signals`, and unblocks them in this thread.
+ * Those held by HoldSignals() are delivered to the set. */
+auto HandleSignals(boost::asio::io_context& io,
+                   std::initializer_list<int> signals)
+    -> std::shared_ptr<boost::asio::signal_set>;
+
+/** Blocks the stop signals until AwaitStopSignal(). */
+auto HoldStopSignals() -> void;
+
 /** Effect of a second stop signal while a daemon stops. */
 enum class second_signal {
   kIgnored,       ///< The daemon goes on to finish the requests in flight.
@@ -34,13 +50,14 @@
 /** Main function of a daemon. `read` converts the validated settings to an
  * outcome of the daemon's options; `serve` runs the daemon with them and
  * returns the exit code. Returns 2 if the command line or a setting is invalid.
- */
+ * A stop signal that comes before `serve` awaits it is kept. */
 template <typename Read, typename Serve>
 auto RunDaemon(const daemon_program& program,
                int argc,
                const char* const* argv,
                Read read,
                Serve serve) -> int {
+  HoldStopSignals();
   int exit_code = 0;
   const auto* values = SettingsFromCommandLine(program.table, program.name,
                                                argc, argv, exit_code);
--- a/src/daemon_func.cc
+++ b/src/daemon_func.cc
@@ -16,6 +16,17 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr auto kStopSignals = {SIGTERM, SIGINT};
+
+/** Applies `how`, such as SIG_BLOCK, to `signals` in this thread. */
+auto ChangeSignalMask(int how, std::initializer_list<int> signals) -> void {
+  sigset_t mask;
+  sigemptyset(&mask);
+  for (const int number : signals) {
+    sigaddset(&mask, number);
+  }
+  pthread_sigmask(how, &mask, nullptr);
+}
 
 /** Handles all signals after the first; never returns unless `signals` is
  * cancelled. */
@@ -38,9 +49,27 @@
 
 }  // namespace
 
+auto HoldSignals(std::initializer_list<int> signals) -> void {
+  ChangeSignalMask(SIG_BLOCK, signals);
+}
+
+auto HandleSignals(asio::io_context& io, std::initializer_list<int> signals)
+    -> std::shared_ptr<asio::signal_set> {
+  auto handled = std::make_shared<asio::signal_set>(io);
+  for (const int number : signals) {
+    handled->add(number);
+  }
+  ChangeSignalMask(SIG_UNBLOCK, signals);
+  return handled;
+}
+
+auto HoldStopSignals() -> void {
+  HoldSignals(kStopSignals);
+}
+
 auto AwaitStopSignal(asio::io_context& io, second_signal second)
     -> asio::awaitable<void> {
-  auto signals = std::make_shared<asio::signal_set>(io, SIGTERM, SIGINT);
+  auto signals = HandleSignals(io, kStopSignals);
   co_await signals->async_wait(kAwait);
   Log(log_level::kInfo, log_category::kCore, {"stopping", "stop", ""});
   // Without a pending wait the next signal would terminate the process.
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -3,7 +3,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -242,9 +241,9 @@
 /** Reloads the settings on SIGHUP. */
 auto ReloadOnSignal(host_state& host, std::string path)
     -> asio::awaitable<void> {
-  asio::signal_set signals(host.io, SIGHUP);
+  const auto signals = HandleSignals(host.io, {SIGHUP});
   while (true) {
-    co_await signals.async_wait(kAwait);
+    co_await signals->async_wait(kAwait);
     Reload(host, path);
   }
 }
@@ -325,6 +324,7 @@
 }  // namespace dogwood
 
 auto main(int argc, char** argv) -> int {
+  dogwood::HoldSignals({SIGHUP});
   std::vector<const char*> arguments(argv, argv + argc);
   const char* path = std::getenv(dogwood::kSettingsVariable);
   if (argc == 1 && path != nullptr) {
