Let a process outlive the reader of its log

What callers saw: once the reader of a host's standard output was gone, the host ended at its next log line, with all requests in flight.

Cause: SIGPIPE with its default action. Asio sends to sockets with MSG_NOSIGNAL, but log lines are written by the C++ library.

Fix: RunDaemon() ignores SIGPIPE, for all four daemons; lines without a reader are lost. A pipe whose reader is alive and doesn't read is not covered here.

--- a/src/daemon.h
+++ b/src/daemon.h
@@ -26,8 +26,10 @@
                    std::initializer_list<int> signals)
     -> std::shared_ptr<boost::asio::signal_set>;
 
-/** Blocks the stop signals until AwaitStopSignal(). */
-auto HoldStopSignals() -> void;
+/** Prepares the process for signals before it does anything else: blocks the
+ * stop signals until AwaitStopSignal(), and ignores SIGPIPE, so that the
+ * process outlives the reader of its standard output. */
+auto PrepareForSignals() -> void;
 
 /** Effect of a second stop signal while a daemon stops. */
 enum class second_signal {
@@ -57,7 +59,7 @@
                const char* const* argv,
                Read read,
                Serve serve) -> int {
-  HoldStopSignals();
+  PrepareForSignals();
   int exit_code = 0;
   const auto* values = SettingsFromCommandLine(program.table, program.name,
                                                argc, argv, exit_code);
--- a/src/daemon_func.cc
+++ b/src/daemon_func.cc
@@ -63,8 +63,9 @@
   return handled;
 }
 
-auto HoldStopSignals() -> void {
+auto PrepareForSignals() -> void {
   HoldSignals(kStopSignals);
+  std::signal(SIGPIPE, SIG_IGN);
 }
 
 auto AwaitStopSignal(asio::io_context& io, second_signal second)
--- a/tests/site_signals.py
+++ b/tests/site_signals.py
@@ -1,5 +1,6 @@
 #!/usr/bin/python3
-"""Guards against hosts that a signal during their start ends, or that miss it."""
+"""Guards against hosts that a signal ends by itself, or that miss a signal:
+during the start, and when the reader of their log is gone."""
 
 import asyncio
 import contextlib
@@ -154,9 +155,30 @@
     sh.check(set(outcomes) == {0}, f"{len(outcomes) - outcomes.count(0)} of {len(outcomes)} hosts did not stop in order")
 
 
+async def log_reader_gone():
+    """The reader of standard output closes its end: the host serves on, reloads
+    and stops in order."""
+    async with sh.Fleet("log_reader_gone", hosts=2, engines=2) as fleet:
+        host = fleet.hosts[1]
+        await host.end()
+        host.process = await asyncio.create_subprocess_exec(
+            str(sh.BUILD / "dogwood_hostd"), "--settings", str(fleet.directory / "host-1.json"),
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+        await fleet.settled(2)
+        host.process._transport.get_pipe_transport(1).close()
+        for _ in range(10):
+            host.process.send_signal(signal.SIGHUP)  # Each reload writes a line.
+            await asyncio.sleep(0.1)
+            sh.check(host.process.returncode is None, f"the process ended with {host.process.returncode}")
+            answer = await fleet.ask(host, "read")
+            sh.check(answer.status == 200 and answer.is_whole, f"without a reader of the log: {answer}")
+        await host.end(signal.SIGTERM)
+        sh.check(host.process.returncode == 0, f"stopped with {host.process.returncode}")
+
+
 async def test():
     failures = []
-    for scenario in (reload_while_starting, reload_right_after_exec, stop_while_starting):
+    for scenario in (reload_while_starting, reload_right_after_exec, stop_while_starting, log_reader_gone):
         try:
             await scenario()
         except (AssertionError, asyncio.TimeoutError, OSError) as error:
