Tell changed settings by their contents

What callers saw: a host whose settings file was read half written kept its old settings for good if the rest came within the same tick of the file's time; so did one whose file changed between the start's reading of it and the first look at its time.

Cause: changes were told by the modification time alone, taken first after the settings had been read.

Fix: settings_file compares the contents with those read last, and reads them first before the start reads its settings. Half a file is refused once, with an error, and changes nothing; the whole one differs and is taken.

A start with half a file still ends with status 2 before it listens; the platform places the file before each start and starts the process again.

Not changed: SetLogLevels() applies the levels before the first invalid item of a list, so a file whose only fault is such a list changes some levels.

--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -1,6 +1,4 @@
 /** dogwood_hostd: the only process on a host of the users' platform. */
-#include <sys/stat.h>
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -16,6 +14,7 @@
 #include "src/hostd_feed.h"
 #include "src/hostd_front.h"
 #include "src/hostd_placement.h"
+#include "src/hostd_reload.h"
 #include "src/hostd_state.h"
 #include "src/hostd_watch.h"
 
@@ -199,60 +198,21 @@
   host.io.stop();
 }
 
-/** Returns the modification time of a file in ns since the epoch; 0 if there is
- * no file. */
-auto ModificationTime(const std::string& path) -> std::int64_t {
-  struct stat status {};
-  return ::stat(path.c_str(), &status) == 0
-             ? static_cast<std::int64_t>(status.st_mtim.tv_sec) * 1000000000 +
-                   status.st_mtim.tv_nsec
-             : 0;
-}
-
-/** Applies the settings that may change while the process runs: peers, log
- * levels, the lifetime of addresses and the time limit of a drain. */
-auto Reload(host_state& host, const std::string& path) -> void {
-  auto values = ToOutcome([&] { return ReadSettings(HostdSettings(), path); });
-  if (!values) {
-    Log(log_level::kError, log_category::kCore,
-        {values.error().message, "reload settings", path});
-    return;
-  }
-  auto options = ReadHostdOptions(values.value());
-  if (!options) {
-    Log(log_level::kError, log_category::kCore,
-        {options.error().message, "reload settings", path});
-    return;
-  }
-  if (!SetLogLevels(options->log_levels)) {
-    Log(log_level::kError, log_category::kCore,
-        {"setting \"log_levels\": \"" + options->log_levels +
-             "\" is not a list of levels",
-         "reload settings", path});
-    return;
-  }
-  host.options.peers = options->peers;
-  host.options.address_keep = options->address_keep;
-  host.options.drain_limit = options->drain_limit;
-  Log(log_level::kInfo, log_category::kCore,
-      {"settings reloaded", "reload settings", path});
-}
-
 /** Reloads the settings on SIGHUP. */
-auto ReloadOnSignal(host_state& host, std::string path)
+auto ReloadOnSignal(host_state& host, settings_file& settings)
     -> asio::awaitable<void> {
   const auto signals = HandleSignals(host.io, {SIGHUP});
   while (true) {
     co_await signals->async_wait(kAwait);
-    Reload(host, path);
+    settings.Reload(host);
   }
 }
 
 /** Periodically applies the declared limits, reloads settings that changed
  * without a signal, and closes idle connections and links to removed hosts. */
-auto RunHousekeeping(host_state& host, host_servers& servers, std::string path)
-    -> asio::awaitable<void> {
-  auto changed_at = ModificationTime(path);
+auto RunHousekeeping(host_state& host,
+                     host_servers& servers,
+                     settings_file& settings) -> asio::awaitable<void> {
   auto links_due = clock::now() + kLinkPruneInterval;
   while (true) {
     if (host.deployment != nullptr) {
@@ -263,11 +223,7 @@
            .idle_ms = static_cast<unsigned>(limits.idle_timeout.count()),
            .header_ms = static_cast<unsigned>(limits.header_timeout.count())});
     }
-    const auto now_changed = ModificationTime(path);
-    if (now_changed != changed_at) {
-      changed_at = now_changed;
-      Reload(host, path);
-    }
+    settings.ReloadIfChanged(host);
     const auto now = clock::now();
     host.pool.Expire(now);
     host.registrations->Expire(now);
@@ -284,7 +240,7 @@
 
 /** Runs the process until SIGTERM. Returns an exit code only if it cannot
  * start. */
-auto Serve(hostd_options options, const std::string& settings_path) -> int {
+auto Serve(hostd_options options, settings_file& settings) -> int {
   // One thread: a host has half a core, and nothing here blocks.
   asio::io_context io(1);
   host_state host(io, std::move(options));
@@ -308,8 +264,8 @@
   host.batch->Start();
   host.callers->Start();
   asio::co_spawn(io, StopOnSignal(host, servers), AbortOnException);
-  asio::co_spawn(io, ReloadOnSignal(host, settings_path), AbortOnException);
-  asio::co_spawn(io, RunHousekeeping(host, servers, settings_path),
+  asio::co_spawn(io, ReloadOnSignal(host, settings), AbortOnException);
+  asio::co_spawn(io, RunHousekeeping(host, servers, settings),
                  AbortOnException);
   Log(log_level::kInfo, log_category::kCore,
       {"serving callers", "start", FormatEndpoint(host.options.front)});
@@ -324,6 +280,7 @@
 }  // namespace dogwood
 
 auto main(int argc, char** argv) -> int {
+  dogwood::PrepareForSignals();  // RunDaemon() does so too late.
   dogwood::HoldSignals({SIGHUP});
   std::vector<const char*> arguments(argv, argv + argc);
   const char* path = std::getenv(dogwood::kSettingsVariable);
@@ -336,11 +293,13 @@
       settings_path = arguments[i + 1];
     }
   }
+  // Read before the options are, so that a change in between is noticed.
+  dogwood::settings_file settings(settings_path);
   return dogwood::RunDaemon(
       {dogwood::HostdSettings(), "dogwood_hostd", "hostd"},
       static_cast<int>(arguments.size()), arguments.data(),
       dogwood::ReadHostdOptions, [&](dogwood::hostd_options options) {
         dogwood::StartLogWriter(dogwood::kLogLinesPerSecond);
-        return dogwood::Serve(std::move(options), settings_path);
+        return dogwood::Serve(std::move(options), settings);
       });
 }
--- a/src/setting_func.cc
+++ b/src/setting_func.cc
@@ -244,15 +244,23 @@
   return setting_reader(table, source).Read(value.get_object());
 }
 
-auto ReadSettings(setting_table table, const std::string& path)
-    -> result<setting_values> {
+auto ReadFile(const std::string& path) -> std::optional<std::string> {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
-    return MakeError(path, "the file cannot be read");
+    return std::nullopt;
   }
   std::ostringstream text;
   text << file.rdbuf();
-  return ParseSettings(table, text.str(), path);
+  return text.str();
+}
+
+auto ReadSettings(setting_table table, const std::string& path)
+    -> result<setting_values> {
+  const auto text = ReadFile(path);
+  if (!text) {
+    return MakeError(path, "the file cannot be read");
+  }
+  return ParseSettings(table, *text, path);
 }
 
 auto PrintSettings(setting_table table) -> std::string {
--- a/src/setting_func.h
+++ b/src/setting_func.h
@@ -2,6 +2,7 @@
 #ifndef SRC_SETTING_FUNC_H_
 #define SRC_SETTING_FUNC_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,9 @@
                    std::string_view json,
                    std::string_view source) -> result<setting_values>;
 
+/** Returns the contents of a file; nothing if it cannot be read. */
+auto ReadFile(const std::string& path) -> std::optional<std::string>;
+
 /** Reads and parses the settings file at `path`; see ParseSettings(). */
 auto ReadSettings(setting_table table, const std::string& path)
     -> result<setting_values>;
--- a/tests/site_signals.py
+++ b/tests/site_signals.py
@@ -1,6 +1,7 @@
 #!/usr/bin/python3
 """Guards against hosts that a signal ends by itself, or that miss a signal:
-during the start, and when the reader of their log is gone."""
+during the start, when the reader of their log is gone, and while their settings
+file is being written."""
 
 import asyncio
 import contextlib
@@ -176,9 +177,56 @@
         sh.check(host.process.returncode == 0, f"stopped with {host.process.returncode}")
 
 
+async def half_written_settings():
+    """A settings file that is read while it is being written changes nothing and
+    is read again when it is complete, also if its time and size tell nothing;
+    a host that is started with one ends with an error and can be started again."""
+    async with sh.Fleet("half_written_settings", hosts=2, engines=2) as fleet:
+        host = fleet.hosts[1]
+        path = fleet.directory / "host-1.json"
+
+        async def kept_s():
+            answer = await sh.call(host.ip, sh.DIRECTORY, "GET", "/api/resolve?region=west&zone=west-a")
+            return answer.json()["ttlS"]
+
+        def logged(text):
+            return host.log_path.read_text(errors="replace").count(text)
+
+        for keep_s in range(2, 8):
+            half, whole = (json.dumps(dict(host.settings(), address_keep_s=n)) for n in (keep_s, keep_s + 10))
+            before, errors = await kept_s(), logged("is not valid JSON")
+            half = half[:len(half) // 2].ljust(len(whole) if keep_s % 2 else 0)
+            path.write_text(half)
+            times = path.stat()
+            if keep_s % 3 == 0:
+                host.process.send_signal(signal.SIGHUP)
+
+            async def is_refused():
+                return host.process.returncode is not None or logged("is not valid JSON") > errors
+            await sh.until(is_refused, "an error is logged")
+            sh.check(host.process.returncode is None, f"the process ended with {host.process.returncode}")
+            sh.check(await kept_s() == before, "half a file changed the settings")
+            path.write_text(whole)
+            os.utime(path, ns=(times.st_atime_ns, times.st_mtime_ns))  # Complete within the same tick.
+
+            async def is_taken():
+                return await kept_s() == keep_s + 10
+            await sh.until(is_taken, f"address_keep_s is {keep_s + 10}", limit=5)
+        await host.end()
+        path.write_text(half)
+        failed = await asyncio.create_subprocess_exec(
+            str(sh.BUILD / "dogwood_hostd"), "--settings", str(path), stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT)
+        output, _ = await failed.communicate()
+        sh.check(failed.returncode == 2 and str(path) in output.decode(), f"{failed.returncode}: {output}")
+        await host.start()
+        await fleet.settled(2)
+
+
 async def test():
     failures = []
-    for scenario in (reload_while_starting, reload_right_after_exec, stop_while_starting, log_reader_gone):
+    for scenario in (reload_while_starting, reload_right_after_exec, stop_while_starting, log_reader_gone,
+                     half_written_settings):
         try:
             await scenario()
         except (AssertionError, asyncio.TimeoutError, OSError) as error:
