Tell connections at the stand-ins by more than their address

What was seen: failure_silent_engine, once, 6 of 60 requests without an answer within the caller's time after all engines' open connections had gone silent.

Cause: the stand-ins kept the addresses of the connections that they had seen, and silenced these. The kernel hands out local ports again, so a new connection from the port of one that was closed got silence too. entryd waits whole_answer_ms (120 s) for an answer that is not streamed.

Ruled out: kept connections of entryd. Completions that are not streamed never use one, and no attempt timed out in the log.

Fix: a connection is told by its executor, too; a copy of it is kept, so that it is not that of a later one.

--- a/tests/fakes/fake_common.cc
+++ b/tests/fakes/fake_common.cc
@@ -32,10 +32,9 @@
     faults.refuse = value;
   } else if (key == "silent_open") {
     if (value) {
-      faults.silent_peers.insert(faults.seen_peers.begin(),
-                                 faults.seen_peers.end());
+      faults.silent_connections = faults.seen_connections;
     } else {
-      faults.silent_peers.clear();
+      faults.silent_connections = {};
     }
   } else {
     return key == "clear";
@@ -86,7 +85,7 @@
   if (const auto* clear = fields.if_contains("clear");
       clear != nullptr && clear->is_bool() && clear->get_bool()) {
     next = fault_state{};
-    next.seen_peers = faults.seen_peers;
+    next.seen_connections = faults.seen_connections;
   }
   for (const auto& item : fields) {
     if (!SetField(next, item.key(), item.value())) {
@@ -109,11 +108,12 @@
   return true;
 }
 
-auto ShouldStaySilent(fault_state& faults, const http_request& request)
-    -> bool {
-  faults.seen_peers.insert(request.peer);
-  return faults.silent_peers.contains(request.peer) || faults.silent ||
-         ConsumeOne(faults.silent_next);
+auto ShouldStaySilent(fault_state& faults,
+                      const http_request& request,
+                      const connection_set::executor_type& executor) -> bool {
+  faults.seen_connections.Insert(request.peer, executor);
+  return faults.silent_connections.Contains(request.peer, executor) ||
+         faults.silent || ConsumeOne(faults.silent_next);
 }
 
 auto ShouldDropResponse(fault_state& faults) -> bool {
--- a/tests/fakes/fake_common.h
+++ b/tests/fakes/fake_common.h
@@ -4,21 +4,42 @@
 #ifndef TESTS_FAKES_FAKE_COMMON_H_
 #define TESTS_FAKES_FAKE_COMMON_H_
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <set>
+#include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "src/core.h"
 #include "src/http.h"
 
 namespace dogwood::fakes {
 
+/** Set of connections. A closed connection's address may be used again, so each
+ * is told by its executor too, which is not while a copy of it exists. */
+class connection_set {
+ public:
+  using executor_type = boost::asio::any_io_executor;
+
+  auto Insert(std::string peer, executor_type executor) -> void {
+    connections_.insert_or_assign(std::move(peer), std::move(executor));
+  }
+  auto Contains(const std::string& peer, const executor_type& executor) const
+      -> bool {
+    const auto found = connections_.find(peer);
+    return found != connections_.end() && found->second == executor;
+  }
+
+ private:
+  std::map<std::string, executor_type> connections_;  ///< By peer address.
+};
+
 /** Faults that POST /fault sets; an omitted field keeps its value. */
 struct fault_state {
   bool outage = false;              ///< Respond to every call with 503.
@@ -34,10 +55,8 @@
   std::uint64_t close_after_tokens = 0;
   /** Stop sending on streams after this many tokens; 0: off. */
   std::uint64_t silent_after_tokens = 0;
-  /** Peers whose connections get no more data; see "silent_open". */
-  std::set<std::string, std::less<>> silent_peers;
-  /** Peers that have sent a request so far. */
-  std::set<std::string, std::less<>> seen_peers;
+  connection_set silent_connections;  ///< Get no more data, "silent_open".
+  connection_set seen_connections;    ///< Have sent a request so far.
 };
 
 /** Sets the faults in `fields`; {"clear":true} resets all of them first, and
@@ -49,9 +68,11 @@
 /** Decrements `counter` if it is positive; returns whether it was. */
 auto ConsumeOne(std::uint64_t& counter) -> bool;
 
-/** Returns whether this request must not be answered. Records its peer and
- * uses up one of `silent_next`. */
-auto ShouldStaySilent(fault_state& faults, const http_request& request) -> bool;
+/** Returns whether a request must not be answered; `executor` is that of its
+ * connection. Records the connection and uses up one of `silent_next`. */
+auto ShouldStaySilent(fault_state& faults,
+                      const http_request& request,
+                      const connection_set::executor_type& executor) -> bool;
 
 /** Returns whether to drop the response to a call that took effect. Uses up one
  * of `lose_next`. */
--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -198,6 +198,7 @@
  * was cancelled, or a fault closes or silences the connection. */
 auto WaitForTokens(engine_state& s, running_request& w, http_exchange& exchange)
     -> asio::awaitable<bool> {
+  const auto executor = co_await asio::this_coro::executor;
   while (true) {
     const auto& faults = s.faults;
     const auto produced = w.seq->produced;
@@ -210,7 +211,8 @@
     }
     const bool silent = faults.silent_after_tokens > 0 &&
                         produced >= faults.silent_after_tokens;
-    if (silent || faults.silent_peers.contains(exchange.Request().peer)) {
+    if (silent ||
+        faults.silent_connections.Contains(exchange.Request().peer, executor)) {
       co_await WaitUntilDisconnected(exchange);
       co_return false;
     }
@@ -467,7 +469,8 @@
     co_return;
   }
   s.journal.RecordArrival(request);
-  if (ShouldStaySilent(s.faults, request)) {
+  const auto executor = co_await asio::this_coro::executor;
+  if (ShouldStaySilent(s.faults, request, executor)) {
     co_await WaitUntilDisconnected(exchange);
     co_return;
   }
--- a/tests/fakes/fake_platform.cc
+++ b/tests/fakes/fake_platform.cc
@@ -400,7 +400,8 @@
     co_await ChangeHost(s, std::move(id), exchange);
     co_return;
   }
-  if (ShouldStaySilent(s.faults, request)) {
+  const auto executor = co_await asio::this_coro::executor;
+  if (ShouldStaySilent(s.faults, request, executor)) {
     co_await WaitUntilDisconnected(exchange);
     co_return;
   }
--- a/tests/fakes/fake_service.cc
+++ b/tests/fakes/fake_service.cc
@@ -1,5 +1,6 @@
 /** Stand-in for a plain HTTP service: responds on any path and counts calls. */
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/json/array.hpp>
 #include <cxxopts.hpp>
 #include <iostream>
@@ -70,7 +71,8 @@
 /** Handles a call of the service itself, with the injected faults. */
 auto HandleServiceCall(service_state& s, http_exchange& exchange)
     -> asio::awaitable<void> {
-  if (ShouldStaySilent(s.faults, exchange.Request())) {
+  const auto executor = co_await asio::this_coro::executor;
+  if (ShouldStaySilent(s.faults, exchange.Request(), executor)) {
     co_await WaitUntilDisconnected(exchange);
     co_return;
   }
