Serve the backlog before a server stops listening

What callers saw: a request sent on a new connection just before a draining entryd or host stopped listening ended with a reset.

Cause: StopListening() closed the acceptor; the kernel resets connections that it has accepted and that the process has not taken.

That it was the backlog is inferred; the new http test connections_in_the_backlog_are_served shows the reset without chance: fewer than 20 of 20 callers were answered before.

Fix: what is in the backlog is taken and served, then the acceptor is closed.

Related paths: hostd uses the same server. Link servers never stop listening before the process ends.

--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -357,6 +357,22 @@
   }
 }
 
+/** Serves the connections that the kernel has accepted already: closing the
+ * acceptor would reset them, with the requests that their callers have sent. */
+template <typename State>
+auto ServeBacklog(const std::shared_ptr<State>& state) -> void {
+  beast::error_code ec;
+  state->acceptor.non_blocking(true, ec);
+  while (!ec) {
+    auto strand = asio::make_strand(state->io);
+    tcp::socket socket(strand);
+    state->acceptor.accept(socket, ec);
+    if (!ec) {
+      asio::co_spawn(strand, Serve(state, std::move(socket)), LogException);
+    }
+  }
+}
+
 }  // namespace
 
 auto http_exchange::RespondFailure(failure error, unsigned retry_after_s)
@@ -395,6 +411,7 @@
 
 auto http_server::StopListening() -> void {
   asio::post(state_->acceptor.get_executor(), [state = state_] {
+    ServeBacklog(state);
     boost::system::error_code ignored;
     state->acceptor.close(ignored);
   });
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,14 +1,17 @@
 /** Tests of the HTTP client against the HTTP server over loopback. */
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <memory>
+#include <vector>
 
 #include "src/core.h"
 #include "src/http.h"
@@ -115,6 +118,31 @@
   return answer;
 }
 
+/** Connects `count` callers that send a request each, then stops listening
+ * before the server has run. Returns how many callers get an answer. */
+auto AnsweredAfterStopListening(std::size_t count) -> std::size_t {
+  asio::io_context io;
+  http_server server(io, {}, Handle);
+  const auto endpoint = FreeEndpoint(io);
+  server.Listen(endpoint).value();
+  const std::string request =
+      "GET /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+  std::vector<tcp::socket> callers;
+  for (std::size_t i = 0; i < count; ++i) {
+    callers.emplace_back(io).connect(endpoint);
+    asio::write(callers.back(), asio::buffer(request));
+  }
+  server.StopListening();
+  io.run_for(std::chrono::seconds(20));
+  const std::string_view expected = "HTTP/1.1 200";
+  return static_cast<std::size_t>(std::ranges::count_if(callers, [&](auto& c) {
+    std::string start(expected.size(), '\0');
+    boost::system::error_code ec;
+    asio::read(c, asio::buffer(start), ec);
+    return start == expected;
+  }));
+}
+
 /** Accepts one connection, reads from it and never responds. */
 auto AcceptSilently(tcp::acceptor& acceptor) -> asio::awaitable<void> {
   auto socket = co_await acceptor.async_accept(asio::use_awaitable);
@@ -261,6 +289,12 @@
   cr_assert(answer->body == "second");
 }
 
+// Guards against connections that are reset because the server stops listening
+// before it has taken them from the kernel.
+Test(http, connections_in_the_backlog_are_served) {
+  cr_assert_eq(AnsweredAfterStopListening(20), 20);
+}
+
 // Guards against requests that are smuggled in the head of another one.
 Test(http, checked_heads_are_one_request) {
   cr_assert(CheckedHeadsAreOneRequest());
