--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -22,7 +22,7 @@
                 SOURCES hostd_base.cc hostd_batch.cc hostd_batch_log.cc
                         hostd_batch_run.cc hostd_caller.cc
                         hostd_failover.cc hostd_feed.cc hostd_front.cc hostd_placement.cc
-                        hostd_relay.cc hostd_setting.cc hostd_state.cc
+                        hostd_relay.cc hostd_reload.cc hostd_setting.cc hostd_state.cc
                         hostd_watch.cc
                 LIBS dogwood_platform_adapter dogwood_deployment
                      dogwood_dispatch dogwood_fleet dogwood_entry dogwood_wire
@@ -45,8 +45,8 @@
 # Process-level tests of hostd against the fake of the users' platform. They use
 # the same addresses, so they run one at a time.
 if(NOT DOGWOOD_DEPLOYMENT_ONLY)
-  foreach(site answer batch calm owner quarantine silence stream store stop restart
-               trouble)
+  foreach(site answer batch calm owner quarantine signals silence stream store stop
+               restart trouble)
     add_test(NAME site_${site}
              COMMAND ${CMAKE_SOURCE_DIR}/tests/site_${site}.py)
     set_tests_properties(site_${site} PROPERTIES LABELS failure TIMEOUT 300
