Refuse jobs at once while the store is full

Callers saw: at a store that answers 507 to appends, a job got 504 after seconds, a status that promises nothing, although nothing had been appended.

Cause: 507 was treated as an outage. The owner kept the job among the records to append and told its caller at the deadline; it repeated the append every 150 ms for each partition with something to write.

Evidence: site_store, full, failed before with 504 ("the store did not answer in time") where 503 is due within a second.

Fix: 507 has its own error code. The jobs among the waiting records are refused with 503 and Retry-After, unless an append of theirs may have taken effect; all other records wait and are tried again once a second. Accepted jobs finish and are listed once there is room, refused ones never run.

Related paths: ends of jobs are answered 504 and take effect later; hosts that accept in place of the owner already refused at once.

--- a/src/error_func.cc
+++ b/src/error_func.cc
@@ -26,6 +26,7 @@
     error_row{error_code::kBadGateway, 502, "bad_gateway"},
     error_row{error_code::kUnavailable, 503, "unavailable"},
     error_row{error_code::kDeadlineExceeded, 504, "deadline_exceeded"},
+    error_row{error_code::kStoreFull, 507, "store_full"},
 };
 
 /** Returns the row of `code`; that of kInternal if there is none. */
--- a/src/error_type.h
+++ b/src/error_type.h
@@ -21,6 +21,7 @@
   kBadGateway,        ///< 502
   kUnavailable,       ///< 503
   kDeadlineExceeded,  ///< 504
+  kStoreFull,         ///< 507
 };
 
 /** Whether a backend server may have run the request. */
--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -67,7 +67,7 @@
 auto batch_service::AwaitSettled(partition_ptr partition,
                                  std::shared_ptr<pending_record> record,
                                  time_point deadline) -> asio::awaitable<bool> {
-  while (!record->is_settled && !record->is_refused && partition->is_owned &&
+  while (!record->is_settled && !record->refusal && partition->is_owned &&
          clock::now() < deadline) {
     co_await partition->changed.Wait(deadline);
   }
@@ -234,6 +234,11 @@
                        "workspace has too many tokens waiting on the route");
 }
 
+/** Returns the answer to a job that a full store does not take. */
+auto StoreFullAnswer() -> http_response {
+  return FailureAnswer(error_code::kUnavailable, "the store is full");
+}
+
 /** Returns the failure of a job that the store has no room for in one append.
  * Its caller need not repeat it. */
 auto TooLargeFailure(const append_limits& limits) -> failure {
@@ -267,6 +272,9 @@
     }
   }
   if (record == nullptr) {
+    if (clock::now() < partition->full_until) {
+      co_return StoreFullAnswer();
+    }
     auto records =
         SubmissionRecords(submission, host_.options.store_limits.record_bytes);
     if (!FitAppend(records, host_.options.store_limits)) {
@@ -290,9 +298,11 @@
     accepting_.erase(job);
     co_return JsonResponse(202, "{}");
   }
-  if (record->is_refused && !record->may_be_in_log) {
+  if (record->refusal && !record->may_be_in_log) {
     accepting_.erase(job);
-    co_return TooLargeAnswer(host_.options.store_limits);
+    co_return record->refusal == error_code::kTooLarge
+        ? TooLargeAnswer(host_.options.store_limits)
+        : StoreFullAnswer();
   }
   if (!record->may_be_in_log && !partition->is_writing) {
     partition->pending.remove(record);
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -88,7 +88,8 @@
     batch_run_id failed_run;     ///< That run.
     bool may_be_in_log = false;  ///< An append with it got no answer.
     bool is_settled = false;     ///< It is in the log or no longer needed.
-    bool is_refused = false;     ///< The store does not take it at all.
+    /** Set if the store does not take it: kTooLarge or kStoreFull. */
+    std::optional<error_code> refusal;
   };
   /** One partition that this host owns or has owned until recently. */
   struct owned_partition {
@@ -111,6 +112,8 @@
     /** Appends one pending record at a time, since the store has refused
      * several as too large. */
     bool appends_singly = false;
+    /** The store was full; until then nothing is appended. */
+    time_point full_until;
     async_condition changed;  ///< Notified of each change of the partition.
   };
   using partition_ptr = std::shared_ptr<owned_partition>;
@@ -180,6 +183,9 @@
                       owned_partition& partition,
                       const std::vector<std::shared_ptr<pending_record>>& sent)
       -> void;
+  /** Refuses the jobs that are to be appended to a store that is full. All
+   * other records wait until it has room. */
+  auto HandleFull(partition_id id, owned_partition& partition) -> void;
   auto AwaitSettled(partition_ptr partition,
                     std::shared_ptr<pending_record> record,
                     time_point deadline) -> boost::asio::awaitable<bool>;
--- a/src/hostd_batch_log.cc
+++ b/src/hostd_batch_log.cc
@@ -19,6 +19,9 @@
 constexpr milliseconds kStoreTimeout{1500};
 /** Backoff after a failed store call. */
 constexpr milliseconds kStoreBackoff{150};
+/** Backoff of a partition's appends after the store was full. All partitions of
+ * the largest site together, 576, then stay within its rate of calls. */
+constexpr milliseconds kFullStoreBackoff{1000};
 /** Delay of the first re-read after a takeover, and of the second after the
  * first. Their sum exceeds the lifetime of a membership. */
 constexpr milliseconds kFirstRereadDelay{800};
@@ -241,7 +244,8 @@
   while (MayWrite(*partition) && !partition->pending.empty()) {
     const bool is_appended = co_await AppendOnce(id, partition);
     if (!is_appended) {
-      co_await Sleep(kStoreBackoff);
+      const duration until_room = partition->full_until - clock::now();
+      co_await Sleep(std::max<duration>(kStoreBackoff, until_room));
     }
   }
   partition->is_writing = false;
@@ -291,6 +295,10 @@
     HandleTooLarge(id, *partition, sent);
     co_return true;
   }
+  if (!appended && appended.error().code == error_code::kStoreFull) {
+    HandleFull(id, *partition);
+    co_return false;
+  }
   if (!appended && appended.error().code != error_code::kConflict) {
     Log(log_level::kWarning, log_category::kJob,
         {"partition " + std::to_string(id.value) + ": " +
@@ -321,7 +329,7 @@
   // Kept in the queue, it would block all others of the partition.
   const auto& record = sent.front();
   partition.pending.remove(record);
-  record->is_refused = true;
+  record->refusal = error_code::kTooLarge;
   Log(log_level::kError, log_category::kJob,
       {"partition " + std::to_string(id.value) +
            ": the store does not take a record of the size that the settings "
@@ -333,6 +341,27 @@
   partition.changed.Notify();
 }
 
+auto batch_service::HandleFull(partition_id id, owned_partition& partition)
+    -> void {
+  partition.full_until = clock::now() + kFullStoreBackoff;
+  std::size_t refused = 0;
+  for (auto it = partition.pending.begin(); it != partition.pending.end();) {
+    auto& record = **it;
+    if (record.submitted_job && !record.may_be_in_log) {
+      record.refusal = error_code::kStoreFull;
+      ++refused;
+      it = partition.pending.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  LogEvent(log_level::kWarning, log_category::kJob, "store_full",
+           {{"partition", id.value},
+            {"refused_jobs", refused},
+            {"waiting_records", partition.pending.size()}});
+  partition.changed.Notify();
+}
+
 auto batch_service::RecordResult(const batch_item_ref& ref,
                                  batch_item_outcome end,
                                  std::string output) -> void {
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -155,7 +155,9 @@
         self.newest_delay_s = 0  # Delay of answers to log-newest.
         self.group_delay_s = 0  # Delay of answers to log-join and log-owners.
         self.lose_appends = 0  # Number of next appends that take effect but are not answered.
+        self.is_full = False  # Refuses all appends of the system with 507.
         self.calls = 0
+        self.appends = 0
         self.flood = None  # Answers with bytes without end: "head", "body", "chunk_extension" or "trailer".
         self.bytes_per_s = None  # Rate of the link to all callers together.
         self.sent_bytes = 0  # Since the rate has been limited.
@@ -196,6 +198,10 @@
 
     async def log_append(self, query, body, writer):
         log = self.log(query["topic"], query["part"])
+        self.appends += 1
+        if self.is_full:
+            answer(writer, 507)
+            return
         if "at" in query and int(query["at"]) != len(log):
             answer(writer, 412, {"end": len(log)})
             return
--- a/tests/site_store.py
+++ b/tests/site_store.py
@@ -2,9 +2,10 @@
 """Guards against an outage of the store that stops online requests, against a
 host that starts during the outage and refuses valid requests, against an older
 declared state that replaces a newer one, and against keys and limits that are
-not enforced."""
+not enforced, and against a full store that holds up jobs or loses them."""
 
 import asyncio
+import time
 
 import site_helper as sh
 
@@ -66,7 +67,44 @@
         sh.check(all("retry-after" in a.headers for a in answers if a.status == 429), "a 429 answer has no Retry-After")
 
 
+async def full():
+    """Guards against jobs that wait for their deadline at a store that is full,
+    or run although they were refused, against results that are lost meanwhile,
+    and against hosts that spend the store's rate on appends in vain."""
+    async with sh.Fleet("full", hosts=3) as fleet:
+        for engine in fleet.engines:
+            engine.silent_after = 4
+        answer = await fleet.submit(fleet.hosts[0], "early", 6)
+        sh.check(answer.status == 202, f"job before the store is full: {answer}")
+        await asyncio.sleep(0.5)
+        fleet.store.is_full = True
+        for engine in fleet.engines:
+            engine.silent_after = None
+        for i in range(6):
+            sent = time.monotonic()
+            answer = await fleet.submit(fleet.hosts[i % 3], f"late{i}", 2)
+            sh.check(answer.status == 503 and "retry-after" in answer.headers, f"job at a full store: {answer}")
+            sh.check(time.monotonic() - sent < 1, f"refused after {time.monotonic() - sent:.1f} s")
+            answer = await fleet.ask(fleet.hosts[i % 3], "stream")
+            sh.check(answer.status == 200 and answer.is_whole, f"online at a full store: {answer}")
+        appends, since = fleet.store.appends, time.monotonic()
+        await asyncio.sleep(3)
+        rate = (fleet.store.appends - appends) / (time.monotonic() - since)
+        sh.check(rate <= 2, f"{rate:.1f} appends in vain a second, of one partition")
+        sh.check(not any(seen[0].startswith("late") for e in fleet.engines for seen in e.seen),
+                 "an item of a refused job ran")
+        fleet.store.is_full = False
+        for item, end, output in await fleet.all_results("early", 6):
+            sh.check((end, output) == ("done", sh.stand_in.whole_output(item)), f"{item}: {end} {output}")
+        answer = await fleet.submit(fleet.hosts[0], "late0", 2)
+        sh.check(answer.status == 202, f"job once more: {answer}")
+        await fleet.all_results("late0", 2)
+        sh.check(not any(seen[0].startswith("late1") for e in fleet.engines for seen in e.seen),
+                 "an item of a refused job ran later")
+
+
 async def test():
+    await full()
     await outage()
     await states()
     await limits()
