Show whole bounds in messages about entries, and let tests set any field

Messages about odd entries showed ranges as 1E0 to 1E4; adapter, messages_name_field_value_and_range, holds the form (it was not run against the old one).

--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -265,6 +265,16 @@
   }
 }
 
+// Guards against messages that don't tell what is wrong.
+Test(adapter, messages_name_field_value_and_range) {
+  const auto server = adapter::DecodeServer(
+      "i-1",
+      R"({"service":"s1","address":"10.0.0.1:80","state":"ready","slots":0})");
+  cr_assert_not(server.has_value());
+  cr_assert_eq(server.error().message,
+               "field \"slots\" is 0, not a number from 1 to 10000");
+}
+
 // Guards against deep nesting that overflows the stack.
 Test(adapter, deeply_nested_entries_are_refused) {
   for (const std::size_t depth : {40UL, 200000UL}) {
--- a/tests/site_helper.py
+++ b/tests/site_helper.py
@@ -240,8 +240,8 @@
     async def ask(self, host, route, attempt=None, key=KEY, body=b"hello", **headers):
         """Sends one request to a route through one host."""
         attempt = attempt or self.new_id()
-        return await call(host.ip, FRONT, "POST", f"/{route}/x", body, Host=HOST_NAME, X_Attempt_Id=attempt,
-                          X_Deadline_Ms=8000, **headers, **key_field(key))
+        fields = {"Host": HOST_NAME, "X_Attempt_Id": attempt, "X_Deadline_Ms": 8000, **headers, **key_field(key)}
+        return await call(host.ip, FRONT, "POST", f"/{route}/x", body, **fields)
 
     async def ask_plain(self, route, body):
         """Sends a request whose answer is no stream through the first host.
