Hand a workspace's use of its limit to the next dispatcher

Each new dispatcher began with half of the burst, whatever its predecessor had granted, and nobody counted what a replaced, paused or isolated one still granted. A host that had left never learned of its successor.

Each answer of a dispatcher now tells the tokens in use; hosts report the largest use that they know, and the grants they received, to the next one (dispatch_usage). It starts from that use, refilled since, and pays for double grants before it grants more. Half of the burst is the start only if no host has heard from a dispatcher lately. A dispatcher stops deciding when it finds that it was paused for 1.3 s (until its membership is confirmed), when no other host has reported to it for 0.7 s, and 1 s after it has seen its successor decide. A host that has left follows the members until it exits, and hosts on their own count what they know to be in use.

Related: grants of hosts without dispatcher, which are counted now; the limit of waiting tokens has reports of its own already.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -5,7 +5,7 @@
 dogwood_library(dispatch
                 SOURCES dispatch_cmd.cc dispatch_drain.cc dispatch_local.cc
                         dispatch_quarantine.cc
-                        dispatch_return.cc
+                        dispatch_return.cc dispatch_usage.cc
                         dispatch_wait.cc
                 LIBS dogwood_core)
 dogwood_library(batch SOURCES batch_projection.cc batch_queue.cc batch_quota.cc
@@ -33,6 +33,8 @@
 dogwood_test(dispatch_local dogwood_dispatch)
 dogwood_test(dispatch_quarantine dogwood_dispatch)
 dogwood_test(dispatch_return dogwood_dispatch)
+dogwood_test(dispatch_usage dogwood_dispatch)
+dogwood_test(dispatch_usage_model dogwood_dispatch)
 dogwood_test(dispatch_wait dogwood_dispatch)
 dogwood_test(batch dogwood_batch)
 dogwood_test(fleet dogwood_fleet)
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -9,6 +9,7 @@
 #include "src/dispatch_quarantine.h"
 #include "src/dispatch_return.h"
 #include "src/dispatch_type.h"
+#include "src/dispatch_usage.h"
 #include "src/dispatch_wait.h"
 
 #endif  // SRC_DISPATCH_H_
--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -23,6 +23,7 @@
 
 #include "src/dispatch_quarantine.h"
 #include "src/dispatch_type.h"
+#include "src/dispatch_usage.h"
 
 namespace dogwood {
 
@@ -39,6 +40,9 @@
   /** Refuses all queued requests, and new ones until the next Start(), with
    * kNotReady. */
   auto Stop() -> void;
+  /** Refuses requests with kNotReady until `until`, since another dispatcher
+   * may have taken over while this process was paused. */
+  auto Suspend(time_point until) -> void { ready_at_ = until; }
   /** Replaces the servers and the region of each data centre. */
   auto SetServers(std::vector<registered_server> servers,
                   std::map<data_centre_id, region_id> regions) -> void;
@@ -62,6 +66,8 @@
    * that cannot reach this dispatcher, or that their callers have abandoned. */
   auto RecordReportedLoads(std::span<const server_count> reported,
                            time_point now) -> void;
+  /** Records what a host knows of the use of limits. */
+  auto RecordUsage(const usage_report& report, time_point now) -> void;
   /** Takes over what other hosts have under quarantine. */
   auto MergeQuarantine(const quarantine_entries& found, time_point now) -> void;
   /** As a host that is not the dispatcher: takes over its quarantine. */
@@ -89,6 +95,16 @@
   auto Quarantine(time_point now) const -> quarantine_entries {
     return {quarantine_.Entries(now), request_quarantine_.Entries(now)};
   }
+  /** Use of the limits of which `min_share` of the burst or more is in use. */
+  auto Usage(double min_share, time_point now) const
+      -> std::vector<limit_usage>;
+  /** Identifies the time since the latest Start(). */
+  auto Term() const -> dispatcher_term { return term_; }
+  /** Tokens of a workspace in use. */
+  auto UsedTokens(const workspace_id& workspace, time_point now) const
+      -> double {
+    return limits_.Used(workspace, now);
+  }
   /** Slots in use on each server. */
   auto Counts() const -> std::vector<server_count>;
   /** External load of all servers, as reported by them. */
@@ -128,10 +144,6 @@
     time_point backs_off_until;   ///< Gets no requests before then.
     duration last_backoff{};      ///< Zero after a complete answer.
   };
-  struct bucket {
-    double level = 0;      ///< Tokens.
-    time_point filled_at;  ///< Time of the last fill.
-  };
   /** Distance class: 0 same data centre, 1 same region, 2 elsewhere. */
   auto TierOf(const server_row& row, const host_location& place) const -> int;
   auto IsUsable(const server_row& row,
@@ -177,11 +189,12 @@
   dispatch_policy policy_;
   std::mt19937_64 random_;
   time_point ready_at_ = time_point::max();
+  dispatcher_term term_;
   std::map<server_id, server_row> servers_;
   std::map<data_centre_id, region_id> regions_;
   std::map<slot_key, slot> slots_;
   std::map<host_id, time_point> host_deadlines_;
-  std::map<workspace_id, bucket> buckets_;
+  limit_ledger limits_;
   std::list<placement_request> online_;  // In queue order.
   std::list<placement_request> batch_;   // In queue order.
   /** When refused callers are expected to retry; they have precedence then. */
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -27,13 +27,15 @@
 dispatcher::dispatcher(dispatch_policy policy, std::uint64_t seed)
     : policy_(policy),
       random_(seed),
+      limits_(policy.initial_burst_share),
       run_seconds_(Seconds(policy.initial_run_time)) {}
 
 auto dispatcher::Start(time_point now) -> void {
   ready_at_ = now + policy_.warm_up;
+  term_ = dispatcher_term(random_());
   slots_.clear();
   host_deadlines_.clear();
-  buckets_.clear();
+  limits_.Clear();
   online_.clear();
   batch_.clear();
   expected_retries_.clear();
@@ -275,26 +277,34 @@
   if (!request.takes_token || rate.per_s <= 0) {
     return true;
   }
-  const auto [found, is_new] = buckets_.try_emplace(request.workspace);
-  auto& b = found->second;
-  if (is_new) {
-    b = {rate.burst * policy_.initial_burst_share, now};
+  return limits_.Consume(request.workspace, rate, now);
+}
+
+auto dispatcher::RefundToken(const placement_request& request) -> void {
+  if (request.takes_token) {
+    limits_.Refund(request.workspace);
   }
-  b.level += rate.per_s * Seconds(now - b.filled_at);
-  b.level = std::min(b.level, std::max(1.0, rate.burst));
-  b.filled_at = now;
-  if (b.level < 1) {
-    return false;
+}
+
+auto dispatcher::RecordUsage(const usage_report& report, time_point now)
+    -> void {
+  if (ready_at_ == time_point::max()) {
+    return;
   }
-  b.level -= 1;
-  return true;
+  auto others = report;
+  const auto is_own = [this](const auto& row) { return row.source == term_; };
+  std::erase_if(others.known, is_own);
+  std::erase_if(others.grants, is_own);
+  limits_.Record(others, IsReady(now), now);
 }
 
-auto dispatcher::RefundToken(const placement_request& request) -> void {
-  const auto found = buckets_.find(request.workspace);
-  if (request.takes_token && found != buckets_.end()) {
-    found->second.level += 1;
+auto dispatcher::Usage(double min_share, time_point now) const
+    -> std::vector<limit_usage> {
+  auto rows = limits_.Usage(min_share, now);
+  for (auto& row : rows) {
+    row.source = term_;
   }
+  return rows;
 }
 
 auto dispatcher::EstimateWait(const placement_request& request,
--- a/src/dispatch_type.h
+++ b/src/dispatch_type.h
@@ -18,6 +18,10 @@
  * for it. */
 using ticket_id = strong<struct ticket_tag, std::uint64_t>;
 
+/** Identifies one term of one dispatcher, from its start to its end; 0 stands
+ * for a host that decides alone. */
+using dispatcher_term = strong<struct dispatcher_term_tag, std::uint64_t>;
+
 /** Location of a host. */
 struct host_location {
   data_centre_id data_centre;
@@ -64,10 +68,11 @@
 /** Answer to a placement request. */
 struct placement_answer {
   placement_verdict verdict = placement_verdict::kNotReady;
-  server_id server;           ///< Set with kGranted only.
-  std::uint32_t waiting = 0;  ///< Online requests in the queue; for logs.
-  std::uint32_t free = 0;     ///< Free slots of the service; for logs.
-  time_point retry_at;        ///< When a refused caller should retry.
+  server_id server;              ///< Set with kGranted only.
+  std::uint32_t waiting = 0;     ///< Online requests in the queue; for logs.
+  std::uint32_t free = 0;        ///< Free slots of the service; for logs.
+  time_point retry_at;           ///< When a refused caller should retry.
+  dispatcher_term decided_by{};  ///< Set on the way to the requesting host.
 };
 
 /** Answer to a placement request, addressed to the host that sent it. */
@@ -138,8 +143,9 @@
    * bounds. */
   std::chrono::milliseconds min_retry_delay{600};
   std::chrono::milliseconds max_retry_delay{1600};
-  /** Fraction of a workspace's burst with which a new dispatcher starts: its
-   * predecessor may just have admitted the whole burst. */
+  /** Fraction of a workspace's burst with which a new dispatcher starts if no
+   * host has heard from a former one lately, as after a start of all hosts: the
+   * former may just have admitted the whole burst. */
   double initial_burst_share = 0.5;
   /** Fraction of each server's slots that batch runs leave free, so that an
    * online request rarely has to preempt one. A preempted run costs a
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -187,6 +187,7 @@
   asio::co_spawn(host.io, RunDrainChecks(host), AbortOnException);
   co_await host.batch->HandOver(clock::now() + kHandOverTimeout);
   co_await LeaveFleet(host);
+  asio::co_spawn(host.io, FollowMembersAfterLeaving(host), AbortOnException);
   while (clock::now() < std::min(listen_until, end)) {
     co_await Sleep(kDrainPollInterval);
   }
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -50,6 +50,18 @@
 /** A replaced dispatcher goes on deciding for this long, because hosts learn of
  * the new view at different times. */
 constexpr std::chrono::seconds kDispatcherHandoverTime{3};
+/** The same once it has seen the new one decide: two that decide for long each
+ * grant the whole limit to their part of the hosts. */
+constexpr milliseconds kSettledHandoverTime{1000};
+/** A dispatcher that was paused for this long may have been replaced: its
+ * membership of 2 s was renewed up to 0.67 s before the pause. */
+constexpr milliseconds kMaxPause{1300};
+/** A dispatcher that was paused decides again after this time unless it has
+ * learned by then that it was replaced. */
+constexpr milliseconds kPauseRecovery{1500};
+/** Hosts are told regularly which limits have this fraction of their burst or
+ * more in use. */
+constexpr double kReportedUsageShare = 0.125;
 /** Validity of the request counts that a dispatcher has sent, and how often a
  * host asks for them: a row for each server in each report of each host would
  * be most of what the dispatcher sends. */
@@ -164,6 +176,56 @@
   return entries;
 }
 
+/** Adds what a host knows of the use of limits to its report. */
+auto EncodeUsageReport(const usage_report& report,
+                       time_point now,
+                       wire::held_requestT& message) -> void {
+  message.informed = report.is_informed;
+  for (const auto& known : report.known) {
+    auto row = std::make_unique<wire::limit_usage_rowT>();
+    row->workspace = known.workspace.value;
+    row->used = known.used;
+    row->age_us = MicrosUntil(now, known.at);
+    row->source = known.source.value;
+    message.usage.push_back(std::move(row));
+  }
+  for (const auto& grants : report.grants) {
+    auto row = std::make_unique<wire::limit_grants_rowT>();
+    row->workspace = grants.workspace.value;
+    row->count = grants.count;
+    row->age_us = MicrosUntil(now, grants.at);
+    row->source = grants.source.value;
+    message.grants.push_back(std::move(row));
+  }
+}
+
+/** Decodes what EncodeUsageReport() added; `rate_of` returns the limit of a
+ * workspace. */
+template <std::invocable<const workspace_id&> RateOf>
+auto DecodeUsageReport(const wire::held_requestT& message,
+                       RateOf rate_of,
+                       time_point now) -> usage_report {
+  usage_report report;
+  report.is_informed = message.informed;
+  for (const auto& row : message.usage) {
+    const workspace_id workspace(row->workspace);
+    report.known.push_back({.workspace = workspace,
+                            .rate = rate_of(workspace),
+                            .used = row->used,
+                            .at = now - microseconds(row->age_us),
+                            .source = dispatcher_term(row->source)});
+  }
+  for (const auto& row : message.grants) {
+    const workspace_id workspace(row->workspace);
+    report.grants.push_back({.workspace = workspace,
+                             .rate = rate_of(workspace),
+                             .count = row->count,
+                             .at = now - microseconds(row->age_us),
+                             .source = dispatcher_term(row->source)});
+  }
+  return report;
+}
+
 /** Request counts of servers, as carried by messages. */
 using wire_counts = std::vector<std::unique_ptr<wire::server_loadT>>;
 
@@ -262,13 +324,22 @@
   if (answer->verdict == placement_verdict::kGranted) {
     held_[request.ticket] = {answer->server, request.work, {}};
     local_.RecordRunStart(answer->server, request.work);
+    const auto rate = RateOf(request.workspace);
+    if (request.takes_token && rate.per_s > 0) {
+      usage_.RecordGrant(request.workspace, rate, answer->decided_by,
+                         clock::now());
+    }
   }
   co_return *answer;
 }
 
 auto placement_service::PlaceWithoutDispatcher(const placement_request& request)
     -> placement_answer {
-  return local_.RequestSlot(request, RateOf(request.workspace), clock::now());
+  const auto now = clock::now();
+  // What is in use beyond the refill is not granted a second time.
+  auto rate = RateOf(request.workspace);
+  rate.burst -= usage_.Used(request.workspace, now);
+  return local_.RequestSlot(request, rate, now);
 }
 
 auto placement_service::PlaceAtDispatcher(const placement_request& request,
@@ -295,7 +366,18 @@
   answer.server = server_id(placed->server);
   answer.waiting = placed->waiting;
   answer.free = placed->free;
-  answer.retry_at = clock::now() + microseconds(placed->retry_after_us);
+  const auto answered = clock::now();
+  answer.retry_at = answered + microseconds(placed->retry_after_us);
+  answer.decided_by = dispatcher_term(placed->term);
+  const auto rate = RateOf(request.workspace);
+  if (request.takes_token && rate.per_s > 0 &&
+      answer.verdict != placement_verdict::kNotReady) {
+    usage_.RecordUsage({.workspace = request.workspace,
+                        .rate = rate,
+                        .used = placed->used,
+                        .at = answered,
+                        .source = answer.decided_by});
+  }
   co_return answer;
 }
 
@@ -304,6 +386,12 @@
   const std::pair key(request.host, request.ticket);
   const auto limit = request.latest_start + kPlacementRoundTrip;
   const auto rate = RateOf(request.workspace);
+  CheckForPause(clock::now());
+  if (IsIsolated(clock::now())) {
+    co_return placement_answer{.verdict = placement_verdict::kNotReady,
+                               .server = {},
+                               .retry_at = clock::now()};
+  }
   auto wait = std::make_shared<waiter>(asio::steady_timer(host_.io, limit));
   waiters_[key] = wait;
   dispatcher_.RequestSlot(std::move(request), rate, clock::now());
@@ -313,6 +401,7 @@
   }
   waiters_.erase(key);
   if (wait->answer) {
+    wait->answer->decided_by = dispatcher_.Term();
     co_return *wait->answer;
   }
   placement_answer none;
@@ -468,6 +557,8 @@
   const auto* chosen = DispatcherOf(host_.view, host_.options.data_centres);
   const bool is_self = chosen != nullptr && chosen->name == host_.self.name;
   if (is_self && !is_dispatcher_) {
+    RememberOwnUsage(now);
+    resumed_at_.reset();
     dispatcher_.Start(now);
     quota_.Clear();
   }
@@ -475,6 +566,10 @@
     decides_until_ = time_point::max();
   } else if (is_dispatcher_) {
     decides_until_ = now + kDispatcherHandoverTime;
+    // The others have had another dispatcher since before this change.
+    if (!dispatcher_.IsReady(now) || IsIsolated(now)) {
+      dispatcher_.Stop();
+    }
   }
   is_dispatcher_ = is_self;
   const auto name = chosen == nullptr ? std::string() : chosen->name;
@@ -529,6 +624,8 @@
 auto placement_service::RunTicker() -> asio::awaitable<void> {
   while (true) {
     const auto now = clock::now();
+    CheckForPause(now);
+    last_tick_ = now;
     if (now >= decides_until_ && dispatcher_.IsReady(now)) {
       dispatcher_.Stop();
     }
@@ -565,15 +662,60 @@
   return list;
 }
 
+auto placement_service::CheckForPause(time_point now) -> void {
+  const bool was_paused =
+      last_tick_ != time_point() && now - last_tick_ > kMaxPause;
+  if (was_paused && now < decides_until_ && dispatcher_.IsReady(now)) {
+    last_tick_ = now;
+    resumed_at_ = now;
+    dispatcher_.Suspend(now + kPauseRecovery);
+    ExpectDispatcher(now + kPauseRecovery);
+    Log(log_level::kWarning, log_category::kRoute,
+        {"paused; another dispatcher may have taken over", "choose dispatcher",
+         host_.self.name});
+  }
+  const auto renewed_at = host_.member_until - host_.options.member_life;
+  if (resumed_at_ && renewed_at > *resumed_at_ &&
+      host_.view_confirmed > renewed_at) {
+    resumed_at_.reset();
+    if (is_dispatcher_ && !dispatcher_.IsReady(now)) {
+      dispatcher_.Suspend(now);
+    }
+  }
+}
+
+auto placement_service::IsIsolated(time_point now) const -> bool {
+  return host_.view.members.size() > 1 && now - last_report_ > kDispatcherTtl;
+}
+
+auto placement_service::RememberOwnUsage(time_point now) -> void {
+  for (const auto& row : dispatcher_.Usage(0, now)) {
+    usage_.RecordUsage(row);
+  }
+}
+
+auto placement_service::MakeUsageReport(const std::string& target,
+                                        time_point now) -> usage_report {
+  if (target != host_.self.name && now < decides_until_ &&
+      dispatcher_.IsReady(now)) {
+    RememberOwnUsage(now);
+  }
+  return usage_.MakeReport(target, now);
+}
+
 auto placement_service::ReportHeld(target to) -> asio::awaitable<void> {
   const auto now = clock::now();
+  const auto reported_until = usage_.ReportedUntil(to.name);
+  const auto usage = MakeUsageReport(to.name, now);
   wire::held_replyT reply;
   if (to.address.empty()) {
     dispatcher_.ReconcileHeldSlots(host_id(host_.self.name), HeldSlots(), now);
     dispatcher_.RecordReportedLoads(ReportedLoads(now), now);
+    dispatcher_.RecordUsage(usage, now);
+    reply.term = dispatcher_.Term().value;
     quota_.Report(host_id(host_.self.name), host_.batch->WaitingReport(),
                   now + kWaitingTtl);
-    reply.ready = dispatcher_.IsReady(now);
+    reply.ready = dispatcher_.IsReady(now) && !IsIsolated(now);
   } else {
     wire::held_requestT request;
     request.host = host_.self.name;
@@ -596,17 +738,20 @@
       request.waiting.push_back(std::move(entry));
     }
     EncodeQuarantine(dispatcher_.Quarantine(now), now, request);
+    EncodeUsageReport(usage, now, request);
     for (const auto& id : host_.registrations->AnnouncedLeaving()) {
       request.leaving.push_back(id.value);
     }
     const auto link = host_.links.Get(to.address);
     if (link == nullptr) {
+      usage_.RecordNoReply(to.name, reported_until);
       co_return;
     }
     auto message = MakeMessage(std::move(request));
     auto answer = co_await link->Call(std::move(message), now + kReportTimeout);
     auto* held = answer ? answer->Asheld_reply() : nullptr;
     if (held == nullptr) {
+      usage_.RecordNoReply(to.name, reported_until);
       co_return;
     }
     reply = std::move(*held);
@@ -617,9 +762,22 @@
     local_.SetCounts(counts, answered + kCountsTtl);
     counts_due_ = now + kCountsInterval;
   }
+  const dispatcher_term term(reply.term);
+  usage_.RecordReply(to.name, term, reply.ready, answered);
   if (!reply.ready) {
     co_return;
   }
+  for (const auto& row : reply.usage) {
+    const workspace_id workspace(row->workspace);
+    const auto rate = RateOf(workspace);
+    if (rate.per_s > 0) {
+      usage_.RecordUsage({.workspace = workspace,
+                          .rate = rate,
+                          .used = row->used,
+                          .at = answered - microseconds(row->age_us),
+                          .source = term});
+    }
+  }
   if (!to.address.empty()) {
     dispatcher_.ReplaceQuarantine(DecodeQuarantine(reply, answered), answered);
   }
@@ -628,6 +786,10 @@
         {"placement requests go to a new dispatcher", "choose dispatcher",
          to.name});
     active_ = candidate_;
+    if (!is_dispatcher_) {
+      decides_until_ =
+          std::min(decides_until_, answered + kSettledHandoverTime);
+    }
   }
   if (active_.name == to.name) {
     active_.valid_until = answered + kDispatcherTtl;
@@ -663,7 +825,10 @@
   reply.server = answer.server.value;
   reply.waiting = answer.waiting;
   reply.free = answer.free;
-  reply.retry_after_us = MicrosUntil(answer.retry_at, clock::now());
+  const auto now = clock::now();
+  reply.retry_after_us = MicrosUntil(answer.retry_at, now);
+  reply.term = answer.decided_by.value;
+  reply.used = dispatcher_.UsedTokens(workspace_id(message.workspace), now);
   co_return MakeMessage(std::move(reply));
 }
 
@@ -686,6 +851,8 @@
 auto placement_service::HandleHeld(const wire::held_requestT& request)
     -> wire::held_replyT {
   const auto now = clock::now();
+  CheckForPause(now);
+  last_report_ = now;
   std::vector<held_slot> held;
   for (const auto& entry : request.held) {
     held.push_back({ticket_id(entry->ticket), server_id(entry->server),
@@ -697,6 +864,8 @@
   dispatcher_.MergeQuarantine(DecodeQuarantine(request, now), now);
   dispatcher_.ReconcileHeldSlots(host_id(request.host), held, now);
   dispatcher_.RecordReportedLoads(DecodeCounts(request.told), now);
+  const auto rate_of = [this](const workspace_id& id) { return RateOf(id); };
+  dispatcher_.RecordUsage(DecodeUsageReport(request, rate_of, now), now);
   waiting_report waiting{.rows = {}, .last_grant = request.last_grant};
   for (const auto& row : request.waiting) {
     waiting.rows.push_back(
@@ -705,7 +874,16 @@
   quota_.Report(host_id(request.host), std::move(waiting), now + kWaitingTtl);
   wire::held_replyT reply;
   reply.ready = dispatcher_.IsReady(now);
+  reply.term = dispatcher_.Term().value;
   EncodeQuarantine(dispatcher_.Quarantine(now), now, reply);
+  if (reply.ready) {
+    for (const auto& usage : dispatcher_.Usage(kReportedUsageShare, now)) {
+      auto row = std::make_unique<wire::limit_usage_rowT>();
+      row->workspace = usage.workspace.value;
+      row->used = usage.used;
+      reply.usage.push_back(std::move(row));
+    }
+  }
   if (request.wants_loads) {
     reply.loads = EncodeCounts(dispatcher_.Counts());
   }
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -144,10 +144,30 @@
   /** Returns the loads that servers have reported since the previous report. */
   auto ReportedLoads(time_point now) const -> std::vector<server_count>;
   auto RateOf(const workspace_id& workspace) const -> limit_rate;
+  /** Stops deciding for a while if this process was paused for so long that
+   * another dispatcher may have taken over. */
+  auto CheckForPause(time_point now) -> void;
+  /** Whether this host, as dispatcher, has heard of no other host for the time
+   * after which they no longer send it placement requests: another one may
+   * decide for them. */
+  auto IsIsolated(time_point now) const -> bool;
+  /** Adds the use of limits as counted by this dispatcher to what this host
+   * remembers. */
+  auto RememberOwnUsage(time_point now) -> void;
+  /** Makes the report on the use of limits for the dispatcher `target`. */
+  auto MakeUsageReport(const std::string& target, time_point now)
+      -> usage_report;
 
   host_state& host_;
   dispatcher dispatcher_;
   batch_quota quota_;  // Used while this host is the dispatcher.
+  usage_memory usage_;
+  time_point last_tick_;  ///< Last run of the ticker.
+  /** Last report of another host to this dispatcher. */
+  time_point last_report_;
+  /** When this dispatcher resumed after a pause, until it knows that it still
+   * is the dispatcher. */
+  std::optional<time_point> resumed_at_;
   local_placement local_;
   bool is_dispatcher_ = false;
   /** When this host stops deciding after another one has become dispatcher. */
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -225,4 +225,25 @@
   }
 }
 
+auto FollowMembersAfterLeaving(host_state& host) -> asio::awaitable<void> {
+  adapter::store_client client(host.options.store);
+  while (true) {
+    if (ReadsStore(host, clock::now())) {
+      auto owners = co_await client.Owners(std::string(kGroup),
+                                           clock::now() + kCallTimeout);
+      RecordCall(host, owners);
+      if (owners) {
+        // Without a join, the generation of these members is not known.
+        auto view = BuildView(host.view.generation, owners.value(),
+                              host.options.partitions_per_topic);
+        if (!std::ranges::equal(view.members, host.view.members, {},
+                                &fleet_member::name, &fleet_member::name)) {
+          ApplyView(host, std::move(view));
+        }
+      }
+    }
+    co_await Sleep(host.options.member_life / kRenewalsPerTtl);
+  }
+}
+
 }  // namespace dogwood
--- a/src/hostd_watch.h
+++ b/src/hostd_watch.h
@@ -19,6 +19,12 @@
  * host. */
 auto LeaveFleet(host_state& host) -> boost::asio::awaitable<void>;
 
+/** As a host that has left: follows the members until the process ends, so that
+ * its open requests go to the dispatcher of the others. Hosts that get the view
+ * from other hosts need no calls. */
+auto FollowMembersAfterLeaving(host_state& host)
+    -> boost::asio::awaitable<void>;
+
 }  // namespace dogwood
 
 #endif  // SRC_HOSTD_WATCH_H_
