--- a/tests/hostd_test.cc
+++ b/tests/hostd_test.cc
@@ -140,7 +140,8 @@
   cr_assert_eq(host.links.Size(), 2);
 }
 
-// Guards against delays of the event loop that metrics forget at once, or never.
+// Guards against delays of the event loop that metrics forget at once, or
+// never.
 Test(hostd, loop_delay_is_kept_for_a_while) {
   using std::chrono::milliseconds;
   using std::chrono::seconds;
