Place requests only in the regions of their route and workspace

Callers' requests ran in any region although their route or workspace declares the regions that may serve it.

Cause: the declared regions were not decoded, and placement knew only the distance of a server.

Each placement request now carries the regions that route and workspace both allow; the dispatcher and hosts without one choose only servers there. A request with no allowed region, or with none that has a server, is refused at once. Regions that the settings do not know are logged with their entry.

Three of the four tests of dispatch_region fail without the bound and with one queue for all regions.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -1,13 +1,14 @@
 # dogwood_hostd, the process for the users' platform, and the libraries that
 # only it uses.
 dogwood_library(deployment SOURCES deployment_journal.cc deployment_query.cc
+                deployment_region.cc
                 LIBS dogwood_core)
 dogwood_library(dispatch
                 SOURCES dispatch_cmd.cc dispatch_drain.cc dispatch_local.cc
                         dispatch_quarantine.cc
                         dispatch_return.cc dispatch_usage.cc
                         dispatch_wait.cc
-                LIBS dogwood_core)
+                LIBS dogwood_deployment)
 dogwood_library(batch SOURCES batch_projection.cc batch_queue.cc batch_quota.cc
                         batch_record.cc
                 LIBS dogwood_job dogwood_http)
@@ -33,6 +34,7 @@
 dogwood_test(dispatch dogwood_dispatch)
 dogwood_test(dispatch_local dogwood_dispatch)
 dogwood_test(dispatch_quarantine dogwood_dispatch)
+dogwood_test(dispatch_region dogwood_dispatch)
 dogwood_test(dispatch_return dogwood_dispatch)
 dogwood_test(dispatch_usage dogwood_dispatch)
 dogwood_test(dispatch_usage_model dogwood_dispatch)
--- a/src/deployment.h
+++ b/src/deployment.h
@@ -4,6 +4,7 @@
 
 #include "src/deployment_journal.h"
 #include "src/deployment_query.h"
+#include "src/deployment_region.h"
 #include "src/deployment_type.h"
 
 #endif  // SRC_DEPLOYMENT_H_
--- a/src/deployment_type.h
+++ b/src/deployment_type.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
   bool open = false;       ///< Requests need no key.
   bool resumable = false;  ///< A stream may continue at another server.
   std::vector<service_share> services;  ///< Targets with weights.
+  /** Regions that may serve and store its requests; empty: all. */
+  std::set<region_id> regions;
 };
 
 /** A service. */
@@ -68,6 +71,8 @@
   std::vector<std::string> hashes;  ///< SHA-256 of each of its keys, hex.
   double rate_per_s = 0;            ///< Requests per second; 0: unlimited.
   double burst = 0;                 ///< Size of a burst in requests.
+  /** Regions that may serve and store its requests; empty: all. */
+  std::set<region_id> regions;
 };
 
 /** Limits on callers' requests. */
--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -157,7 +157,14 @@
       -> server_row*;
   auto FindBatchRun(const placement_request& request, time_point now)
       -> std::optional<slot_key>;
-  auto HasServer(const service_id& service) const -> bool;
+  /** Whether the region of a server is allowed for a request. */
+  auto IsInAllowedRegion(const server_row& row,
+                         const placement_request& request) const -> bool;
+  /** Whether a server may ever run a request: it is listed, runs the service
+   * and is in an allowed region. */
+  auto CanServe(const server_row& row, const placement_request& request) const
+      -> bool;
+  auto HasServer(const placement_request& request) const -> bool;
   auto Grant(const placement_request& request, server_row& row, time_point now)
       -> void;
   auto TryPlace(const placement_request& request, time_point now) -> bool;
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -2,6 +2,7 @@
 #include <cmath>
 #include <iterator>
 #include <tuple>
+#include <utility>
 
 #include "src/dispatch_base.h"
 
@@ -87,11 +88,26 @@
   return region != regions_.end() && region->second == place.region ? 1 : 2;
 }
 
+auto dispatcher::IsInAllowedRegion(const server_row& row,
+                                   const placement_request& request) const
+    -> bool {
+  if (!request.regions.IsBound()) {
+    return true;
+  }
+  const auto region = regions_.find(row.info.data_centre);
+  return region != regions_.end() && request.regions.Allows(region->second);
+}
+
+auto dispatcher::CanServe(const server_row& row,
+                          const placement_request& request) const -> bool {
+  return row.listed && !row.info.leaving &&
+         row.info.service == request.service && IsInAllowedRegion(row, request);
+}
+
 auto dispatcher::IsUsable(const server_row& row,
                           const placement_request& request,
                           time_point now) const -> bool {
-  return row.listed && !row.info.leaving &&
-         row.info.service == request.service && now >= row.backs_off_until &&
+  return CanServe(row, request) && now >= row.backs_off_until &&
          std::ranges::find(request.avoided, row.info.id) ==
              request.avoided.end();
 }
@@ -185,10 +201,9 @@
       });
 }
 
-auto dispatcher::HasServer(const service_id& service) const -> bool {
-  return std::ranges::any_of(servers_, [&service](const auto& entry) {
-    return entry.second.listed && !entry.second.info.leaving &&
-           entry.second.info.service == service;
+auto dispatcher::HasServer(const placement_request& request) const -> bool {
+  return std::ranges::any_of(servers_, [&](const auto& entry) {
+    return CanServe(entry.second, request);
   });
 }
 
@@ -312,8 +327,7 @@
   std::size_t runs = 0;
   auto backoff_ends = time_point::max();
   for (const auto& [id, row] : servers_) {
-    if (row.listed && !row.info.leaving &&
-        row.info.service == request.service) {
+    if (CanServe(row, request)) {
       runs += row.used;
       if (now < row.backs_off_until &&
           std::ranges::find(request.avoided, id) == request.avoided.end()) {
@@ -328,6 +342,7 @@
   }
   const auto ahead = std::ranges::count_if(online_, [&](const auto& other) {
     return other.service == request.service &&
+           other.regions.Overlaps(request.regions) &&
            now <= other.latest_on_time_start &&
            QueueOrder(other) <= QueueOrder(request);
   });
@@ -377,7 +392,7 @@
     Refuse(request, placement_verdict::kNotReady, now);
     return;
   }
-  if (!HasServer(request.service)) {
+  if (!HasServer(request)) {
     request.takes_token = false;
     Refuse(request, placement_verdict::kNoServer, now);
     return;
@@ -545,21 +560,21 @@
 
 auto dispatcher::ServeQueue(std::list<placement_request>& queue, time_point now)
     -> void {
-  // Services without a free slot are tried only once.
-  std::set<service_id> full;
+  // Services without a free slot in a set of regions are tried only once.
+  std::set<std::pair<service_id, region_bound>> full;
   // Requests that have missed their objective are served after those that can
   // still meet it: in order of time alone, one late request would make all that
   // follow late.
   for (const bool are_late : {false, true}) {
     for (auto it = queue.begin(); it != queue.end();) {
       if ((now > it->latest_on_time_start) == are_late &&
-          !full.contains(it->service)) {
+          !full.contains({it->service, it->regions})) {
         if (TryPlace(*it, now)) {
           it = queue.erase(it);
           continue;
         }
         if (it->avoided.empty()) {
-          full.insert(it->service);
+          full.emplace(it->service, it->regions);
         }
       }
       ++it;
--- a/src/dispatch_local.cc
+++ b/src/dispatch_local.cc
@@ -135,7 +135,11 @@
   const row* best = nullptr;
   std::tuple<bool, int, double, std::uint64_t> best_rank;
   for (const auto& [id, r] : rows_) {
-    if (r.info.service != request.service || r.info.leaving ||
+    const auto region = regions_.find(r.info.data_centre);
+    const bool is_allowed =
+        !request.regions.IsBound() ||
+        (region != regions_.end() && request.regions.Allows(region->second));
+    if (r.info.service != request.service || r.info.leaving || !is_allowed ||
         std::ranges::find(request.avoided, id) != request.avoided.end()) {
       continue;
     }
@@ -150,7 +154,6 @@
     if (load >= capacity || now < r.backs_off_until) {
       continue;
     }
-    const auto region = regions_.find(r.info.data_centre);
     const bool is_near =
         region != regions_.end() && region->second == request.place.region;
     const int tier =
--- a/src/dispatch_type.h
+++ b/src/dispatch_type.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "src/deployment_region.h"
 #include "src/deployment_type.h"
 #include "src/limit_type.h"
 #include "src/prompt_type.h"
@@ -45,6 +46,7 @@
   bool takes_token = false;               ///< Counted in the workspace's limit.
   bool is_retry = false;                  ///< Caller was refused or cut off.
   host_location place;                    ///< Location of the host.
+  region_bound regions;                   ///< Regions of usable servers.
   time_point latest_on_time_start;        ///< Later starts miss the objective.
   time_point latest_start;                ///< Later starts are of no use.
   std::vector<server_id> avoided;         ///< Servers that must not be chosen.
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -216,7 +216,8 @@
     queue_.Requeue(ref, clock::now() + kFailedRunBackoff);
     co_return;
   }
-  if (RouteOf(job->submission) == nullptr) {
+  const auto* route = RouteOf(job->submission);
+  if (route == nullptr) {
     RecordResult(ref, batch_item_outcome::kAbandoned, "");
     co_return;
   }
@@ -244,6 +245,8 @@
       .takes_token = false,
       .is_retry = false,
       .place = {host_.options.data_centre, host_.options.region},
+      .regions = RegionsOf(
+          *route, host_.deployment->FindWorkspace(job->submission.workspace)),
       .latest_on_time_start = queued->due,
       .latest_start = now + kPlacementRequestTtl,
       .avoided = {},
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -135,6 +135,7 @@
         deployment_(std::move(deployment)),
         route_(route),
         workspace_(std::move(workspace)),
+        regions_(RegionsOf(route, deployment_->FindWorkspace(workspace_))),
         content_(HashOf(exchange.Request(), workspace_)),
         service_(PickService(route, host.RandomUnit())),
         watch_(*host.callers, exchange),
@@ -157,6 +158,14 @@
   }
 
   auto Run() -> asio::awaitable<void> {
+    if (regions_.AllowsNone()) {
+      co_await Fail(NotRunFailure(error_code::kUnavailable,
+                                  "route \"" + route_.id.value +
+                                      "\" and workspace \"" + workspace_.value +
+                                      "\" have no allowed region in common",
+                                  "place request"));
+      co_return;
+    }
     while (MayBegin()) {
       auto placed = co_await NextPlace();
       if (watch_.is_disconnected()) {
@@ -226,6 +235,7 @@
         .takes_token = !has_token_,
         .is_retry = is_retry_ || attempts_ > 0,
         .place = {host_.options.data_centre, host_.options.region},
+        .regions = regions_,
         .latest_on_time_start = limits.latest_on_time_start,
         .latest_start = std::min(limits.latest_start, LatestStartBeforeStop()),
         .avoided = std::move(avoided),
@@ -551,6 +561,7 @@
   std::shared_ptr<const deployment_index> deployment_;  // Owns route_.
   const route_rule& route_;
   workspace_id workspace_;
+  region_bound regions_;  // Of the servers that may run the request.
   request_hash content_;
   service_id service_;
   caller_watch::entry watch_;
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -106,6 +106,10 @@
   }
   message.prompt_own = request.prompt.own.value;
   message.content = request.content.value_or(request_hash()).value;
+  message.is_region_bound = request.regions.IsBound();
+  for (const auto& region : request.regions.allowed()) {
+    message.regions.push_back(region.value);
+  }
   return message;
 }
 
@@ -122,6 +126,7 @@
       .takes_token = message.takes_token,
       .is_retry = message.returning,
       .place = {data_centre_id(message.data_centre), region_id(message.region)},
+      .regions = {},
       .latest_on_time_start = now + microseconds(message.start_by_us),
       .latest_start = now + microseconds(message.useless_after_us),
       .avoided = {},
@@ -138,6 +143,13 @@
   for (const auto part : message.prompt) {
     request.prompt.shared.emplace_back(part);
   }
+  if (message.is_region_bound) {
+    std::set<region_id> allowed;
+    for (const auto& region : message.regions) {
+      allowed.emplace(region);
+    }
+    request.regions = region_bound(std::move(allowed));
+  }
   return request;
 }
 
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -31,6 +31,24 @@
 /** A server that has said that it leaves ends within seconds. */
 constexpr std::chrono::minutes kLeavingNoteTtl{10};
 
+/** Logs regions of the declared state that are not among those of the settings.
+ * They still bind: nothing is served elsewhere instead. */
+auto LogUnknownRegions(host_state& host, const deployment& state) -> void {
+  std::set<region_id> known;
+  for (const auto& [data_centre, region] : host.options.data_centres) {
+    known.insert(region);
+  }
+  auto unknown = FindUnknownRegions(state, known);
+  host.feed.rejected_entries += unknown.size();
+  unknown.resize(std::min(unknown.size(), kMaxLogged));
+  for (const auto& found : unknown) {
+    LogEvent(log_level::kWarning, log_category::kConfig, "region_unknown",
+             {{"entry", found.entry},
+              {"region", found.region.value},
+              {"state_version", state.version.value}});
+  }
+}
+
 }  // namespace
 
 auto ApplyState(host_state& host, const std::string& text) -> bool {
@@ -60,6 +78,7 @@
               {"problem", problem.message},
               {"state_version", version.value}});
   }
+  LogUnknownRegions(host, decoded.value());
   std::set<route_id> routes;
   for (const auto& route : decoded->routes) {
     routes.insert(route.id);
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -379,6 +379,23 @@
   cr_assert_eq(caller.resume_after, 12);
 }
 
+// Guards against regions of a route or workspace that are lost in decoding, and
+// so do not bind.
+Test(adapter, allowed_regions_are_decoded) {
+  std::vector<failure> problems;
+  const auto state = adapter::DecodeState(
+      R"({"version":1,"routes":[{"host":"h","pathPrefix":"/p/",
+          "kind":"streaming","service":"s","allowedRegions":["east","west"]}],
+          "tenants":[{"name":"t1","allowedRegions":["west"]},
+                     {"name":"t2","allowedRegions":"west"}]})",
+      &problems);
+  cr_assert(state.has_value());
+  cr_assert_eq(state->routes[0].regions.size(), 2);
+  cr_assert(state->workspaces[0].regions.contains(region_id("west")));
+  cr_assert_eq(problems.size(), 1);
+  cr_assert(problems[0].message.find("allowedRegions") != std::string::npos);
+}
+
 // Guards against calls on jobs that are mixed up.
 Test(adapter, calls_on_jobs_are_distinguished) {
   http_request request;
--- a/tests/deployment_test.cc
+++ b/tests/deployment_test.cc
@@ -128,4 +128,37 @@
   cr_assert_eq(changes.present.size(), 1);
 }
 
+// Guards against a bound of the route or of the workspace that is ignored, and
+// against a request that may run anywhere because no region is allowed by both.
+Test(deployment, regions_of_route_and_workspace_both_bind) {
+  const region_id east("east");
+  const region_id west("west");
+  route_rule route;
+  workspace_rule workspace;
+  cr_assert_not(RegionsOf(route, &workspace).IsBound());
+  workspace.regions = {east};
+  cr_assert(RegionsOf(route, &workspace).Allows(east));
+  cr_assert_not(RegionsOf(route, &workspace).Allows(west));
+  cr_assert_not(RegionsOf(route, nullptr).IsBound());
+  route.regions = {east, west};
+  cr_assert_not(RegionsOf(route, &workspace).Allows(west));
+  cr_assert(RegionsOf(route, nullptr).Allows(west));
+  route.regions = {west};
+  cr_assert(RegionsOf(route, &workspace).AllowsNone());
+  cr_assert_not(RegionsOf(route, &workspace).Overlaps({}));
+}
+
+// Guards against a misspelled region that leaves a route without servers and
+// without a message.
+Test(deployment, unknown_regions_are_named_with_their_entries) {
+  auto state = State();
+  state.routes[1].regions = {region_id("east"), region_id("esat")};
+  state.workspaces[0].regions = {region_id("nowhere")};
+  const auto unknown = FindUnknownRegions(state, {region_id("east")});
+  cr_assert_eq(unknown.size(), 2);
+  cr_assert_eq(unknown[0].entry, "route \"long\"");
+  cr_assert_eq(unknown[0].region.value, "esat");
+  cr_assert_eq(unknown[1].entry, "workspace \"w\"");
+}
+
 }  // namespace dogwood::testing
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -56,6 +56,7 @@
           .takes_token = work == work_class::kOnline,
           .is_retry = false,
           .place = {data_centre_id("a"), region_id("east")},
+          .regions = {},
           .latest_on_time_start = now + milliseconds(200),
           .latest_start = now + seconds(5),
           .avoided = {},
