Take the dispatcher's queries and the codec of placement messages apart

Queries are in dispatch_query.cc now and the codec in hostd_placement_codec. The order of the queues is one function, IsAhead().

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -5,7 +5,7 @@
                 LIBS dogwood_core)
 dogwood_library(dispatch
                 SOURCES dispatch_cmd.cc dispatch_drain.cc dispatch_local.cc
-                        dispatch_quarantine.cc
+                        dispatch_quarantine.cc dispatch_query.cc
                         dispatch_return.cc dispatch_usage.cc
                         dispatch_wait.cc
                 LIBS dogwood_deployment)
@@ -23,6 +23,7 @@
                 SOURCES hostd_base.cc hostd_batch.cc hostd_batch_log.cc
                         hostd_batch_run.cc hostd_caller.cc
                         hostd_failover.cc hostd_feed.cc hostd_front.cc hostd_placement.cc
+                        hostd_placement_codec.cc
                         hostd_relay.cc hostd_reload.cc hostd_setting.cc hostd_state.cc
                         hostd_watch.cc
                 LIBS dogwood_platform_adapter dogwood_deployment
--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -189,6 +189,10 @@
   auto RefuseOverdue(std::list<placement_request>& queue, time_point now)
       -> void;
   auto ServeQueue(std::list<placement_request>& queue, time_point now) -> void;
+  /** Whether `a` comes before `b` in a queue. Retries come first: their callers
+   * have waited longest and give up after a second refusal. */
+  static auto IsAhead(const placement_request& a, const placement_request& b)
+      -> bool;
   auto Enqueue(std::list<placement_request>& queue, placement_request request)
       -> void;
   auto RetryTime(time_point now) -> time_point;
