Send hosts only the counts of used servers near them

With 295 hosts before 3,000 servers, callers in the second region were served late or not at all, and hosts answered 404 for existing routes.

Cause: the dispatcher sent the counts of all servers to each host each second, some 140 KB; 147 hosts in the other region got 20 MB/s of them, more than the link of 150 Mbit/s between the regions carries. Declared states, placement and answers waited behind them.

Hosts now get the servers with slots in use, the nearest first, 200 at most; those that are missing are free.

--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -105,8 +105,10 @@
       -> double {
     return limits_.Used(workspace, now);
   }
-  /** Slots in use on each server. */
-  auto Counts() const -> std::vector<server_count>;
+  /** Returns the slots in use on the servers that have any, the nearest to
+   * `place` first, `max_rows` servers at most. */
+  auto CountsNear(const host_location& place, std::size_t max_rows) const
+      -> std::vector<server_count>;
   /** External load of all servers, as reported by them. */
   auto ExternalCount(time_point now) const -> std::size_t;
   /** Queued requests of a class. */
--- a/src/dispatch_local.cc
+++ b/src/dispatch_local.cc
@@ -50,6 +50,9 @@
 
 auto local_placement::SetCounts(const std::vector<server_count>& counts,
                                 time_point until) -> void {
+  for (auto& [id, r] : rows_) {
+    r.others = 0;
+  }
   for (const auto& entry : counts) {
     const auto found = rows_.find(entry.server);
     if (found != rows_.end()) {
--- a/src/dispatch_local.h
+++ b/src/dispatch_local.h
@@ -26,8 +26,8 @@
   /** Sets the number of hosts that share each limit; a large number is assumed
    * until then. */
   auto SetHostCount(std::size_t hosts) -> void;
-  /** Stores the dispatcher's latest counts. They are used until `until` only,
-   * since they become outdated. */
+  /** Stores the dispatcher's latest counts; servers that are not listed are
+   * free. They are used until `until` only, since they become outdated. */
   auto SetCounts(const std::vector<server_count>& counts, time_point until)
       -> void;
   /** Defers batch work until then, since a dispatcher is expected by that time.
--- a/src/dispatch_query.cc
+++ b/src/dispatch_query.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <iterator>
 #include <tuple>
@@ -7,6 +8,12 @@
 #include "src/dispatch_base.h"
 
 namespace dogwood {
+namespace {
+
+/** Number of distance classes, see dispatcher::TierOf(). */
+constexpr std::size_t kTiers = 3;
+
+}  // namespace
 
 auto dispatcher::TierOf(const server_row& row, const host_location& place) const
     -> int {
@@ -155,10 +162,21 @@
                              found->second.upper_bound(end));
 }
 
-auto dispatcher::Counts() const -> std::vector<server_count> {
-  std::vector<server_count> counts;
+auto dispatcher::CountsNear(const host_location& place,
+                            std::size_t max_rows) const
+    -> std::vector<server_count> {
+  std::array<std::vector<server_count>, kTiers> by_tier;
   for (const auto& [id, row] : servers_) {
-    counts.push_back({id, row.used});
+    auto& tier = by_tier[TierOf(row, place)];
+    if (row.used > 0 && tier.size() < max_rows) {
+      tier.push_back({id, row.used});
+    }
+  }
+  std::vector<server_count> counts;
+  for (auto& tier : by_tier) {
+    const auto room = std::min(tier.size(), max_rows - counts.size());
+    counts.insert(counts.end(), tier.begin(),
+                  tier.begin() + static_cast<std::ptrdiff_t>(room));
   }
   return counts;
 }
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -68,6 +68,9 @@
  * be most of what the dispatcher sends. */
 constexpr std::chrono::seconds kCountsTtl{2};
 constexpr milliseconds kCountsInterval{1000};
+/** Most servers whose counts a host gets. With 3,000 servers, their counts for
+ * 150 hosts in the other region filled a link of 150 Mbit/s. */
+constexpr std::size_t kMaxCountRows = 200;
 /** Validity of a host's report of waiting tokens. It exceeds the time until the
  * partitions of a lost host are loaded and counted by others: the lifetime of a
  * membership and one renewal. */
@@ -111,6 +114,14 @@
                          : limit_rate{rule->rate_per_s, rule->burst};
 }
 
+auto placement_service::LocationOf(const data_centre_id& data_centre) const
+    -> host_location {
+  const auto found = host_.options.data_centres.find(data_centre);
+  return {data_centre, found == host_.options.data_centres.end()
+                           ? region_id()
+                           : found->second};
+}
+
 auto placement_service::HasDispatcher() const -> bool {
   return !active_.name.empty() &&
          (active_.address.empty() || clock::now() < active_.valid_until);
@@ -583,10 +594,9 @@
     }
     reply = std::move(*held);
   }
-  const auto counts = DecodeCounts(reply.loads);
   const auto answered = clock::now();
-  if (!counts.empty()) {
-    local_.SetCounts(counts, answered + kCountsTtl);
+  if (reply.has_loads) {
+    local_.SetCounts(DecodeCounts(reply.loads), answered + kCountsTtl);
     counts_due_ = now + kCountsInterval;
   }
   const dispatcher_term term(reply.term);
@@ -712,7 +722,11 @@
     }
   }
   if (request.wants_loads) {
-    reply.loads = EncodeCounts(dispatcher_.Counts());
+    const auto member = ParseMember(request.host);
+    const auto place =
+        member ? LocationOf(member->data_centre) : host_location();
+    reply.loads = EncodeCounts(dispatcher_.CountsNear(place, kMaxCountRows));
+    reply.has_loads = true;
   }
   return reply;
 }
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -144,6 +144,7 @@
   /** Returns the loads that servers have reported since the previous report. */
   auto ReportedLoads(time_point now) const -> std::vector<server_count>;
   auto RateOf(const workspace_id& workspace) const -> limit_rate;
+  auto LocationOf(const data_centre_id& data_centre) const -> host_location;
   /** Stops deciding for a while if this process was paused for so long that
    * another dispatcher may have taken over. */
   auto CheckForPause(time_point now) -> void;
--- a/tests/dispatch_local_test.cc
+++ b/tests/dispatch_local_test.cc
@@ -90,4 +90,20 @@
   }
 }
 
+// Guards against servers that seem full for ever, since the dispatcher no
+// longer lists those that nobody uses.
+Test(dispatch_local, servers_missing_from_the_counts_are_free) {
+  local_placement local(0.5, 1);
+  local.SetServers(Servers(1), Regions());
+  const auto is_granted = [&local](std::uint64_t ticket) {
+    const auto request = MakeRequest(ticket, work_class::kOnline, Begin());
+    return local.RequestSlot(request, {}, Begin()).verdict ==
+           placement_verdict::kGranted;
+  };
+  local.SetCounts({{server_id("s0"), kSlots + 2}}, Begin() + seconds(1));
+  cr_assert_not(is_granted(1));
+  local.SetCounts({}, Begin() + seconds(2));
+  cr_assert(is_granted(2));
+}
+
 }  // namespace dogwood::testing
--- a/tests/dispatch_region_test.cc
+++ b/tests/dispatch_region_test.cc
@@ -129,6 +129,28 @@
   cr_assert(answer && answer->verdict == placement_verdict::kNoServer);
 }
 
+// Guards against counts of all servers for every host, which filled the link
+// between regions: hosts get those in use, the nearest first, and no more than
+// they need.
+Test(dispatch_region, hosts_get_the_counts_of_used_servers_near_them) {
+  auto d = MakeReadyDispatcher(100);
+  for (std::uint64_t i = 1; i <= 60; ++i) {
+    auto request = MakeRequest(i, work_class::kOnline, Begin());
+    request.regions = BoundTo(i % 2 == 0 ? "west" : "east");
+    cr_assert(Place(d, request, Begin()).has_value());
+  }
+  const host_location west{data_centre_id("b"), region_id("west")};
+  const auto all = d.CountsNear(west, 200);
+  cr_assert_eq(all.size(), 60);
+  cr_assert(std::all_of(all.begin(), all.begin() + 30,
+                        [](const auto& row) { return IsWest(row.server); }));
+  cr_assert_not(IsWest(all.back().server));
+  const auto some = d.CountsNear(west, 40);
+  cr_assert_eq(some.size(), 40);
+  cr_assert(IsWest(some[29].server));
+  cr_assert_not(IsWest(some[30].server));
+}
+
 // Guards against a host without dispatcher that sends requests out of their
 // regions.
 Test(dispatch_region, hosts_alone_keep_to_the_regions) {
