Read from the settings what a deployment has asked for

Parts of a product that only some deployments ask for need a switch that all hosts share from their start. The setting `contracts` lists the parts of the platform's contract in force; platform/feature_codec maps them to features. Nothing uses them yet.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -14,7 +14,7 @@
                 LIBS dogwood_job dogwood_http)
 dogwood_library(fleet SOURCES fleet_func.cc LIBS dogwood_batch)
 add_library(dogwood_platform_adapter STATIC
-            platform/batch_codec.cc platform/field_reader.cc
+            platform/batch_codec.cc platform/feature_codec.cc platform/field_reader.cc
             platform/request_codec.cc platform/state_codec.cc
             platform/store_client.cc)
 target_link_libraries(dogwood_platform_adapter PUBLIC dogwood_proxy dogwood_http
--- a/src/deployment_type.h
+++ b/src/deployment_type.h
@@ -83,6 +83,14 @@
   std::chrono::milliseconds idle_timeout{60000};   ///< Between requests.
 };
 
+/** What a deployment has asked for beyond what all have. */
+struct deployment_features {
+  /** Batch jobs are held only in the regions that they are bound to. */
+  bool regional_jobs = false;
+  /** Placement learns how fast each server is. */
+  bool learns_speed = false;
+};
+
 /** A complete declared state. */
 struct deployment {
   state_version version;                   ///< A larger version is newer.
--- a/src/hostd_setting.cc
+++ b/src/hostd_setting.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <utility>
 
+#include "platform/adapter.h"
 #include "src/net.h"
 
 namespace dogwood {
@@ -29,6 +30,14 @@
                 .unit = "data_centre=region",
                 .fallback = "[]",
                 .doc = "Every data centre with its region."},
+    setting_row{.name = "contracts",
+                .kind = setting_kind::kTextList,
+                .unit = "",
+                .fallback = "[]",
+                .doc = "Parts of the platform's contract that are in force. "
+                       "`places`: batch jobs are held only in the regions that "
+                       "they are bound to. `pressure`: placement learns how "
+                       "fast each server is. Others are ignored."},
     setting_row{.name = "front_address",
                 .kind = setting_kind::kText,
                 .unit = "ip:port",
@@ -198,6 +207,7 @@
   options.host = host_id(values.Text("host"));
   options.data_centre = data_centre_id(values.Text("data_centre"));
   options.region = region_id(values.Text("region"));
+  options.features = adapter::DecodeFeatures(values.TextList("contracts"));
   options.peers = values.TextList("peers");
   options.secret = values.Text("secret");
   options.log_levels = values.Text("log_levels");
--- a/src/hostd_setting.h
+++ b/src/hostd_setting.h
@@ -31,10 +31,11 @@
   boost::asio::ip::tcp::endpoint link;  ///< Listens for links of other hosts.
   boost::asio::ip::tcp::endpoint metrics;  ///< Serves metrics.
   boost::asio::ip::tcp::endpoint store;    ///< Address of the platform's store.
-  std::vector<std::string> peers;          ///< Link addresses of some hosts.
-  std::string secret;                      ///< Shared secret of the links.
-  std::string log_levels;                  ///< See StartLog().
-  double processor_share = 0;              ///< Cores available to the host.
+  deployment_features features;    ///< What the deployment has asked for.
+  std::vector<std::string> peers;  ///< Link addresses of some hosts.
+  std::string secret;              ///< Shared secret of the links.
+  std::string log_levels;          ///< See StartLog().
+  double processor_share = 0;      ///< Cores available to the host.
   std::uint32_t partitions_per_topic = 1;  ///< Partitions of each topic.
   append_limits store_limits;              ///< Sizes that the store accepts.
   /** Lifetime of a membership without renewal. */
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -396,6 +396,16 @@
   cr_assert(problems[0].message.find("allowedRegions") != std::string::npos);
 }
 
+// Guards against features that take effect where nobody has asked for them.
+Test(adapter, features_follow_from_the_contract) {
+  cr_assert_not(adapter::DecodeFeatures({}).regional_jobs);
+  cr_assert_not(adapter::DecodeFeatures({"base", "batch"}).learns_speed);
+  const auto features = adapter::DecodeFeatures({"base", "places"});
+  cr_assert(features.regional_jobs);
+  cr_assert_not(features.learns_speed);
+  cr_assert(adapter::DecodeFeatures({"pressure"}).learns_speed);
+}
+
 // Guards against calls on jobs that are mixed up.
 Test(adapter, calls_on_jobs_are_distinguished) {
   http_request request;
