Read the owners again until partitions have settled

With 300 hosts before 3,000 servers and 30 Mbit/s between the regions, hosts of the second region served nobody: each call of theirs to the store and to the dispatcher timed out, from 1.5 s after the start on.

Cause: the store's generation counts members that come and go, but partitions change hands up to two renewals later. When all hosts start at once the first one owns all partitions until then, and each host read the owners before that and not again: its view had one member, so it took the fleet for a small one and followed the store itself. 100 hosts that each read 2,500 heartbeats a second filled the link for good.

Owners are read again at each renewal for a membership's life after the generation or the host's own share has changed, and views of one generation with other owners are passed on between hosts. While a view shows a single other member, a host that may be in a large fleet gives the others time to be listed before it reads the store itself.

--- a/src/fleet_func.cc
+++ b/src/fleet_func.cc
@@ -129,6 +129,17 @@
   return view;
 }
 
+auto HashOf(const fleet_view& view) -> std::uint64_t {
+  std::string text;
+  for (const auto& member : view.members) {
+    text += member.name + "\n";
+  }
+  for (const auto owner : view.owners) {
+    text += std::to_string(owner) + ",";
+  }
+  return StableHash(text);
+}
+
 auto DispatcherOf(const fleet_view& view,
                   const std::map<data_centre_id, region_id>& regions)
     -> const fleet_member* {
@@ -157,6 +168,10 @@
   return owned * kMaxDirectReaders * data_centres >= all;
 }
 
+auto IsProvisional(const fleet_view& view, const fleet_member& self) -> bool {
+  return view.members.size() == 1 && view.members.front().name != self.name;
+}
+
 auto ReadOrderOf(const fleet_view& view, const fleet_member& self)
     -> std::vector<fleet_member> {
   std::vector<fleet_member> near;
--- a/src/fleet_func.h
+++ b/src/fleet_func.h
@@ -44,6 +44,9 @@
                std::span<const partition_owner_row> rows,
                std::uint32_t per_topic) -> fleet_view;
 
+/** Returns a hash of the members and owners of a view. */
+auto HashOf(const fleet_view& view) -> std::uint64_t;
+
 /** Returns the member that runs the dispatcher: the one with the most cores,
  * among equal ones in the region with the most members. The choice depends on
  * the view only, so hosts with the same view agree. Nullptr if there are no
@@ -65,6 +68,10 @@
                            std::uint32_t per_topic,
                            std::size_t data_centres) -> bool;
 
+/** Whether a view may show a small part of the members: a single host owns all
+ * partitions, as the first one does until it gives them up to the others. */
+auto IsProvisional(const fleet_view& view, const fleet_member& self) -> bool;
+
 /** Returns the members from which `self` gets the declared state and the
  * registrations, in order of preference; empty if it reads the store itself.
  *
--- a/src/fleet_type.h
+++ b/src/fleet_type.h
@@ -17,6 +17,8 @@
   std::string ip;    ///< IP address; ports are the same on all hosts.
   data_centre_id data_centre;
   double processor_share = 0;  ///< Processor cores; may be fractional.
+
+  auto operator==(const fleet_member&) const -> bool = default;
 };
 
 /** Members and partition owners at one generation of the group. */
@@ -43,6 +45,7 @@
     }
     return nullptr;
   }
+  auto operator==(const fleet_view&) const -> bool = default;
 };
 
 }  // namespace dogwood
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -139,6 +139,8 @@
   std::uint64_t process;      ///< Identifies this run of the process to others.
   fleet_view view;            ///< Newest view of the members.
   time_point view_confirmed;  ///< When the store last confirmed the view.
+  std::uint64_t view_hash = 0;  ///< HashOf() the view.
+  time_point view_read;         ///< When its owners were read from the store.
   /** End of the membership lease: until then the store gives this host's
    * partitions to no other. */
   time_point member_until;
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -48,6 +48,16 @@
  * two calls to the store, but when all hosts start at once its queue of new
  * connections may be full, and a connection takes a second. */
 constexpr milliseconds kViewTimeout{1500};
+/** A host that sees a single member, and not itself, waits this much longer for
+ * each member that may have come before it reads the store itself. The first
+ * members give up partitions 1.3 s after a start of all hosts; 100 hosts that
+ * read the registrations of 3,000 servers until then fill a link of 30 Mbit/s.
+ */
+constexpr milliseconds kDelayPerMember{8};
+constexpr std::uint64_t kMaxCountedMembers = 300;
+/** Largest error of the time at which another host read the owners, as computed
+ * from the age that it tells. */
+constexpr milliseconds kMaxReadTimeError{50};
 /** One in this many queries for want of a store goes to any region. */
 constexpr unsigned kRegionRounds = 4;
 
@@ -222,6 +232,15 @@
   unsigned failures_ = 0;          // Since a source was followed.
 };
 
+/** Whether this host has a newer view of the members than the request, or one
+ * of the same generation with other owners. */
+auto HasOtherView(const host_state& host, const wire::view_requestT& request)
+    -> bool {
+  return host.view.generation > request.generation ||
+         (host.view.generation == request.generation &&
+          host.view_hash != request.view_hash);
+}
+
 /** Whether this host knows something that the request does not. */
 auto HasNews(const host_state& host, const wire::view_requestT& request)
     -> bool {
@@ -229,7 +248,7 @@
   const auto known = is_same_source ? request.revision : 0;
   return (host.deployment != nullptr &&
           host.deployment->state().version.value > request.state_version) ||
-         host.view.generation > request.generation ||
+         HasOtherView(host, request) ||
          (host.servers_known &&
           (!is_same_source ||
            host.registrations->journal().revision() != known));
@@ -276,11 +295,16 @@
   host.registrations->Publish();
 }
 
-/** Returns the view of the members in an answer; nothing if it has none that is
- * newer and readable. */
-auto NewerView(const host_state& host, const wire::view_replyT& reply)
-    -> std::optional<fleet_view> {
-  if (reply.generation <= host.view.generation || reply.members.empty()) {
+/** Returns the view of the members in an answer, whose owners were read at
+ * `read`; nothing if it has none that is newer and readable. Partitions may
+ * change hands within one generation. */
+auto NewerView(const host_state& host,
+               const wire::view_replyT& reply,
+               time_point read) -> std::optional<fleet_view> {
+  const bool is_newer = reply.generation > host.view.generation ||
+                        (reply.generation == host.view.generation &&
+                         read > host.view_read + kMaxReadTimeError);
+  if (!is_newer || reply.members.empty()) {
     return std::nullopt;
   }
   fleet_view view;
@@ -306,6 +330,7 @@
   request.state_version =
       host.deployment == nullptr ? 0 : host.deployment->state().version.value;
   request.generation = host.view.generation;
+  request.view_hash = host.view_hash;
   request.source = cursor.source;
   const bool is_valid = cursor.reached == host.server_feed.reached;
   request.revision = is_valid ? cursor.revision : 0;
@@ -316,6 +341,14 @@
   if (host.view.members.empty()) {
     return host.is_small_fleet || now >= host.started + kViewTimeout;
   }
+  if (IsProvisional(host.view, host.self)) {
+    // The generation counts the members that have come, so it bounds their
+    // number: in a large fleet the others become known before this is over.
+    const milliseconds delay =
+        std::min<std::uint64_t>(host.view.generation, kMaxCountedMembers) *
+        kDelayPerMember;
+    return now >= host.started + delay;
+  }
   return host.feed_sources.empty() ||
          now >= StandInTime(host, host.feed_stand_ins.size());
 }
@@ -372,8 +405,12 @@
               {"complete", reply.is_complete},
               {"changes", reply.servers.size() + reply.removed.size()}});
   }
-  if (auto view = NewerView(host, reply)) {
-    ApplyView(host, std::move(*view));
+  const auto owners_read = TimeBefore(now, reply.owners_age_us);
+  if (auto view = NewerView(host, reply, owners_read)) {
+    if (*view != host.view) {
+      ApplyView(host, std::move(*view));
+    }
+    host.view_read = owners_read;
   }
   if (reply.generation == host.view.generation) {
     host.view_confirmed =
@@ -403,7 +440,8 @@
   wire::view_replyT reply;
   reply.generation = host.view.generation;
   reply.view_age_us = Micros(now - host.view_confirmed);
-  if (host.view.generation > request.generation) {
+  reply.owners_age_us = Micros(now - host.view_read);
+  if (HasOtherView(host, request)) {
     reply.owners = host.view.owners;
     for (const auto& member : host.view.members) {
       reply.members.push_back(member.name);
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -111,6 +111,7 @@
   LogEvent(log_level::kInfo, log_category::kMember, "members_changed",
            {{"generation", view.generation}, {"members", view.members.size()}});
   host.view = std::move(view);
+  host.view_hash = HashOf(host.view);
   std::set<partition_id> owned;
   for (std::uint32_t i = 0; i < host.view.owners.size(); ++i) {
     const auto* owner = host.view.OwnerOf(partition_id(i));
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -147,6 +147,7 @@
   adapter::store_client client(host.options.store);
   const group_member self{std::string(kGroup), host.self.name};
   const auto topics = GroupTopics();
+  owner_reads reads(host.options.member_life);
   std::uint64_t generation = 0;
   while (!host.draining) {
     const auto sent = clock::now();
@@ -166,14 +167,16 @@
       host.is_small_fleet = true;
       host.feed_changed.Notify();
     }
-    // A newer view comes from this host's sources, if it has any. One that is
-    // older than what the store confirmed before this call is a new count.
-    const bool is_newer =
-        generation > host.view.generation &&
-        (host.view.members.empty() || ReadsStore(host, clock::now()));
-    const bool is_new_count =
-        generation < host.view.generation && sent > host.view_confirmed;
-    if (is_newer || is_new_count) {
+    reads.RecordJoin(generation, share->partitions.size(), sent);
+    const bool is_overtaken =
+        generation < host.view.generation && sent <= host.view_confirmed;
+    const auto read_at = clock::now();
+    // Hosts with sources get newer views from them.
+    const bool reads_owners = host.view.members.empty() ||
+                              ReadsStore(host, read_at) ||
+                              IsProvisional(host.view, host.self);
+    if (!is_overtaken &&
+        reads.IsDue(host.view.generation, reads_owners, read_at)) {
       auto owners = co_await client.Owners(std::string(kGroup),
                                            clock::now() + kCallTimeout);
       RecordCall(host, owners);
@@ -183,8 +186,12 @@
         co_await Sleep(kCallBackoff);
         continue;
       }
-      ApplyView(host, BuildView(generation, owners.value(),
-                                host.options.partitions_per_topic));
+      auto view = BuildView(generation, owners.value(),
+                            host.options.partitions_per_topic);
+      if (view != host.view) {
+        ApplyView(host, std::move(view));
+      }
+      host.view_read = read_at;
     }
     if (generation == host.view.generation) {
       host.view_confirmed = clock::now();
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -189,4 +189,45 @@
   cr_assert_not(OwnsShareOfSmallFleet(0, kPartitionsPerTopic, 3));
 }
 
+// Guards against a host that takes the first member for the only one for good,
+// since the partitions change hands without a further generation. Load: all
+// hosts of a large fleet start at once.
+Test(fleet, owners_are_read_again_until_partitions_have_settled) {
+  using std::chrono::milliseconds;
+  const auto begin = time_point() + std::chrono::seconds(100);
+  owner_reads reads(milliseconds(2000));
+  reads.RecordJoin(143, 0, begin);
+  cr_assert(reads.IsDue(0, true, begin));
+  cr_assert_not(reads.IsDue(143, true, begin));
+  reads.RecordJoin(300, 0, begin + milliseconds(670));
+  cr_assert(reads.IsDue(143, true, begin + milliseconds(670)));
+  // The first member has given up partitions.
+  const auto handed_over = begin + milliseconds(1340);
+  reads.RecordJoin(300, 1, handed_over);
+  cr_assert(reads.IsDue(300, true, handed_over));
+  cr_assert(reads.IsDue(300, true, handed_over + milliseconds(1340)));
+  cr_assert_not(reads.IsDue(300, true, handed_over + milliseconds(2010)));
+  // Others tell it.
+  cr_assert_not(reads.IsDue(300, false, handed_over));
+  // The store counts anew.
+  reads.RecordJoin(5, 1, handed_over + milliseconds(5000));
+  cr_assert(reads.IsDue(300, false, handed_over + milliseconds(5000)));
+}
+
+// Guards against every host of a large fleet reading the store, because the
+// view shows one member only.
+Test(fleet, a_view_of_one_other_member_is_provisional) {
+  fleet_member self;
+  self.name = "10.0.0.1|a|500";
+  fleet_member other;
+  other.name = "10.0.0.2|a|500";
+  fleet_view view;
+  cr_assert_not(IsProvisional(view, self));
+  view.members = {other};
+  cr_assert(IsProvisional(view, self));
+  cr_assert_not(IsProvisional(view, other));
+  view.members = {other, self};
+  cr_assert_not(IsProvisional(view, self));
+}
+
 }  // namespace dogwood::testing
