Let few hosts of a data centre ask other regions for want of a store

While the store did not answer, one in four queries of each host went to any region, and each such answer holds all registrations: 800 KB with 3,000 servers. 100 hosts that ask so three times a second keep the link between the regions full, so that the store stays away for them.

In a data centre with readers, only these and the first two stand-ins ask other regions; the others get it from hosts of their region.

--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -58,6 +58,10 @@
 /** Largest error of the time at which another host read the owners, as computed
  * from the age that it tells. */
 constexpr milliseconds kMaxReadTimeError{50};
+/** In a data centre with readers, only these and as many stand-ins ask other
+ * regions: an answer holds all registrations, and the others get them nearby.
+ */
+constexpr std::size_t kFarStandIns = 2;
 /** One in this many queries for want of a store goes to any region. */
 constexpr unsigned kRegionRounds = 4;
 
@@ -134,8 +138,13 @@
       near.push_back(host.LinkAddressOf(member));
     }
   }
+  const bool may_ask_far = host.feed_sources.empty() ||
+                           host.feed_stand_ins.empty() ||
+                           host.feed_stand_ins.size() < kFarStandIns;
   const auto addresses =
-      near.empty() || round % kRegionRounds == 0 ? PeerAddresses(host) : near;
+      near.empty() || (may_ask_far && round % kRegionRounds == 0)
+          ? PeerAddresses(host)
+          : near;
   return addresses.empty() ? std::string()
                            : addresses[host.random() % addresses.size()];
 }
