--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -80,7 +80,7 @@
                   adapter::store_client& client,
                   const log_partition& where,
                   T& follower) -> asio::awaitable<bool> {
-  auto snapshot = co_await client.Newest(where, clock::now() + kCallTimeout);
+  auto snapshot = co_await client.Newest(where, kCallTimeout);
   RecordCall(host, snapshot);
   if (!snapshot) {
     LogFailedRead(where, snapshot.error());
