Decode the keys of evacuations

An operator asks for the evacuation of a data centre by a record with a key of its own in the topic of the declared state. DecodeEvacuationKey() returns the data centre. A key that names none is ignored: servers whose registrations lack a data centre have the empty name, and would all be hit.

--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -519,6 +519,18 @@
   cr_assert_not(adapter::SplitKeyedRecord("").has_value());
 }
 
+// Guards against evacuations that are taken for other records of their topic,
+// and against one that names no data centre and hits servers without one.
+Test(adapter, keys_of_evacuations_name_a_data_centre) {
+  const auto decoded = adapter::DecodeEvacuationKey("evacuate/east-a");
+  cr_assert_eq(decoded->value, "east-a");
+  cr_assert_eq(adapter::DecodeEvacuationKey("evacuate/a/b")->value, "a/b");
+  for (const auto* key : {"config", "evacuate", "evacuate/", "Evacuate/east-a",
+                          "x/evacuate/east-a", ""}) {
+    cr_assert_not(adapter::DecodeEvacuationKey(key).has_value());
+  }
+}
+
 // Guards against a Retry-After that callers cannot parse.
 Test(adapter, retry_after_has_fractions) {
   http_headers fields;
