Add the table of evacuated data centres

Hosts need the set of evacuated data centres, since when each is evacuated, and a revision by which others notice changes. evacuation_table keeps them; it has no clock.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -1,6 +1,6 @@
 # dogwood_hostd, the process for the users' platform, and the libraries that
 # only it uses.
-dogwood_library(deployment SOURCES deployment_journal.cc deployment_query.cc
+dogwood_library(deployment SOURCES deployment_evacuation.cc deployment_journal.cc deployment_query.cc
                 deployment_region.cc
                 LIBS dogwood_core)
 dogwood_library(dispatch
@@ -32,6 +32,7 @@
 dogwood_binary(dogwood_hostd SOURCES src/hostd_main.cc
                LIBS dogwood_hostd_lib dogwood_daemon)
 dogwood_test(deployment dogwood_deployment)
+dogwood_test(deployment_evacuation dogwood_deployment)
 dogwood_test(dispatch dogwood_dispatch)
 dogwood_test(dispatch_local dogwood_dispatch)
 dogwood_test(dispatch_quarantine dogwood_dispatch)
--- a/src/deployment.h
+++ b/src/deployment.h
@@ -2,6 +2,7 @@
 #ifndef SRC_DEPLOYMENT_H_
 #define SRC_DEPLOYMENT_H_
 
+#include "src/deployment_evacuation.h"
 #include "src/deployment_journal.h"
 #include "src/deployment_query.h"
 #include "src/deployment_region.h"
