Send nothing more to servers of evacuated data centres

ServersChanged() passes the servers of these data centres on as leaving, so the dispatcher, local placement and the host's own check of a grant keep requests away, and what runs there ends. Each change is logged (evacuation_begins, evacuation_ends, evacuation_unknown), and dogwood_data_centres_evacuated counts the data centres that the settings name.

--- a/src/ctl_explain.cc
+++ b/src/ctl_explain.cc
@@ -16,8 +16,8 @@
 namespace {
 
 /** Events that update the state on which a host bases its decisions. */
-constexpr std::array<std::string_view, 2> kContextEvents{"state_applied",
-                                                         "members_changed"};
+constexpr std::array<std::string_view, 4> kContextEvents{
+    "state_applied", "members_changed", "evacuation_begins", "evacuation_ends"};
 /** Steps of general log lines that report such an update. */
 constexpr std::array<std::string_view, 5> kContextSteps{
     "choose dispatcher", "report slots", "call store", "start", "stop"};
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -112,6 +112,8 @@
   std::unique_ptr<registration_table> registrations;
   /** Decoded registrations of usable servers. */
   std::map<server_id, registered_server> servers;
+  /** Data centres whose servers get nothing more, as of `state_feed`. */
+  evacuation_table evacuations;
   /** Set once the registrations have been read completely. */
   bool servers_known = false;
   time_point started;  ///< Start time of the process.
--- a/src/hostd_follow.h
+++ b/src/hostd_follow.h
@@ -30,13 +30,20 @@
   auto Position() -> feed_position& { return host_.state_feed; }
   auto HandleGap(time_point) -> void {}
   auto HandleSnapshot(const store_snapshot& snapshot) -> void {
-    HandleRecords(snapshot.records);
+    Apply(EvacuatedAfter({}, snapshot.records), snapshot.records);
   }
   auto HandleRecords(const std::vector<keyed_record>& records) -> void {
-    ApplyNewestState(host_, records);
+    Apply(EvacuatedAfter(host_.evacuations.All(), records), records);
   }
 
  private:
+  auto Apply(const data_centre_set& evacuated,
+             const std::vector<keyed_record>& records) -> void {
+    // Before the state, which may make this host ready for callers.
+    ApplyEvacuations(host_, evacuated, host_.state_feed.reached);
+    ApplyNewestState(host_, records);
+  }
+
   host_state& host_;
 };
 
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -94,6 +94,7 @@
          {"dogwood_partitions_owned", count(host.owned.size())},
          {"dogwood_members", count(host.view.members.size())},
          {"dogwood_servers", count(host.servers.size())},
+         {"dogwood_data_centres_evacuated", count(EvacuatedCount(host))},
          {"dogwood_state_version",
           host.deployment == nullptr
               ? 0
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -378,7 +378,9 @@
 auto placement_service::ServersChanged() -> void {
   std::vector<registered_server> servers;
   for (const auto& [id, server] : host_.servers) {
-    servers.push_back(server);
+    auto& added = servers.emplace_back(server);
+    added.leaving =
+        server.leaving || host_.evacuations.Contains(server.data_centre);
   }
   std::erase_if(reported_loads_, [this](const auto& entry) {
     return !host_.servers.contains(entry.first);
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -57,7 +57,8 @@
   /** Records the load that a server has reported in an answer. */
   auto RecordLoad(const server_id& server, const reported_load& load) -> void;
 
-  /** Applies changed registrations of servers. */
+  /** Applies changed registrations of servers and changed evacuations: a server
+   * of an evacuated data centre gets nothing new, like one that leaves. */
   auto ServersChanged() -> void;
   /** Applies a changed view of the members, which may choose another
    * dispatcher. */
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -107,6 +107,57 @@
   }
 }
 
+auto EvacuatedAfter(data_centre_set evacuated,
+                    const std::vector<keyed_record>& records)
+    -> data_centre_set {
+  for (const auto& record : records) {
+    const auto data_centre = adapter::DecodeEvacuationKey(record.key);
+    if (!data_centre) {
+      continue;
+    }
+    // The presence of a record counts, not what its value says.
+    if (record.value && !record.value->empty()) {
+      evacuated.insert(*data_centre);
+    } else {
+      evacuated.erase(*data_centre);
+    }
+  }
+  return evacuated;
+}
+
+auto ApplyEvacuations(host_state& host,
+                      const data_centre_set& evacuated,
+                      log_offset position) -> void {
+  const auto changes = host.evacuations.Replace(evacuated, clock::now());
+  if (changes.IsEmpty()) {
+    return;
+  }
+  const auto log = [&](std::string_view event,
+                       const data_centre_id& data_centre) {
+    LogEvent(
+        log_level::kInfo, log_category::kConfig, event,
+        {{"data_centre", data_centre.value}, {"position", position.value}});
+  };
+  for (const auto& data_centre : changes.begun) {
+    const bool is_known = host.options.data_centres.contains(data_centre);
+    log(is_known ? "evacuation_begins" : "evacuation_unknown", data_centre);
+  }
+  for (const auto& data_centre : changes.ended) {
+    if (host.options.data_centres.contains(data_centre)) {
+      log("evacuation_ends", data_centre);
+    }
+  }
+  host.placement->ServersChanged();
+  host.feed_changed.Notify();
+}
+
+auto EvacuatedCount(const host_state& host) -> std::size_t {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      host.evacuations.since(), [&host](const auto& entry) {
+        return host.options.data_centres.contains(entry.first);
+      }));
+}
+
 auto ApplyView(host_state& host, fleet_view view) -> void {
   LogEvent(log_level::kInfo, log_category::kMember, "members_changed",
            {{"generation", view.generation}, {"members", view.members.size()}});
--- a/src/hostd_state.h
+++ b/src/hostd_state.h
@@ -26,6 +26,21 @@
 auto ApplyNewestState(host_state& host,
                       const std::vector<keyed_record>& records) -> void;
 
+/** Returns the data centres that are evacuated after `records`, given those
+ * that were before them. */
+auto EvacuatedAfter(data_centre_set evacuated,
+                    const std::vector<keyed_record>& records)
+    -> data_centre_set;
+
+/** Makes `evacuated` the evacuated data centres, as of `position` in the log of
+ * the declared state. */
+auto ApplyEvacuations(host_state& host,
+                      const data_centre_set& evacuated,
+                      log_offset position) -> void;
+
+/** Returns the number of evacuated data centres that the settings name. */
+auto EvacuatedCount(const host_state& host) -> std::size_t;
+
 /** Applies a view of the members: partitions, dispatcher and feed sources. */
 auto ApplyView(host_state& host, fleet_view view) -> void;
 
