Pass evacuations on between hosts

Most hosts of a large data centre do not read the store, and a host that starts while the store is away learns all from others. Each answer to a query lists the evacuated data centres with the position in the log that it already carries. It is applied only beyond the host's own position; a host without a position adds those of another one without. A held query ends when the set changes. Without evacuations the new fields are empty and are not encoded.

--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -230,6 +230,8 @@
   return (host.deployment != nullptr &&
           host.deployment->state().version.value > request.state_version) ||
          host.view.generation > request.generation ||
+         (is_same_source &&
+          host.evacuations.revision() != request.evacuation_revision) ||
          (host.servers_known &&
           (!is_same_source ||
            host.registrations->journal().revision() != known));
@@ -276,6 +278,27 @@
   host.registrations->Publish();
 }
 
+/** Applies the evacuations of an answer. Those of an older position, or of the
+ * same one, change nothing: this host may know a newer record. */
+auto ApplyEvacuations(host_state& host, const wire::view_replyT& reply)
+    -> void {
+  const log_offset next(reply.state_next);
+  const auto reached = host.state_feed.reached;
+  const bool is_newer = reply.has_state && next > reached;
+  // A host that has lost its position still knows evacuations. They are better
+  // than none, but it cannot say that there are no others.
+  const bool is_without_position =
+      next == log_offset() && reached == log_offset();
+  if (!is_newer && !is_without_position) {
+    return;
+  }
+  auto evacuated = is_newer ? data_centre_set() : host.evacuations.All();
+  for (const auto& name : reply.evacuated) {
+    evacuated.insert(data_centre_id(name));
+  }
+  ApplyEvacuations(host, evacuated, next);
+}
+
 /** Returns the view of the members in an answer; nothing if it has none that is
  * newer and readable. */
 auto NewerView(const host_state& host, const wire::view_replyT& reply)
@@ -309,6 +332,7 @@
   request.source = cursor.source;
   const bool is_valid = cursor.reached == host.server_feed.reached;
   request.revision = is_valid ? cursor.revision : 0;
+  request.evacuation_revision = cursor.evacuation_revision;
   return request;
 }
 
@@ -344,6 +368,9 @@
                    const wire::view_replyT& reply,
                    feed_cursor& cursor) -> void {
   const auto now = clock::now();
+  // Before the state, which may make this host ready for callers, and before
+  // the position advances.
+  ApplyEvacuations(host, reply);
   if (!reply.state.empty()) {
     ApplyState(host, reply.state);
   }
@@ -372,6 +399,10 @@
               {"complete", reply.is_complete},
               {"changes", reply.servers.size() + reply.removed.size()}});
   }
+  // Also after an answer that was skipped: its evacuations were older.
+  if (reply.source == cursor.source) {
+    cursor.evacuation_revision = reply.evacuation_revision;
+  }
   if (auto view = NewerView(host, reply)) {
     ApplyView(host, std::move(*view));
   }
@@ -419,6 +450,10 @@
   reply.progress_age_us = Micros(now - oldest.progress);
   reply.state_age_us = Micros(now - host.state_feed.confirmed);
   reply.state_next = host.state_feed.next.value_or(log_offset()).value;
+  reply.evacuation_revision = host.evacuations.revision();
+  for (const auto& [data_centre, since] : host.evacuations.since()) {
+    reply.evacuated.push_back(data_centre.value);
+  }
   if (reply.has_state &&
       host.deployment->state().version.value > request.state_version) {
     reply.state = host.state_text;
--- a/src/hostd_feed.h
+++ b/src/hostd_feed.h
@@ -38,6 +38,9 @@
   /** Offset to which the answer led. A host that has read on by itself needs
    * all registrations: the other one may have gone over what this one read. */
   log_offset reached;
+  /** Of its evacuations. Each answer lists them all, so this only tells the
+   * other host when there is news. */
+  std::uint64_t evacuation_revision = 0;
 };
 
 /** Returns the query for what another host knows beyond `cursor`. */
--- a/tests/feed_model_test.cc
+++ b/tests/feed_model_test.cc
@@ -2,6 +2,7 @@
  * of hosts that read it, ask each other, and restart. */
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -73,9 +74,25 @@
   }
 
   auto Snapshot() const -> store_snapshot {
-    store_snapshot snapshot{.records = {}, .end = log_offset(End())};
-    for (const auto& [key, text] : NewestBefore(End())) {
-      snapshot.records.push_back({key, text});
+    return CutSnapshot(End(), End(), "");
+  }
+
+  /** Returns a snapshot of two pages: the keys before `pivot` as of offset
+   * `first_end`, which is where reading continues, and the others as of
+   * `second_end`. */
+  auto CutSnapshot(std::uint64_t first_end,
+                   std::uint64_t second_end,
+                   const std::string& pivot) const -> store_snapshot {
+    store_snapshot snapshot{.records = {}, .end = log_offset(first_end)};
+    for (const auto& [key, text] : NewestBefore(first_end)) {
+      if (key < pivot) {
+        snapshot.records.push_back({key, text});
+      }
+    }
+    for (const auto& [key, text] : NewestBefore(second_end)) {
+      if (key >= pivot) {
+        snapshot.records.push_back({key, text});
+      }
     }
     return snapshot;
   }
@@ -99,7 +116,8 @@
 
 class model {
  public:
-  explicit model(std::uint64_t seed) : random_(seed) {
+  explicit model(std::uint64_t seed)
+      : random_(seed), cuts_snapshots_(Below(2) == 0) {
     for (auto& host : hosts_) {
       host = std::make_unique<model_host>();
     }
@@ -117,7 +135,11 @@
         AppendServer();
         return;
       case 3:
-        AppendState();
+        if (Below(2) == 0) {
+          AppendEvacuation();
+        } else {
+          AppendState();
+        }
         return;
       case 4:
         (Below(2) == 0 ? servers_ : states_)
@@ -136,7 +158,7 @@
         ReadLog(servers_, chosen->servers);
         break;
       case 9:
-        ReadLog(states_, chosen->state);
+        ReadStates(*chosen);
         break;
       default:
         Ask(*chosen, *hosts_[Below(kHosts)]);
@@ -146,8 +168,8 @@
 
   /** After some reads each host must know all. */
   auto Settle() -> void {
-    states_.Append("config", R"({"routes":[],"services":[],"version":)" +
-                                 std::to_string(++version_) + "}");
+    PutState(R"({"routes":[],"services":[],"version":)" +
+             std::to_string(++version_) + "}");
     for (auto& host : hosts_) {
       for (std::uint64_t i = 0; i < servers_.End() + 3; ++i) {
         ReadLog(servers_, host->servers);
@@ -156,8 +178,10 @@
         ReadLog(states_, host->state);
       }
       Check(*host);
+      RC_ASSERT(host->host.state_feed.reached.value == states_.End());
       RC_ASSERT(host->host.server_feed.reached.value == servers_.End());
       RC_ASSERT(VersionOf(host->host) == version_);
+      RC_ASSERT(host->host.evacuations.All() == evacuated_.back());
     }
   }
 
@@ -182,7 +206,45 @@
   auto AppendState() -> void {
     const auto text = R"({"routes":[],"services":[],"version":)" +
                       std::to_string(++version_) + "}";
-    states_.Append("config", Below(4) == 0 ? "{" : text);
+    PutState(Below(4) == 0 ? "{" : text);
+  }
+
+  auto PutState(const std::string& text) -> void {
+    states_.Append("config", text);
+    evacuated_.push_back(evacuated_.back());
+  }
+
+  auto AppendEvacuation() -> void {
+    const auto name = "d" + std::to_string(Below(kKeys));
+    const bool begins = Below(2) == 0;
+    trace_ += (begins ? "evacuate " : "end evacuation of ") + name;
+    states_.Append("evacuate/" + name,
+                   begins ? std::optional<std::string>("x") : std::nullopt);
+    auto evacuated = evacuated_.back();
+    if (begins) {
+      evacuated.insert(data_centre_id(name));
+    } else {
+      evacuated.erase(data_centre_id(name));
+    }
+    evacuated_.push_back(std::move(evacuated));
+  }
+
+  /** Reads a snapshot of the states. */
+  auto ReadStates(model_host& reading) -> void {
+    const auto& position = reading.host.state_feed;
+    if (!cuts_snapshots_ || position.next) {
+      ReadLog(states_, reading.state);
+      return;
+    }
+    // The first page is read after the host has lost its position.
+    const auto end = states_.End();
+    const auto reached = std::min(position.reached.value, end);
+    const auto first = reached + Below(end - reached + 1);
+    const auto second = first + Below(end - first + 1);
+    const auto pivot = "evacuate/d" + std::to_string(Below(kKeys));
+    trace_ += "snapshot cut at " + pivot + " from " + std::to_string(first) +
+              " to " + std::to_string(second);
+    ApplySnapshot(reading.state, states_.CutSnapshot(first, second, pivot));
   }
 
   template <log_follower T>
@@ -233,22 +295,49 @@
       }
       RC_ASSERT(host.servers == expected);
     }
+    CheckEvacuations(host);
     const auto version = VersionOf(host);
     RC_ASSERT(version >= checked.version);
     RC_ASSERT(version <= version_);
     checked.version = version;
   }
 
+  /** What a host knows of evacuations is the log up to its position. After a
+   * cut snapshot a part of it may be newer. */
+  auto CheckEvacuations(const host_state& host) const -> void {
+    const auto reached = host.state_feed.reached.value;
+    const auto known = host.evacuations.All();
+    const auto last = cuts_snapshots_ ? states_.End() : reached;
+    auto always = evacuated_.at(reached);
+    auto ever = always;
+    for (auto at = reached; at <= last; ++at) {
+      const auto& set = evacuated_.at(at);
+      std::erase_if(always, [&](const auto& id) { return !set.contains(id); });
+      ever.insert(set.begin(), set.end());
+    }
+    const bool is_known = std::ranges::includes(known, always);
+    const bool is_true = std::ranges::includes(ever, known);
+    // A host without a position may have asked one that has lost its own.
+    if (reached > 0 && !(is_known && is_true)) {
+      RC_LOG() << trace_ << "\nreached " << reached;
+    }
+    RC_ASSERT(reached == 0 || is_known);
+    RC_ASSERT(reached == 0 || is_true);
+  }
+
   static auto VersionOf(const host_state& host) -> std::uint64_t {
     return host.deployment == nullptr ? 0
                                       : host.deployment->state().version.value;
   }
 
   std::mt19937_64 random_;
-  std::string trace_;  // Steps so far.
+  bool cuts_snapshots_;  ///< Changes come between the pages of a snapshot.
+  std::string trace_;    // Steps so far.
   model_log servers_;
   model_log states_;
   std::uint64_t version_ = 0;
+  /** Evacuated data centres before each offset of `states_`. */
+  std::vector<data_centre_set> evacuated_{data_centre_set()};
   std::array<std::unique_ptr<model_host>, kHosts> hosts_;
 };
 
--- a/tests/feed_test.cc
+++ b/tests/feed_test.cc
@@ -1,10 +1,16 @@
 /** Tests of what a host keeps of the answers of other hosts and of the store.
  */
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <chrono>
+#include <future>
 #include <memory>
 
 #include "src/hostd_base.h"
 #include "src/hostd_feed.h"
+#include "src/hostd_follow.h"
+#include "src/hostd_placement.h"
 #include "src/hostd_setting.h"
 #include "src/hostd_state.h"
 
@@ -41,6 +47,36 @@
            state + R"("})";
   }
 
+  /** Returns an answer of a host at offset `next` of the log of the state that
+   * lists these evacuated data centres. */
+  static auto EvacuationAnswer(std::uint64_t next,
+                               std::vector<std::string> evacuated)
+      -> wire::view_replyT {
+    wire::view_replyT reply;
+    reply.has_state = true;
+    reply.state_next = next;
+    reply.evacuated = std::move(evacuated);
+    return reply;
+  }
+
+  /** Starts to answer a query. */
+  auto BeginAnswer(const wire::view_requestT& request)
+      -> std::future<wire::view_replyT> {
+    auto answer = boost::asio::co_spawn(io_, AnswerView(host_, request),
+                                        boost::asio::use_future);
+    RunReady();
+    return answer;
+  }
+  /** Runs all that need not wait. */
+  auto RunReady() -> void {
+    io_.restart();
+    io_.poll();
+  }
+
+  auto IsEvacuated(const std::string& data_centre) const -> bool {
+    return host_.evacuations.Contains(data_centre_id(data_centre));
+  }
+
   auto Knows(const std::string& id) const -> bool {
     return host_.servers.contains(server_id(id));
   }
@@ -122,4 +158,146 @@
   cr_assert_eq(f.host().deployment->state().version.value, 5);
 }
 
+// Guards against an evacuation that an older answer undoes, and against a
+// withdrawn one that it brings back.
+Test(feed, older_answers_change_no_evacuation) {
+  feed_fixture f;
+  feed_cursor cursor;
+  const auto apply = [&](std::uint64_t next,
+                         std::vector<std::string> evacuated) {
+    ApplyPeerView(f.host(),
+                  feed_fixture::EvacuationAnswer(next, std::move(evacuated)),
+                  cursor);
+  };
+  apply(10, {"a"});
+  apply(9, {});
+  cr_assert(f.IsEvacuated("a"));
+  apply(11, {"b"});
+  apply(10, {"a"});
+  apply(0, {"a"});
+  cr_assert_not(f.IsEvacuated("a"));
+  cr_assert(f.IsEvacuated("b"));
+  f.host().state_feed.next.reset();
+  apply(10, {});
+  apply(0, {});
+  cr_assert(f.IsEvacuated("b"));
+}
+
+// Snapshots that were cut by changes may tell two hosts different sets at the
+// same position. Guards against sets that change back and forth between them.
+Test(feed, evacuations_of_the_same_position_change_nothing) {
+  feed_fixture f;
+  feed_cursor cursor;
+  ApplyPeerView(f.host(), feed_fixture::EvacuationAnswer(10, {"a"}), cursor);
+  ApplyPeerView(f.host(), feed_fixture::EvacuationAnswer(10, {}), cursor);
+  cr_assert(f.IsEvacuated("a"));
+}
+
+// A host starts while the store is away, and the one that it asks had lost its
+// position before. Guards against a start without the evacuations in force, and
+// against one of them that remains after the withdrawal.
+Test(feed, evacuations_of_a_host_without_position_hold_until_one_is_known) {
+  feed_fixture f;
+  feed_cursor cursor;
+  ApplyPeerView(f.host(), feed_fixture::EvacuationAnswer(0, {"a"}), cursor);
+  cr_assert(f.IsEvacuated("a"));
+  ApplyPeerView(f.host(), feed_fixture::EvacuationAnswer(0, {}), cursor);
+  cr_assert(f.IsEvacuated("a"));
+  ApplyPeerView(f.host(), feed_fixture::EvacuationAnswer(5, {}), cursor);
+  cr_assert_not(f.IsEvacuated("a"));
+}
+
+// A record was written and removed while the pages of a snapshot were read.
+// Guards against knowledge that differs from the log once the rest is read.
+Test(feed, cut_snapshots_end_with_the_log) {
+  feed_fixture f;
+  state_follower follower(f.host());
+  // The pages show neither of the two records that follow their end.
+  ApplySnapshot(follower,
+                {.records = {{"evacuate/gone", "x"}}, .end = log_offset(5)});
+  cr_assert(f.IsEvacuated("gone"));
+  const store_page rest{.end = log_offset(7),
+                        .first = log_offset(0),
+                        .records = {"\x0d"
+                                    "evacuate/gone",
+                                    "\x0d"
+                                    "evacuate/late"
+                                    "x"}};
+  ApplyPage(follower, log_offset(5), rest);
+  cr_assert_not(f.IsEvacuated("gone"));
+  cr_assert(f.IsEvacuated("late"));
+  f.host().state_feed.next.reset();
+  ApplySnapshot(follower,
+                {.records = {{"evacuate/other", "x"}}, .end = log_offset(9)});
+  cr_assert_not(f.IsEvacuated("late"));
+  cr_assert(f.IsEvacuated("other"));
+}
+
+// Guards against a query that is held although an evacuation has begun, and
+// against one that ends again and again for the same evacuation.
+Test(feed, a_held_query_ends_with_a_changed_evacuation) {
+  feed_fixture f;
+  wire::view_requestT request;
+  request.source = f.host().process;
+  request.wait_us = 400000;
+  auto held = f.BeginAnswer(request);
+  cr_assert(held.wait_for(std::chrono::seconds(0)) !=
+            std::future_status::ready);
+  ApplyEvacuations(f.host(), {data_centre_id("a")}, log_offset(1));
+  f.RunReady();
+  cr_assert(held.wait_for(std::chrono::seconds(0)) ==
+            std::future_status::ready);
+  const auto reply = held.get();
+  cr_assert_eq(reply.evacuated.size(), 1);
+  request.evacuation_revision = reply.evacuation_revision;
+  held = f.BeginAnswer(request);
+  cr_assert(held.wait_for(std::chrono::seconds(0)) !=
+            std::future_status::ready);
+}
+
+// Guards against larger messages on fleets on which nobody evacuates.
+Test(feed, without_evacuations_messages_have_no_more_fields) {
+  feed_fixture f;
+  const auto request = MakeViewRequest(f.host(), feed_cursor());
+  auto answer = f.BeginAnswer(request);
+  const auto reply = answer.get();
+  cr_assert_eq(request.evacuation_revision, 0);
+  cr_assert_eq(reply.evacuation_revision, 0);
+  cr_assert(reply.evacuated.empty());
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(wire::view_reply::Pack(builder, &reply));
+  const auto* sent =
+      flatbuffers::GetRoot<flatbuffers::Table>(builder.GetBufferPointer());
+  cr_assert_not(sent->CheckField(wire::view_reply::VT_EVACUATED));
+  cr_assert_not(sent->CheckField(wire::view_reply::VT_EVACUATION_REVISION));
+}
+
+// Guards against placement on servers of an evacuated data centre, whether they
+// registered before the evacuation or after it, and against servers that stay
+// unused when it has ended.
+Test(feed, placement_gets_servers_of_evacuated_data_centres_as_leaving) {
+  feed_fixture f;
+  const auto put = [&](const std::string& id, const std::string& zone) {
+    f.host().registrations->Apply(
+        id,
+        R"({"service":"llm","address":"127.0.0.1:1","slots":8,"state":"ready")"
+        R"(,"zone":")" +
+            zone + R"("})");
+    f.host().registrations->Publish();
+  };
+  const auto is_leaving = [&](const std::string& id) {
+    return f.host().placement->FindServer(server_id(id))->leaving;
+  };
+  put("early", "a");
+  put("other", "b");
+  ApplyEvacuations(f.host(), {data_centre_id("a")}, log_offset(1));
+  put("late", "a");
+  cr_assert(is_leaving("early"));
+  cr_assert(is_leaving("late"));
+  cr_assert_not(is_leaving("other"));
+  ApplyEvacuations(f.host(), {}, log_offset(2));
+  cr_assert_not(is_leaving("early"));
+  cr_assert_not(is_leaving("late"));
+}
+
 }  // namespace dogwood::testing
