--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -1,6 +1,6 @@
 # dogwood_hostd, the process for the users' platform, and the libraries that
 # only it uses.
-dogwood_library(deployment SOURCES deployment_journal.cc deployment_query.cc
+dogwood_library(deployment SOURCES deployment_evacuation.cc deployment_journal.cc deployment_query.cc
                 deployment_region.cc
                 LIBS dogwood_core)
 dogwood_library(dispatch
@@ -32,6 +32,7 @@
 dogwood_binary(dogwood_hostd SOURCES src/hostd_main.cc
                LIBS dogwood_hostd_lib dogwood_daemon)
 dogwood_test(deployment dogwood_deployment)
+dogwood_test(deployment_evacuation dogwood_deployment)
 dogwood_test(dispatch dogwood_dispatch)
 dogwood_test(dispatch_local dogwood_dispatch)
 dogwood_test(dispatch_quarantine dogwood_dispatch)
@@ -51,7 +52,7 @@
 # Process-level tests of hostd against the fake of the users' platform. They use
 # the same addresses, so they run one at a time.
 if(NOT DOGWOOD_DEPLOYMENT_ONLY)
-  foreach(site answer batch calm owner quarantine signals silence stream store stop
+  foreach(site answer batch calm evacuation owner quarantine signals silence stream store stop
                restart trouble)
     add_test(NAME site_${site}
              COMMAND ${CMAKE_SOURCE_DIR}/tests/site_${site}.py)
