Let reads of the store end before the test of readers

Hosts that begin a held read at their start get the next record from the store, though they follow readers from then on: with the set not sent to other hosts, 9 of 12 hosts still knew of the evacuation. The scenario now waits until these reads have ended: without the set, only the four readers know of it (trial), and the test fails; with it, it passed three times in a row.

--- a/tests/site_evacuation.py
+++ b/tests/site_evacuation.py
@@ -123,6 +123,8 @@
             async def four_read():
                 return sum([await host.metric("dogwood_reads_store") for host in fleet.hosts]) == 4
             await sh.until(four_read, "two hosts of each data centre read the store", 10)
+            # Reads that other hosts began at their start are held for 1 s.
+            await asyncio.sleep(1.5)
             await put(fleet, ZONE, "x")
             await asyncio.sleep(EVACUATED_S)
             emptied = next(engine for engine in fleet.engines if engine.zone == ZONE)
