Limit what a dispatcher starts on cold servers

Servers that come back are cold and empty, so selection by load sends them everything, and they crash well above the rate of their service.

A server is cold while its registration says so, after it could not be reached, has a new start or its evacuation has ended. A new dispatcher starts nothing on cold servers in its first second, and takes from the hosts' reports which servers its predecessor could not reach. A host without a dispatcher sends them nothing. The expected wait counts the rate of cold servers. Services without a rate are placed as before.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -4,7 +4,7 @@
                 deployment_region.cc
                 LIBS dogwood_core)
 dogwood_library(dispatch
-                SOURCES dispatch_cmd.cc dispatch_drain.cc dispatch_local.cc
+                SOURCES dispatch_cmd.cc dispatch_cold.cc dispatch_drain.cc dispatch_local.cc
                         dispatch_quarantine.cc dispatch_query.cc
                         dispatch_return.cc dispatch_usage.cc
                         dispatch_wait.cc
@@ -33,6 +33,7 @@
                LIBS dogwood_hostd_lib dogwood_daemon)
 dogwood_test(deployment dogwood_deployment)
 dogwood_test(dispatch dogwood_dispatch)
+dogwood_test(dispatch_cold dogwood_dispatch)
 dogwood_test(dispatch_local dogwood_dispatch)
 dogwood_test(dispatch_quarantine dogwood_dispatch)
 dogwood_test(dispatch_region dogwood_dispatch)
--- a/src/deployment_type.h
+++ b/src/deployment_type.h
@@ -63,6 +63,9 @@
   /** Connections to each server, from all callers; 0: unlimited. */
   unsigned max_connections = 0;
   unsigned slots = 0;  ///< Concurrent requests of each server; 0: unknown.
+  /** Requests a second that a cold server can handle; 0: not declared, and cold
+   * servers are treated like others. */
+  double cold_starts_per_s = 0;
 };
 
 /** A workspace. */
@@ -111,6 +114,9 @@
   unsigned slots = 1;       ///< Number of requests that it runs concurrently.
   bool leaving = false;     ///< Draining: gets no new requests.
   std::uint64_t start = 0;  ///< Start time in Unix ms; 0 if unknown.
+  /** When it is warm. Registrations state a remaining time as of their writing,
+   * so this is counted from the arrival of one; see ColdEnd(). */
+  time_point cold_until;
 
   auto operator==(const registered_server&) const -> bool = default;
 };
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -4,6 +4,7 @@
 #define SRC_DISPATCH_H_
 
 #include "src/dispatch_base.h"
+#include "src/dispatch_cold.h"
 #include "src/dispatch_drain.h"
 #include "src/dispatch_local.h"
 #include "src/dispatch_quarantine.h"
--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -21,6 +21,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/dispatch_cold.h"
 #include "src/dispatch_quarantine.h"
 #include "src/dispatch_type.h"
 #include "src/dispatch_usage.h"
@@ -42,10 +43,25 @@
   auto Stop() -> void;
   /** Refuses requests with kNotReady until `until`, since another dispatcher
    * may have taken over while this process was paused. */
-  auto Suspend(time_point until) -> void { ready_at_ = until; }
+  auto Suspend(time_point until) -> void {
+    ready_at_ = until;
+    cold_.HoldUntil(until + kColdWindow);
+  }
   /** Replaces the servers and the region of each data centre. */
   auto SetServers(std::vector<registered_server> servers,
                   std::map<data_centre_id, region_id> regions) -> void;
+  /** Replaces the declared request rates of cold servers. */
+  auto SetColdRates(cold_rates rates) -> void {
+    cold_.SetRates(std::move(rates));
+  }
+  /** Counts the servers of a data centre as cold for kSuspicionTime, since its
+   * evacuation has ended. */
+  auto SuspectCold(const data_centre_id& data_centre, time_point now) -> void;
+  /** Records what a host has seen of servers that may be cold. Servers that it
+   * could not reach count only for a dispatcher that has just started; others
+   * know it from the ends of runs. */
+  auto RecordColdReports(std::span<const cold_report> reports, time_point now)
+      -> void;
   /** Places, queues or refuses a request; `rate` is the limit of its workspace.
    * The answer is returned by DrainNotices(), possibly at once. */
   auto RequestSlot(placement_request request,
@@ -111,6 +127,13 @@
       -> std::vector<server_count>;
   /** External load of all servers, as reported by them. */
   auto ExternalCount(time_point now) const -> std::size_t;
+  /** Returns the servers that count as cold. */
+  auto ColdServers(time_point now) const -> std::vector<cold_server>;
+  /** Requests for which only cold servers had free slots, and these had had
+   * their share, since the start of the process. */
+  auto DeferredColdStarts() const -> std::uint64_t {
+    return deferred_cold_starts_;
+  }
   /** Queued requests of a class. */
   auto WaitingCount(work_class work) const -> std::size_t;
   /** Slots of a service that are not in use, on servers not in backoff. */
@@ -148,9 +171,18 @@
   };
   /** Distance class: 0 same data centre, 1 same region, 2 elsewhere. */
   auto TierOf(const server_row& row, const host_location& place) const -> int;
+  /** Whether a server can run a request if it has a free slot and, while cold,
+   * has not had its share. */
+  auto IsAvailable(const server_row& row,
+                   const placement_request& request,
+                   time_point now) const -> bool;
+  /** As above, and it has not had its share or is warm. */
   auto IsUsable(const server_row& row,
                 const placement_request& request,
                 time_point now) const -> bool;
+  /** Whether a cold server would run the request had it not had its share. */
+  auto IsDeferredByCold(const placement_request& request, time_point now) const
+      -> bool;
   auto SlotsFor(work_class work, const server_row& row) const -> std::uint32_t;
   /** Requests on a server, external load included. */
   static auto LoadOf(const server_row& row, time_point now) -> std::uint32_t;
@@ -179,6 +211,11 @@
   auto RefundToken(const placement_request& request) -> void;
   auto EstimateWait(const placement_request& request, time_point now) const
       -> duration;
+  /** Requests a second that a cold server is expected to take; 0 while it is in
+   * backoff or avoided. */
+  auto ColdRate(const server_row& row,
+                const placement_request& request,
+                time_point now) const -> double;
   /** Number of refused callers that are expected to retry by `end`. */
   auto ExpectedRetries(const service_id& service, time_point end) const
       -> std::ptrdiff_t;
@@ -208,6 +245,8 @@
   std::map<slot_key, slot> slots_;
   std::map<host_id, time_point> host_deadlines_;
   limit_ledger limits_;
+  cold_starts cold_;  // Kept over Start(), since the servers stay the same.
+  std::uint64_t deferred_cold_starts_ = 0;
   std::list<placement_request> online_;  // In queue order.
   std::list<placement_request> batch_;   // In queue order.
   /** When refused callers are expected to retry; they have precedence then. */
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -23,6 +23,7 @@
 
 auto dispatcher::Start(time_point now) -> void {
   ready_at_ = now + policy_.warm_up;
+  cold_.HoldUntil(ready_at_ + kColdWindow);
   term_ = dispatcher_term(random_());
   slots_.clear();
   host_deadlines_.clear();
@@ -60,12 +61,19 @@
   }
   for (auto& server : servers) {
     auto& row = servers_[server.id];
+    if (!row.info.id.value.empty() && row.info.start != server.start) {
+      cold_.RecordRestart(server);
+    }
     row.listed = true;
     row.info = std::move(server);
   }
-  std::erase_if(servers_, [](const auto& entry) {
-    return !entry.second.listed && entry.second.used == 0 &&
-           entry.second.preempted == 0;
+  std::erase_if(servers_, [this](const auto& entry) {
+    const bool is_gone = !entry.second.listed && entry.second.used == 0 &&
+                         entry.second.preempted == 0;
+    if (is_gone) {
+      cold_.Forget(entry.first);
+    }
+    return is_gone;
   });
 }
 
@@ -128,6 +136,7 @@
                  now,         request.prompt, request.content};
   ++row.used;
   RecordPeak(row, now);
+  cold_.RecordStart(row.info, now);
   if (request.work == work_class::kBatch) {
     row.batch.insert(key);
   }
@@ -261,6 +270,9 @@
                : TryPlace(request, now)) {
     return;
   }
+  if (IsDeferredByCold(request, now)) {
+    ++deferred_cold_starts_;
+  }
   if (is_batch) {
     Enqueue(batch_, std::move(request));
     return;
@@ -338,6 +350,10 @@
     } else if (end.outcome == run_outcome::kComplete) {
       server.last_backoff = duration();
     }
+    // A server that broke off may have started anew.
+    if (end.outcome == run_outcome::kUnreachable || end.may_have_crashed) {
+      cold_.RecordUnreachable(server.info);
+    }
   }
   RecordEvidence(found->second, end, now);
   if (end.outcome == run_outcome::kComplete &&
@@ -381,6 +397,29 @@
   }
 }
 
+auto dispatcher::SuspectCold(const data_centre_id& data_centre, time_point now)
+    -> void {
+  for (const auto& [id, row] : servers_) {
+    if (row.info.data_centre == data_centre) {
+      cold_.Suspect(row.info, cold_reason::kEvacuated, now + kSuspicionTime);
+    }
+  }
+}
+
+auto dispatcher::RecordColdReports(std::span<const cold_report> reports,
+                                   time_point now) -> void {
+  for (const auto& report : reports) {
+    const auto row = servers_.find(report.server);
+    if (row != servers_.end() &&
+        (report.is_stated || now < cold_.HeldUntil())) {
+      cold_.Suspect(
+          row->second.info,
+          report.is_stated ? cold_reason::kReported : cold_reason::kUnreachable,
+          report.until);
+    }
+  }
+}
+
 auto dispatcher::MergeQuarantine(const quarantine_entries& found,
                                  time_point now) -> void {
   quarantine_.Merge(found.parts, now);
@@ -447,6 +486,7 @@
     Release(key);
   }
   quarantine_.Decide(now);
+  cold_.Advance(now);
   // Both queues, even while only one is served: a host that gets no answer to a
   // placement request in time considers this dispatcher dead.
   RefuseOverdue(online_, now);
--- a/src/dispatch_local.cc
+++ b/src/dispatch_local.cc
@@ -21,6 +21,9 @@
 /** Tokens of each workspace at the start of a host, when no dispatcher is
  * known. All hosts together stay within the slack of a limit. */
 constexpr double kInitialTokens = 1;
+/** A server that could not be reached is probed at its first request within
+ * this time. Later, its registration tells whether it is cold. */
+constexpr std::chrono::minutes kProbeTtl{1};
 
 }  // namespace
 
@@ -38,6 +41,9 @@
     auto& entry = rows[id];
     if (known != rows_.end()) {
       entry = std::move(known->second);
+      if (entry.info.start != server.start) {
+        entry.has_restarted = true;
+      }
     }
     entry.info = std::move(server);
   }
@@ -84,7 +90,42 @@
 auto local_placement::Pause(const server_id& server, time_point until) -> void {
   const auto found = rows_.find(server);
   if (found != rows_.end()) {
-    found->second.backs_off_until = until;
+    auto& r = found->second;
+    r.backs_off_until = until;
+    if (HasColdRate(r)) {
+      r.cold_until = std::max(r.cold_until, until + ProbeInterval(r));
+      r.probe_until = r.cold_until + kProbeTtl;
+    }
+  }
+}
+
+auto local_placement::ProbeInterval(const row& r) -> duration {
+  const auto found = rates_.find(r.info.service);
+  const auto per_s =
+      ColdStartsPerSecond(found == rates_.end() ? 0 : found->second);
+  const std::chrono::duration<double> host_interval(
+      static_cast<double>(hosts_) / static_cast<double>(per_s));
+  const auto least = std::max<duration>(
+      kSuspicionTime, std::chrono::duration_cast<duration>(host_interval));
+  // Random, since all hosts lose a server at the same time.
+  std::uniform_real_distribution<double> factor(1, 2);
+  return std::chrono::duration_cast<duration>(least * factor(random_));
+}
+
+auto local_placement::SuspectCold(const data_centre_id& data_centre,
+                                  time_point now) -> void {
+  for (auto& [id, r] : rows_) {
+    if (r.info.data_centre == data_centre) {
+      r.cold_until = std::max<time_point>(r.cold_until, now + kSuspicionTime);
+    }
+  }
+}
+
+auto local_placement::RecordCold(const server_id& server, time_point until)
+    -> void {
+  const auto found = rows_.find(server);
+  if (found != rows_.end()) {
+    found->second.cold_until = std::max(found->second.cold_until, until);
   }
 }
 
@@ -135,9 +176,9 @@
     answer.verdict = placement_verdict::kNoCapacity;
     return answer;
   }
-  const row* best = nullptr;
+  row* best = nullptr;
   std::tuple<bool, int, double, std::uint64_t> best_rank;
-  for (const auto& [id, r] : rows_) {
+  for (auto& [id, r] : rows_) {
     const auto region = regions_.find(r.info.data_centre);
     const bool is_allowed =
         !request.regions.IsBound() ||
@@ -154,7 +195,12 @@
     if (answer.verdict == placement_verdict::kNoServer) {
       answer.verdict = placement_verdict::kNoCapacity;
     }
-    if (load >= capacity || now < r.backs_off_until) {
+    if (r.has_restarted) {
+      r.has_restarted = false;
+      r.cold_until = now + kSuspicionTime;
+      r.probe_until = time_point();
+    }
+    if (load >= capacity || now < r.backs_off_until || IsCold(r, now)) {
       continue;
     }
     const bool is_near =
@@ -175,6 +221,10 @@
     answer.verdict = placement_verdict::kOverLimit;
     return answer;
   }
+  if (HasColdRate(*best) && now < best->probe_until) {
+    best->cold_until = now + ProbeInterval(*best);
+  }
+  best->probe_until = time_point();
   answer.verdict = placement_verdict::kGranted;
   answer.server = best->info.id;
   return answer;
--- a/src/dispatch_query.cc
+++ b/src/dispatch_query.cc
@@ -40,14 +40,55 @@
          row.info.service == request.service && IsInAllowedRegion(row, request);
 }
 
-auto dispatcher::IsUsable(const server_row& row,
-                          const placement_request& request,
-                          time_point now) const -> bool {
+auto dispatcher::IsAvailable(const server_row& row,
+                             const placement_request& request,
+                             time_point now) const -> bool {
   return CanServe(row, request) && now >= row.backs_off_until &&
          std::ranges::find(request.avoided, row.info.id) ==
              request.avoided.end();
 }
 
+auto dispatcher::IsUsable(const server_row& row,
+                          const placement_request& request,
+                          time_point now) const -> bool {
+  return IsAvailable(row, request, now) && cold_.MayStart(row.info, now);
+}
+
+auto dispatcher::IsDeferredByCold(const placement_request& request,
+                                  time_point now) const -> bool {
+  return cold_.IsActive() &&
+         std::ranges::any_of(servers_, [&](const auto& entry) {
+           const auto& row = entry.second;
+           return IsAvailable(row, request, now) &&
+                  LoadOf(row, now) < SlotsFor(request.work, row) &&
+                  !cold_.MayStart(row.info, now);
+         });
+}
+
+auto dispatcher::ColdRate(const server_row& row,
+                          const placement_request& request,
+                          time_point now) const -> double {
+  if (!IsAvailable(row, request, now)) {
+    return 0;
+  }
+  return std::min(static_cast<double>(cold_.StartsPerSecond(row.info.service)),
+                  static_cast<double>(row.info.slots) / run_seconds_);
+}
+
+auto dispatcher::ColdServers(time_point now) const -> std::vector<cold_server> {
+  std::vector<cold_server> found;
+  if (!cold_.IsActive()) {
+    return found;
+  }
+  for (const auto& [id, row] : servers_) {
+    const auto state = cold_.StateOf(row.info, now);
+    if (row.listed && state) {
+      found.push_back({id, *state});
+    }
+  }
+  return found;
+}
+
 auto dispatcher::SlotsFor(work_class work, const server_row& row) const
     -> std::uint32_t {
   const auto reserve = work == work_class::kBatch
@@ -113,17 +154,22 @@
 auto dispatcher::EstimateWait(const placement_request& request,
                               time_point now) const -> duration {
   std::size_t runs = 0;
+  double cold_starts_per_s = 0;
   auto backoff_ends = time_point::max();
   for (const auto& [id, row] : servers_) {
     if (CanServe(row, request)) {
-      runs += row.used;
+      if (cold_.StateOf(row.info, now)) {
+        cold_starts_per_s += ColdRate(row, request, now);
+      } else {
+        runs += row.used;
+      }
       if (now < row.backs_off_until &&
           std::ranges::find(request.avoided, id) == request.avoided.end()) {
         backoff_ends = std::min(backoff_ends, row.backs_off_until);
       }
     }
   }
-  if (runs == 0) {
+  if (runs == 0 && cold_starts_per_s == 0) {
     // Others are told at once to return when a server can be reached again.
     const bool may_wait = request.is_retry && backoff_ends != time_point::max();
     return may_wait ? backoff_ends - now : duration::max();
@@ -133,7 +179,12 @@
            other.regions.Overlaps(request.regions) &&
            now <= other.latest_on_time_start && !IsAhead(request, other);
   });
-  const auto seconds_per_slot = run_seconds_ / static_cast<double>(runs);
+  // Cold servers get requests at their rate, however soon their slots are free.
+  const auto seconds_per_slot =
+      run_seconds_ /
+      (static_cast<double>(runs) + cold_starts_per_s * run_seconds_);
+  const auto held =
+      runs == 0 ? std::max(duration(), cold_.HeldUntil() - now) : duration();
   const auto wait_behind = [&](std::ptrdiff_t requests_ahead) {
     // Slots become free at random times, so the standard deviation of the wait
     // for n of them grows with the square root of n. A request with nobody
@@ -149,8 +200,8 @@
                                std::chrono::duration<double>(seconds));
     seconds = wait_behind(ahead + ExpectedRetries(request.service, end));
   }
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(seconds));
+  return held + std::chrono::duration_cast<duration>(
+                    std::chrono::duration<double>(seconds));
 }
 
 auto dispatcher::ExpectedRetries(const service_id& service,
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -33,7 +33,8 @@
                        .data_centre = data_centre_id("a"),
                        .slots = kSlots,
                        .leaving = false,
-                       .start = 1});
+                       .start = 1,
+                       .cold_until = {}});
   }
   return servers;
 }
