Test the expected wait with cold servers in both directions

The first test gave the same answers when cold servers counted by their slots: five runs at 0.8 s are as good as five starts a second. It now leaves one run, and a second test has a busy server that takes one start a second.

--- a/tests/dispatch_cold_test.cc
+++ b/tests/dispatch_cold_test.cc
@@ -536,7 +536,11 @@
   const auto to = ReadyDispatcher(servers);
   const auto granted = Send(*to, 5, Begin(), ticket_id(1));
   cr_assert_eq(granted.size(), 5);
-  // The next start at 5 a second is due in 200 ms on average.
+  // Only one run is left, but the next start at 5 a second is due in 200 ms on
+  // average.
+  for (std::size_t i = 1; i < granted.size(); ++i) {
+    to->End(host_id("h"), {granted[i].first}, Begin());
+  }
   auto patient = MakeRequest(10, work_class::kOnline, Begin());
   patient.latest_on_time_start = Begin() + milliseconds(250);
   to->RequestSlot(patient, {}, Begin());
@@ -552,6 +556,24 @@
   cr_assert_eq(to->DrainNotices().size(), 1);
 }
 
+// Guards against requests that wait for a server that became cold while it was
+// busy: its slots become free soon, but it takes only one request a second.
+Test(dispatch_cold, expected_wait_counts_no_slots_of_cold_servers) {
+  const auto to =
+      ReadyDispatcher(Servers(1), {{service_id("llm"), kColdPerS / 10}});
+  cr_assert_eq(Send(*to, kSlots, Begin(), ticket_id(1)).size(), kSlots);
+  auto servers = Servers(1);
+  servers[0].cold_until = Begin() + seconds(60);
+  to->SetServers(servers, Regions());
+  // By its slots it would wait 100 ms.
+  auto request = MakeRequest(10, work_class::kOnline, Begin());
+  request.latest_on_time_start = Begin() + milliseconds(500);
+  to->RequestSlot(request, {}, Begin());
+  const auto notices = to->DrainNotices();
+  cr_assert_eq(notices.size(), 1);
+  cr_assert_eq(notices[0].answer.verdict, placement_verdict::kNoCapacity);
+}
+
 // Guards against hosts without a dispatcher that all send to a cold server.
 Test(dispatch_cold, hosts_alone_send_nothing_to_cold_servers) {
   local_placement local(0.5, 1);
