Decode the rates and times of cold servers

Services declare `coldPerS`, registrations state `coldLeftMs` as of their writing, and answers may carry `X-Cold-Ms`.

A registration's remaining time becomes a time point on its arrival. It counts as a change, which is passed on to all hosts, only if its meaning changes: the known end is kept while it covers the newest statement and is at most 3.5 s later. The same text read again does not begin the time anew.

Four heartbeats of a warm server and four of a cold one make no revision in feed_test.

--- a/src/caller_type.h
+++ b/src/caller_type.h
@@ -61,6 +61,10 @@
   bool is_leaving = false;
   bool is_stream = false;             ///< The body is an event stream.
   std::optional<reported_load> load;  ///< Load, if reported.
+  /** How much longer the server is cold, if it says so. */
+  std::optional<std::chrono::milliseconds> cold_left;
+  /** It says so with a value that cannot be used. */
+  bool has_bad_cold_time = false;
   /** Keep-alive time of the connection in seconds, if announced. */
   std::optional<unsigned> keep_alive_s;
 };
--- a/src/deployment_journal.h
+++ b/src/deployment_journal.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -35,6 +36,11 @@
   auto Contains(const std::string& id) const -> bool {
     return entries_.contains(id);
   }
+  /** Whether a registration is stored with exactly this text. */
+  auto Contains(const std::string& id, std::string_view text) const -> bool {
+    const auto found = entries_.find(id);
+    return found != entries_.end() && found->second.text == text;
+  }
   /** Returns the ids of all registrations. */
   auto Ids() const -> std::vector<std::string>;
   /** Number of the newest change; 0 before the first. */
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -155,7 +155,8 @@
     LogEvent(log_level::kInfo, log_category::kConfig, "removal_restored",
              {{"server", id}});
   }
-  auto decoded = adapter::DecodeServer(id, *text);
+  const auto now = clock::now();
+  auto decoded = adapter::DecodeServer(id, *text, now);
   const auto known = registered_.find(server_id(id));
   if (!decoded) {
     Reject(decoded.error());
@@ -165,6 +166,15 @@
     return;
   }
   rejected_.erase(id);
+  if (known != registered_.end() && known->second.start == decoded->start) {
+    // The same text again was written as long ago as before.
+    decoded->cold_until =
+        journal_.Contains(id, *text)
+            ? known->second.cold_until
+            : ColdEnd(known->second.cold_until, decoded->cold_until, now);
+  } else {
+    decoded->cold_until = ColdEnd(time_point(), decoded->cold_until, now);
+  }
   const bool is_change =
       known == registered_.end() || known->second != decoded.value();
   journal_.Put(id, *text, is_change);
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -65,7 +65,7 @@
   return rc::check("decoders take any bytes", [] {
     const auto input = *rc::gen::string<std::string>();
     adapter::DecodeState(input);
-    adapter::DecodeServer("id", input);
+    adapter::DecodeServer("id", input, time_point());
     adapter::DecodeItems(input);
     adapter::SplitKeyedRecord(input);
     adapter::DecodeBase64(input);
@@ -76,8 +76,10 @@
                               {"Last-Event-Id", input},
                               {"X-Wait-Ms", input}};
     adapter::DecodeRequest(request);
-    adapter::DecodeAnswer(
-        {200, {{{"X-Server-Load", input}, {"Keep-Alive", input}}}});
+    adapter::DecodeAnswer({200,
+                           {{{"X-Server-Load", input},
+                             {"X-Cold-Ms", input},
+                             {"Keep-Alive", input}}}});
   });
 }
 
@@ -142,7 +144,8 @@
   const auto valid = adapter::DecodeServer(
       "i-1",
       R"({"service":"s1","address":"10.0.0.1:80","zone":"a","slots":8,
-          "state":"draining","born":12,"more":[]})");
+          "state":"draining","born":12,"more":[]})",
+      time_point());
   cr_assert(valid.has_value());
   cr_assert(valid->leaving);
   cr_assert_eq(valid->slots, 8);
@@ -152,7 +155,7 @@
         R"({"service":"s1","address":7,"slots":8,"state":"ready"})",
         R"({"service":"s1","address":"x","slots":"8","state":"ready"})",
         R"({"address":"x","slots":8,"state":"ready"})", "", "\x01\x02"}) {
-    cr_assert_not(adapter::DecodeServer("i-1", bad).has_value());
+    cr_assert_not(adapter::DecodeServer("i-1", bad, time_point()).has_value());
   }
 }
 
@@ -192,7 +195,7 @@
     for (const auto& [name, given] : fields) {
       text += (text.empty() ? "{\"" : ",\"") + name + "\":" + given;
     }
-    const auto server = adapter::DecodeServer("i-1", text + "}");
+    const auto server = adapter::DecodeServer("i-1", text + "}", time_point());
     RC_ASSERT(!server.has_value());
     RC_ASSERT(server.error().peer == "i-1");
     const auto& message = server.error().message;
@@ -258,8 +261,10 @@
         "10.0.0.1", "host:80", "0.0.0.0:80", "255.255.255.255:80", "[::1]:80",
         ":80", "10.0.0.1:"}) {
     const auto server = adapter::DecodeServer(
-        "i-1", R"({"service":"s1","slots":8,"state":"ready","address":")" +
-                   std::string(address) + R"("})");
+        "i-1",
+        R"({"service":"s1","slots":8,"state":"ready","address":")" +
+            std::string(address) + R"("})",
+        time_point());
     cr_assert_not(server.has_value(), "%s", address);
     cr_assert(server.error().message.find(address) != std::string::npos);
   }
@@ -269,7 +274,8 @@
 Test(adapter, messages_name_field_value_and_range) {
   const auto server = adapter::DecodeServer(
       "i-1",
-      R"({"service":"s1","address":"10.0.0.1:80","state":"ready","slots":0})");
+      R"({"service":"s1","address":"10.0.0.1:80","state":"ready","slots":0})",
+      time_point());
   cr_assert_not(server.has_value());
   cr_assert_eq(server.error().message,
                "field \"slots\" is 0, not a number from 1 to 10000");
@@ -281,7 +287,8 @@
     const auto nested =
         R"({"service":"s1","address":"10.0.0.1:80","slots":8,"state":"ready","a":)" +
         std::string(depth, '[') + std::string(depth, ']') + "}";
-    cr_assert_not(adapter::DecodeServer("i-1", nested).has_value());
+    cr_assert_not(
+        adapter::DecodeServer("i-1", nested, time_point()).has_value());
     cr_assert_not(adapter::DecodeState(R"({"version":1,"a":)" + nested + "}")
                       .has_value());
     cr_assert_not(adapter::DecodeItems(nested).has_value());
@@ -314,6 +321,7 @@
     const auto answer =
         adapter::DecodeAnswer({200,
                                {{{"X-Server-Load", text + "," + text + ",8"},
+                                 {"X-Cold-Ms", text},
                                  {"Keep-Alive", "timeout=" + text}}}});
     if (answer.load) {
       cr_assert_leq(answer.load->running, 1000000);
@@ -449,6 +457,49 @@
   cr_assert_eq(*answer.keep_alive_s, 5);
 }
 
+// Guards against cold servers that are taken for warm ones, and against a cold
+// time that another server has stated or that cannot be used.
+Test(adapter, cold_times_and_rates_are_decoded) {
+  std::vector<failure> problems;
+  const auto state = adapter::DecodeState(
+      R"({"version":1,"services":[{"name":"a","coldPerS":7.2},{"name":"b"},
+          {"name":"c","coldPerS":-1},{"name":"d","coldPerS":"7"}]})",
+      &problems);
+  cr_assert(state.has_value());
+  cr_assert_float_eq(state->services[0].cold_starts_per_s, 7.2, 1e-9);
+  for (const std::size_t i : {1UL, 2UL, 3UL}) {
+    cr_assert_eq(state->services[i].cold_starts_per_s, 0);
+  }
+  cr_assert_eq(problems.size(), 2);
+
+  const auto arrived = time_point(std::chrono::seconds(100));
+  const auto cold_until = [&](const std::string& left) {
+    const auto server = adapter::DecodeServer(
+        "i-1",
+        R"({"service":"s1","address":"10.0.0.1:80","slots":8,"state":"ready",
+            "coldLeftMs":)" +
+            left + "}",
+        arrived);
+    cr_assert(server.has_value());
+    return server->cold_until;
+  };
+  cr_assert(cold_until("0") == time_point());
+  cr_assert(cold_until("1500") == arrived + std::chrono::milliseconds(1500));
+  cr_assert(cold_until("0.5") == arrived + std::chrono::milliseconds(1));
+  cr_assert(cold_until("1e18") == arrived + std::chrono::hours(24 * 30));
+
+  const auto answer = [](unsigned status, const std::string& left) {
+    return adapter::DecodeAnswer({status, {{{"X-Cold-Ms", left}}}});
+  };
+  cr_assert_eq(answer(200, "2500").cold_left->count(), 2500);
+  cr_assert_not(answer(421, "2500").cold_left.has_value());
+  for (const auto* bad : {"-1", "x", "99999999999999999999999"}) {
+    cr_assert_not(answer(200, bad).cold_left.has_value());
+    cr_assert(answer(200, bad).has_bad_cold_time);
+  }
+  cr_assert_not(adapter::DecodeAnswer({200, {}}).has_bad_cold_time);
+}
+
 // Guards against a part of a prompt that is taken for another one, or for the
 // last part, which is the request's own.
 Test(adapter, parts_of_prompts_are_told_apart) {
--- a/tests/feed_model_test.cc
+++ b/tests/feed_model_test.cc
@@ -224,7 +224,7 @@
     if (host.servers_known && reached > 0) {
       std::map<server_id, registered_server> expected;
       for (const auto& [key, text] : servers_.NewestBefore(reached)) {
-        if (auto server = adapter::DecodeServer(key, text)) {
+        if (auto server = adapter::DecodeServer(key, text, time_point())) {
           expected[server->id] = std::move(server.value());
         }
       }
--- a/tests/feed_test.cc
+++ b/tests/feed_test.cc
@@ -2,6 +2,8 @@
  */
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <string>
+#include <thread>
 
 #include "src/hostd_base.h"
 #include "src/hostd_feed.h"
@@ -122,4 +124,52 @@
   cr_assert_eq(f.host().deployment->state().version.value, 5);
 }
 
+// Guards against heartbeats of warm and cold servers that count as changes and
+// are passed on to all hosts, and against a text that is read again and counts
+// its remaining time anew.
+Test(feed, remaining_cold_time_is_no_change) {
+  feed_fixture f;
+  auto& table = *f.host().registrations;
+  int number = 0;
+  const auto apply = [&](int left_ms) {
+    table.Apply(
+        "a",
+        R"({"service":"llm","address":"127.0.0.1:1","slots":8,"state":"ready",)"
+        R"("born":1,"seq":)" +
+            std::to_string(number) + R"(,"coldLeftMs":)" +
+            std::to_string(left_ms) + "}");
+  };
+  const auto until = [&] {
+    return f.host().servers.at(server_id("a")).cold_until;
+  };
+  const auto revision = [&] { return table.journal().revision(); };
+  apply(0);
+  const auto listed = revision();
+  for (number = 1; number < 5; ++number) {
+    apply(0);
+  }
+  cr_assert_eq(revision(), listed, "warm heartbeats are changes");
+  cr_assert(until() == time_point());
+  apply(20000);
+  cr_assert_eq(revision(), listed + 1, "a server that becomes cold is none");
+  const auto end = until();
+  cr_assert(end >= clock::now() + std::chrono::milliseconds(19000));
+  for (number = 10; number < 14; ++number) {
+    apply(20000 - number * 50);
+  }
+  cr_assert_eq(revision(), listed + 1, "cold heartbeats are changes");
+  cr_assert(until() == end);
+  // Now it is warm, long before the end, and then cold again.
+  apply(0);
+  cr_assert_eq(revision(), listed + 2);
+  number = 20;
+  apply(3000);
+  const auto second = until();
+  cr_assert(second > clock::now());
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  apply(3000);
+  cr_assert(until() == second, "the same text counts anew");
+  cr_assert_eq(revision(), listed + 3);
+}
+
 }  // namespace dogwood::testing
