Apply the rates of cold servers in hostd

The dispatcher and local placement get the declared rates with each declared state. Hosts report the servers that they could not reach in the last 7 s, and those that say in answers that they are cold, with their held slots (held_request::cold_servers): a new dispatcher otherwise takes servers that have just come back for warm until their registrations arrive. The dispatcher logs server_cold and server_warm; metrics dogwood_servers_cold and dogwood_cold_starts_deferred_total.

--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -113,6 +113,9 @@
          {"dogwood_entries_rejected", count(host.feed.rejected_entries)},
          {"dogwood_prompts_quarantined", count(quarantine.parts.size())},
          {"dogwood_requests_quarantined", count(quarantine.requests.size())},
+         {"dogwood_servers_cold", count(host.placement->ColdCount())},
+         {"dogwood_cold_starts_deferred_total",
+          count(host.placement->DeferredColdStarts())},
          {"dogwood_loop_delay_seconds",
           std::chrono::duration<double>(host.delay.Largest()).count()},
          {"dogwood_draining", host.draining ? 1 : 0}});
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -315,6 +315,9 @@
   const auto [server, work, preempt] = std::move(found->second);
   held_.erase(found);
   local_.RecordRunEnd(server, work);
+  if (end.outcome == run_outcome::kUnreachable || end.may_have_crashed) {
+    RecordUnreachable(server);
+  }
   if (end.outcome == run_outcome::kUnreachable) {
     local_.Pause(server, clock::now() + kUnreachableBackoff);
   }
@@ -383,6 +386,9 @@
   std::erase_if(reported_loads_, [this](const auto& entry) {
     return !host_.servers.contains(entry.first);
   });
+  std::erase_if(rejected_cold_times_, [this](const auto& server) {
+    return !host_.servers.contains(server);
+  });
   dispatcher_.SetServers(servers, host_.options.data_centres);
   local_.SetServers(std::move(servers), host_.options.data_centres);
   dispatcher_.Advance(clock::now());
@@ -470,6 +476,7 @@
     dispatcher_.Advance(now);
     DeliverAnswers();
     LogQuarantine(now);
+    LogColdServers(now);
     const bool is_busy = dispatcher_.WaitingCount(work_class::kOnline) > 0 ||
                          dispatcher_.WaitingCount(work_class::kBatch) > 0;
     co_await Sleep(is_busy ? kBusyTick : kIdleTick);
@@ -550,6 +557,7 @@
     dispatcher_.ReconcileHeldSlots(host_id(host_.self.name), HeldSlots(), now);
     dispatcher_.RecordReportedLoads(ReportedLoads(now), now);
     dispatcher_.RecordUsage(usage, now);
+    dispatcher_.RecordColdReports(ColdReports(now), now);
     reply.term = dispatcher_.Term().value;
     quota_.Report(host_id(host_.self.name), host_.batch->WaitingReport(),
                   now + kWaitingTtl);
@@ -577,6 +585,7 @@
     }
     EncodeQuarantine(dispatcher_.Quarantine(now), now, request);
     EncodeUsageReport(usage, now, request);
+    EncodeColdReports(ColdReports(now), now, request);
     for (const auto& id : host_.registrations->AnnouncedLeaving()) {
       request.leaving.push_back(id.value);
     }
@@ -701,6 +710,7 @@
   dispatcher_.MergeQuarantine(DecodeQuarantine(request, now), now);
   dispatcher_.ReconcileHeldSlots(host_id(request.host), held, now);
   dispatcher_.RecordReportedLoads(DecodeCounts(request.told), now);
+  dispatcher_.RecordColdReports(DecodeColdReports(request, now), now);
   const auto rate_of = [this](const workspace_id& id) { return RateOf(id); };
   dispatcher_.RecordUsage(DecodeUsageReport(request, rate_of, now), now);
   waiting_report waiting{.rows = {}, .last_grant = request.last_grant};
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -57,6 +57,20 @@
   /** Records the load that a server has reported in an answer. */
   auto RecordLoad(const server_id& server, const reported_load& load) -> void;
 
+  /** Records that a server has said in an answer how much longer it is cold.
+   * The dispatcher learns it with the next report. */
+  auto RecordCold(const server_id& server, std::chrono::milliseconds left)
+      -> void;
+
+  /** Logs, once for each server, that it has said so with a value that cannot
+   * be used. */
+  auto RejectColdTime(const server_id& server) -> void;
+
+  /** Applies a changed declared state. */
+  auto StateChanged() -> void;
+  /** Counts the servers of a data centre as cold for a while, since its
+   * evacuation has ended. */
+  auto SuspectCold(const data_centre_id& data_centre) -> void;
   /** Applies changed registrations of servers. */
   auto ServersChanged() -> void;
   /** Applies a changed view of the members, which may choose another
@@ -84,6 +98,15 @@
   auto Quarantine() const -> quarantine_entries {
     return dispatcher_.Quarantine(clock::now());
   }
+  /** Number of servers that count as cold. */
+  auto ColdCount() const -> std::size_t {
+    return dispatcher_.ColdServers(clock::now()).size();
+  }
+  /** Number of requests that this host, as dispatcher, deferred because only
+   * cold servers had free slots. */
+  auto DeferredColdStarts() const -> std::uint64_t {
+    return dispatcher_.DeferredColdStarts();
+  }
   /** Number of requests on servers that were not placed by this dispatcher. */
   auto ExternalCount() const -> std::size_t {
     return dispatcher_.ExternalCount(clock::now());
@@ -137,6 +160,12 @@
   };
   /** Logs what has come under quarantine or left it. */
   auto LogQuarantine(time_point now) -> void;
+  /** Remembers that a server could not be reached, for new dispatchers. */
+  auto RecordUnreachable(const server_id& server) -> void;
+  /** Returns what this host has seen of servers that may be cold. */
+  auto ColdReports(time_point now) -> std::vector<cold_report>;
+  /** Logs, as the dispatcher, which servers have become cold or warm. */
+  auto LogColdServers(time_point now) -> void;
   auto RunTicker() -> boost::asio::awaitable<void>;
   auto RunReports() -> boost::asio::awaitable<void>;
   auto ReportHeld(target to) -> boost::asio::awaitable<void>;
@@ -188,6 +217,11 @@
   std::vector<run_end_report> ends_;
   std::vector<ticket_id> withdrawn_;
   quarantine_log logged_quarantine_;
+  bool has_cold_rates_ = false;  ///< Some service declares a rate.
+  std::map<server_id, cold_report> cold_reports_;
+  std::set<server_id> rejected_cold_times_;  ///< Servers that were logged.
+  std::map<server_id, cold_state> logged_cold_;
+  time_point cold_log_due_;  ///< Time of the next LogColdServers().
   bool flushing_ = false;
 };
 
--- a/src/hostd_placement_codec.cc
+++ b/src/hostd_placement_codec.cc
@@ -84,6 +84,30 @@
   return request;
 }
 
+auto EncodeColdReports(const std::vector<cold_report>& reports,
+                       time_point now,
+                       wire::held_requestT& message) -> void {
+  for (const auto& report : reports) {
+    auto row = std::make_unique<wire::cold_server_rowT>();
+    row->server = report.server.value;
+    row->remaining_us = MicrosUntil(report.until, now);
+    row->is_stated = report.is_stated;
+    message.cold_servers.push_back(std::move(row));
+  }
+}
+
+auto DecodeColdReports(const wire::held_requestT& message, time_point now)
+    -> std::vector<cold_report> {
+  std::vector<cold_report> reports;
+  for (const auto& row : message.cold_servers) {
+    reports.push_back(
+        {.server = server_id(row->server),
+         .until = now + std::chrono::microseconds(row->remaining_us),
+         .is_stated = row->is_stated});
+  }
+  return reports;
+}
+
 auto EncodeUsageReport(const usage_report& report,
                        time_point now,
                        wire::held_requestT& message) -> void {
--- a/src/hostd_placement_codec.h
+++ b/src/hostd_placement_codec.h
@@ -61,6 +61,15 @@
   return entries;
 }
 
+/** Adds what a host has seen of servers that may be cold to its report. */
+auto EncodeColdReports(const std::vector<cold_report>& reports,
+                       time_point now,
+                       wire::held_requestT& message) -> void;
+
+/** Decodes what EncodeColdReports() added. */
+auto DecodeColdReports(const wire::held_requestT& message, time_point now)
+    -> std::vector<cold_report>;
+
 /** Adds what a host knows of the use of limits to its report. */
 auto EncodeUsageReport(const usage_report& report,
                        time_point now,
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -282,6 +282,11 @@
       if (answer_.load) {
         host_.placement->RecordLoad(spec_.server.id, *answer_.load);
       }
+      if (answer_.cold_left) {
+        host_.placement->RecordCold(spec_.server.id, *answer_.cold_left);
+      } else if (answer_.has_bad_cold_time) {
+        host_.placement->RejectColdTime(spec_.server.id);
+      }
       const bool is_unnamed = answer_.attempt.value.empty();
       if (is_unnamed && is_reused_) {
         // It may be a copy of an earlier answer.
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -90,6 +90,7 @@
       std::make_shared<const deployment_index>(std::move(decoded.value()));
   host.state_text = text;
   host.batch->StateChanged();
+  host.placement->StateChanged();
   host.readiness_changed.Notify();
   host.feed_changed.Notify();
   return true;
