--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -4,7 +4,7 @@
                 deployment_region.cc
                 LIBS dogwood_core)
 dogwood_library(dispatch
-                SOURCES dispatch_cmd.cc dispatch_drain.cc dispatch_local.cc
+                SOURCES dispatch_cmd.cc dispatch_cold.cc dispatch_drain.cc dispatch_local.cc
                         dispatch_quarantine.cc dispatch_query.cc
                         dispatch_return.cc dispatch_usage.cc
                         dispatch_wait.cc
@@ -23,7 +23,7 @@
                 SOURCES hostd_base.cc hostd_batch.cc hostd_batch_log.cc
                         hostd_batch_run.cc hostd_caller.cc
                         hostd_failover.cc hostd_feed.cc hostd_front.cc hostd_placement.cc
-                        hostd_placement_codec.cc
+                        hostd_placement_codec.cc hostd_placement_cold.cc
                         hostd_relay.cc hostd_reload.cc hostd_setting.cc hostd_state.cc
                         hostd_watch.cc
                 LIBS dogwood_platform_adapter dogwood_deployment
@@ -34,6 +34,7 @@
 dogwood_test(deployment dogwood_deployment)
 dogwood_test(deployment_evacuation dogwood_deployment)
 dogwood_test(dispatch dogwood_dispatch)
+dogwood_test(dispatch_cold dogwood_dispatch)
 dogwood_test(dispatch_local dogwood_dispatch)
 dogwood_test(dispatch_quarantine dogwood_dispatch)
 dogwood_test(dispatch_region dogwood_dispatch)
@@ -52,7 +53,7 @@
 # Process-level tests of hostd against the fake of the users' platform. They use
 # the same addresses, so they run one at a time.
 if(NOT DOGWOOD_DEPLOYMENT_ONLY)
-  foreach(site answer batch calm evacuation owner quarantine signals silence stream store stop
+  foreach(site answer batch calm cold evacuation owner quarantine signals silence stream store stop
                restart trouble)
     add_test(NAME site_${site}
              COMMAND ${CMAKE_SOURCE_DIR}/tests/site_${site}.py)
--- a/src/hostd_state.cc
+++ b/src/hostd_state.cc
@@ -90,6 +90,7 @@
       std::make_shared<const deployment_index>(std::move(decoded.value()));
   host.state_text = text;
   host.batch->StateChanged();
+  host.placement->StateChanged();
   host.readiness_changed.Notify();
   host.feed_changed.Notify();
   return true;
@@ -146,6 +147,8 @@
     if (host.options.data_centres.contains(data_centre)) {
       log("evacuation_ends", data_centre);
     }
+    // On every host, so that the next dispatcher knows it too.
+    host.placement->SuspectCold(data_centre);
   }
   host.placement->ServersChanged();
   host.feed_changed.Notify();
@@ -207,7 +210,8 @@
     LogEvent(log_level::kInfo, log_category::kConfig, "removal_restored",
              {{"server", id}});
   }
-  auto decoded = adapter::DecodeServer(id, *text);
+  const auto now = clock::now();
+  auto decoded = adapter::DecodeServer(id, *text, now);
   const auto known = registered_.find(server_id(id));
   if (!decoded) {
     Reject(decoded.error());
@@ -217,6 +221,15 @@
     return;
   }
   rejected_.erase(id);
+  if (known != registered_.end() && known->second.start == decoded->start) {
+    // The same text again was written as long ago as before.
+    decoded->cold_until =
+        journal_.Contains(id, *text)
+            ? known->second.cold_until
+            : ColdEnd(known->second.cold_until, decoded->cold_until, now);
+  } else {
+    decoded->cold_until = ColdEnd(time_point(), decoded->cold_until, now);
+  }
   const bool is_change =
       known == registered_.end() || known->second != decoded.value();
   journal_.Put(id, *text, is_change);
