Give regions partitions of batch jobs whose owners follow from the view

The owner of a job's partition, which holds its bodies and runs its items, could be in any region, whatever regions its route or workspace allows.

With the feature regional_jobs each region has a topic with as many partitions as the others, numbered after those that the group assigns (partition_layout). Each host derives their owners from the members of its view by rendezvous hashing, also if it has the view from another host; the wire carries the group's owners only. Without the feature the layout, the view and the calls of the store are as before.

fleet_test and feed_test pass; the new tests fail with owners of any region, with a modulo in place of the hash, and with views of other hosts taken as they are.

--- a/src/fleet_func.cc
+++ b/src/fleet_func.cc
@@ -16,6 +16,8 @@
 
 constexpr std::string_view kTopicPrefix = "jobs-";
 constexpr std::string_view kMemberTopicPrefix = "hosts-";
+/** Followed by the name of a region. */
+constexpr std::string_view kRegionTopicPrefix = "region-jobs-";
 /** Separator of the fields in a member's name. */
 constexpr char kSeparator = '|';
 /** Processor cores are encoded in thousandths. */
@@ -24,11 +26,6 @@
  * elsewhere: a caller with a single address cannot fail over. */
 constexpr std::size_t kMinAddresses = 2;
 
-/** Returns the number of partitions of all topics. */
-auto PartitionCount(std::uint32_t per_topic) -> std::size_t {
-  return std::size_t{kJobTopics} * per_topic;
-}
-
 /** Parses `text` as an unsigned integer; nothing if any of it is left over. */
 auto ParseNumber(std::string_view text) -> std::optional<std::uint32_t> {
   std::uint32_t number = 0;
@@ -53,29 +50,91 @@
   return topics;
 }
 
-auto LocatePartition(partition_id partition, std::uint32_t per_topic)
+auto MakeLayout(std::uint32_t per_topic,
+                const std::map<data_centre_id, region_id>& data_centres,
+                bool is_regional) -> partition_layout {
+  partition_layout layout{
+      .per_topic = per_topic, .regions = {}, .data_centres = {}};
+  if (!is_regional) {
+    return layout;
+  }
+  layout.data_centres = data_centres;
+  std::set<region_id> regions;
+  for (const auto& [data_centre, region] : data_centres) {
+    regions.insert(region);
+  }
+  layout.regions.assign(regions.begin(), regions.end());
+  return layout;
+}
+
+auto GroupPartitionCount(const partition_layout& layout) -> std::size_t {
+  return std::size_t{kJobTopics} * layout.per_topic;
+}
+
+auto PartitionCount(const partition_layout& layout) -> std::size_t {
+  return (kJobTopics + layout.regions.size()) * layout.per_topic;
+}
+
+auto RegionOf(partition_id partition, const partition_layout& layout)
+    -> std::optional<region_id> {
+  const auto topic = partition.value / layout.per_topic;
+  if (topic < kJobTopics || topic - kJobTopics >= layout.regions.size()) {
+    return std::nullopt;
+  }
+  return layout.regions[topic - kJobTopics];
+}
+
+auto LocatePartition(partition_id partition, const partition_layout& layout)
     -> log_partition {
-  return {
-      std::string(kTopicPrefix) + std::to_string(partition.value / per_topic),
-      partition.value % per_topic};
+  const auto number = partition.value % layout.per_topic;
+  if (const auto region = RegionOf(partition, layout)) {
+    return {std::string(kRegionTopicPrefix) + region->value, number};
+  }
+  return {std::string(kTopicPrefix) +
+              std::to_string(partition.value / layout.per_topic),
+          number};
 }
 
-auto PartitionAt(const log_partition& where, std::uint32_t per_topic)
+auto PartitionAt(const log_partition& where, const partition_layout& layout)
     -> std::optional<partition_id> {
-  if (!where.topic.starts_with(kTopicPrefix) || where.number >= per_topic) {
+  const std::string_view name(where.topic);
+  if (where.number >= layout.per_topic) {
     return std::nullopt;
   }
-  const auto topic =
-      ParseNumber(std::string_view(where.topic).substr(kTopicPrefix.size()));
+  if (name.starts_with(kRegionTopicPrefix)) {
+    const region_id region(std::string(name.substr(kRegionTopicPrefix.size())));
+    const auto found = std::ranges::find(layout.regions, region);
+    if (found == layout.regions.end()) {
+      return std::nullopt;
+    }
+    const auto index =
+        static_cast<std::uint32_t>(found - layout.regions.begin());
+    return partition_id((kJobTopics + index) * layout.per_topic + where.number);
+  }
+  if (!name.starts_with(kTopicPrefix)) {
+    return std::nullopt;
+  }
+  const auto topic = ParseNumber(name.substr(kTopicPrefix.size()));
   if (!topic || *topic >= kJobTopics) {
     return std::nullopt;
   }
-  return partition_id(*topic * per_topic + where.number);
+  return partition_id(*topic * layout.per_topic + where.number);
 }
 
-auto PartitionOf(const batch_id& job, std::uint32_t per_topic) -> partition_id {
+auto PartitionOf(const batch_id& job, const partition_layout& layout)
+    -> partition_id {
   return partition_id(static_cast<std::uint32_t>(StableHash(job.value) %
-                                                 PartitionCount(per_topic)));
+                                                 GroupPartitionCount(layout)));
+}
+
+auto RegionalPartitionOf(const batch_id& job,
+                         const region_id& region,
+                         const partition_layout& layout) -> partition_id {
+  const auto found = std::ranges::find(layout.regions, region);
+  const auto index = static_cast<std::uint32_t>(found - layout.regions.begin());
+  const auto number =
+      static_cast<std::uint32_t>(StableHash(job.value) % layout.per_topic);
+  return partition_id((kJobTopics + index) * layout.per_topic + number);
 }
 
 auto FormatMember(const fleet_member& member) -> std::string {
@@ -103,7 +162,7 @@
 
 auto BuildView(std::uint64_t generation,
                std::span<const partition_owner_row> rows,
-               std::uint32_t per_topic) -> fleet_view {
+               const partition_layout& layout) -> fleet_view {
   fleet_view view;
   view.generation = generation;
   std::set<std::string> names;
@@ -115,20 +174,53 @@
       view.members.push_back(std::move(*member));
     }
   }
-  view.owners.assign(PartitionCount(per_topic),
+  view.owners.assign(GroupPartitionCount(layout),
                      static_cast<std::uint32_t>(view.members.size()));
   for (const auto& row : rows) {
-    const auto partition = PartitionAt(row.partition, per_topic);
+    const auto partition = PartitionAt(row.partition, layout);
     const auto member =
         std::ranges::find(view.members, row.member, &fleet_member::name);
-    if (partition && member != view.members.end()) {
+    if (partition && partition->value < view.owners.size() &&
+        member != view.members.end()) {
       view.owners[partition->value] =
           static_cast<std::uint32_t>(member - view.members.begin());
     }
   }
+  AssignRegionalOwners(view, layout);
   return view;
 }
 
+auto AssignRegionalOwners(fleet_view& view, const partition_layout& layout)
+    -> void {
+  if (!layout.IsRegional()) {
+    return;
+  }
+  const auto none = static_cast<std::uint32_t>(view.members.size());
+  const auto group_count = GroupPartitionCount(layout);
+  view.owners.resize(group_count, none);
+  view.owners.resize(PartitionCount(layout), none);
+  std::map<region_id, std::vector<std::uint32_t>> members;
+  for (std::uint32_t i = 0; i < none; ++i) {
+    if (const auto region = layout.RegionOf(view.members[i])) {
+      members[*region].push_back(i);
+    }
+  }
+  for (auto i = group_count; i < view.owners.size(); ++i) {
+    const partition_id partition(static_cast<std::uint32_t>(i));
+    const auto where = LocatePartition(partition, layout);
+    const auto place = where.topic + "/" + std::to_string(where.number);
+    std::uint64_t highest = 0;
+    for (const auto member : members[*RegionOf(partition, layout)]) {
+      const auto& name = view.members[member].name;
+      const auto hash = StableHash(name + "/" + place);
+      if (view.owners[i] == none || hash > highest) {
+        highest = hash;
+        view.owners[i] = member;
+      }
+    }
+  }
+}
+
 auto DispatcherOf(const fleet_view& view,
                   const std::map<data_centre_id, region_id>& regions)
     -> const fleet_member* {
--- a/src/fleet_func.h
+++ b/src/fleet_func.h
@@ -25,14 +25,34 @@
 
 /** Returns the names of all topics whose partitions the group assigns. */
 auto GroupTopics() -> std::vector<std::string>;
+/** Returns the layout of a fleet in these data centres. If it is not regional,
+ * all partitions are assigned by the group. */
+auto MakeLayout(std::uint32_t per_topic,
+                const std::map<data_centre_id, region_id>& data_centres,
+                bool is_regional) -> partition_layout;
+/** Returns the number of partitions that the group assigns. */
+auto GroupPartitionCount(const partition_layout& layout) -> std::size_t;
+/** Returns the number of all partitions. */
+auto PartitionCount(const partition_layout& layout) -> std::size_t;
+/** Returns the region that holds a partition; nothing if the group assigns it,
+ * or if there is no such partition. */
+auto RegionOf(partition_id partition, const partition_layout& layout)
+    -> std::optional<region_id>;
 /** Returns the topic and number of a partition in the store. */
-auto LocatePartition(partition_id partition, std::uint32_t per_topic)
+auto LocatePartition(partition_id partition, const partition_layout& layout)
     -> log_partition;
 /** Inverse of LocatePartition(); nothing for other partitions of the store. */
-auto PartitionAt(const log_partition& where, std::uint32_t per_topic)
+auto PartitionAt(const log_partition& where, const partition_layout& layout)
     -> std::optional<partition_id>;
-/** Returns the partition of a batch job, by the hash of its id. */
-auto PartitionOf(const batch_id& job, std::uint32_t per_topic) -> partition_id;
+/** Returns the partition of a batch job that any host may hold, by the hash of
+ * its id. */
+auto PartitionOf(const batch_id& job, const partition_layout& layout)
+    -> partition_id;
+/** Returns the partition of a batch job among those of a region, which must be
+ * one of the layout's. */
+auto RegionalPartitionOf(const batch_id& job,
+                         const region_id& region,
+                         const partition_layout& layout) -> partition_id;
 
 /** Returns the name of a member in the group. */
 auto FormatMember(const fleet_member& member) -> std::string;
@@ -42,7 +62,15 @@
 /** Builds the view of a group from the owners of its partitions. */
 auto BuildView(std::uint64_t generation,
                std::span<const partition_owner_row> rows,
-               std::uint32_t per_topic) -> fleet_view;
+               const partition_layout& layout) -> fleet_view;
+
+/** Replaces the owners of the regions' partitions in a view by those that
+ * follow from its members. The owner is the member of the region with the
+ * highest hash of its name and the partition (rendezvous hashing), so a change
+ * of one member moves only partitions that it owns before or after. A region
+ * without members has no owners. */
+auto AssignRegionalOwners(fleet_view& view, const partition_layout& layout)
+    -> void;
 
 /** Returns the member that runs the dispatcher: the one with the most cores,
  * among equal ones in the region with the most members. The choice depends on
--- a/src/fleet_type.h
+++ b/src/fleet_type.h
@@ -3,6 +3,7 @@
 #define SRC_FLEET_TYPE_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,6 +20,28 @@
   double processor_share = 0;  ///< Processor cores; may be fractional.
 };
 
+/** Numbering of the partitions of batch jobs: first those that the store's
+ * group assigns, then those of each region, in the order of `regions`. It must
+ * be the same on all hosts. */
+struct partition_layout {
+  std::uint32_t per_topic = 1;  ///< Partitions of each topic.
+  /** Regions that have a topic of their own, sorted by name; empty if no job is
+   * bound to regions. */
+  std::vector<region_id> regions;
+  /** Data centres of these regions. */
+  std::map<data_centre_id, region_id> data_centres;
+
+  /** Whether regions have partitions of their own. */
+  auto IsRegional() const -> bool { return !regions.empty(); }
+  /** Returns the region of a member; nothing if its data centre is not known.
+   */
+  auto RegionOf(const fleet_member& member) const -> std::optional<region_id> {
+    const auto found = data_centres.find(member.data_centre);
+    return found == data_centres.end() ? std::nullopt
+                                       : std::optional(found->second);
+  }
+};
+
 /** Members and partition owners at one generation of the group. */
 struct fleet_view {
   std::uint64_t generation = 0;       ///< Increases with each change.
--- a/src/hostd_base.h
+++ b/src/hostd_base.h
@@ -98,6 +98,8 @@
   /** Event loop of the process; runs on one thread. */
   boost::asio::io_context& io;
   hostd_options options;  ///< Validated settings.
+  /** Partitions of batch jobs, by the settings at the start. */
+  partition_layout layout;
   fleet_member self;      ///< This host as a member.
   entry_metrics metrics;  ///< Counters and histograms.
   /** Spreads load; never used for identifiers that callers see. */
--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -335,7 +335,7 @@
   if (!FitAppend(records, host_.options.store_limits)) {
     co_return TooLargeAnswer(host_.options.store_limits);
   }
-  const auto where = LocatePartition(id, host_.options.partitions_per_topic);
+  const auto where = LocatePartition(id, host_.layout);
   // A temporary copy for this call; it is never added to the partitions that
   // this host owns.
   auto partition =
@@ -658,7 +658,7 @@
     }
   }
   call.partition =
-      PartitionOf(batch_id(call.job), host.options.partitions_per_topic).value;
+      PartitionOf(batch_id(call.job), host.layout).value;
   const auto job = call.job;
   const auto kind = call.call;
   const auto partition = call.partition;
--- a/src/hostd_batch_log.cc
+++ b/src/hostd_batch_log.cc
@@ -118,7 +118,7 @@
 
 auto batch_service::ReadToEnd(partition_id id, partition_ptr partition)
     -> asio::awaitable<bool> {
-  const auto where = LocatePartition(id, host_.options.partitions_per_topic);
+  const auto where = LocatePartition(id, host_.layout);
   while (MayWrite(*partition)) {
     const auto from = partition->projection.next();
     auto page = co_await partition->client.Read(where, from, milliseconds(0),
@@ -281,7 +281,7 @@
                    record->records.end());
     sent.push_back(record);
   }
-  const auto where = LocatePartition(id, host_.options.partitions_per_topic);
+  const auto where = LocatePartition(id, host_.layout);
   const std::optional<log_offset> at = partition->projection.next();
   auto appended = co_await partition->client.Append(
       where, records, at, clock::now() + kStoreTimeout);
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -295,6 +295,7 @@
     }
     view.members.push_back(std::move(*member));
   }
+  AssignRegionalOwners(view, host.layout);
   return view;
 }
 
@@ -404,7 +405,10 @@
   reply.generation = host.view.generation;
   reply.view_age_us = Micros(now - host.view_confirmed);
   if (host.view.generation > request.generation) {
+    // Each host derives the owners of the regions' partitions itself.
     reply.owners = host.view.owners;
+    reply.owners.resize(
+        std::min(reply.owners.size(), GroupPartitionCount(host.layout)));
     for (const auto& member : host.view.members) {
       reply.members.push_back(member.name);
     }
--- a/src/hostd_watch.cc
+++ b/src/hostd_watch.cc
@@ -183,8 +183,7 @@
         co_await Sleep(kCallBackoff);
         continue;
       }
-      ApplyView(host, BuildView(generation, owners.value(),
-                                host.options.partitions_per_topic));
+      ApplyView(host, BuildView(generation, owners.value(), host.layout));
     }
     if (generation == host.view.generation) {
       host.view_confirmed = clock::now();
@@ -234,8 +233,8 @@
       RecordCall(host, owners);
       if (owners) {
         // Without a join, the generation of these members is not known.
-        auto view = BuildView(host.view.generation, owners.value(),
-                              host.options.partitions_per_topic);
+        auto view =
+            BuildView(host.view.generation, owners.value(), host.layout);
         if (!std::ranges::equal(view.members, host.view.members, {},
                                 &fleet_member::name, &fleet_member::name)) {
           ApplyView(host, std::move(view));
--- a/tests/feed_test.cc
+++ b/tests/feed_test.cc
@@ -17,7 +17,8 @@
 /** A host that has no connections. */
 class feed_fixture {
  public:
-  feed_fixture() : host_(io_, hostd_options()) {}
+  explicit feed_fixture(hostd_options options = {})
+      : host_(io_, std::move(options)) {}
 
   auto host() -> host_state& { return host_; }
 
@@ -122,4 +123,44 @@
   cr_assert_eq(f.host().deployment->state().version.value, 5);
 }
 
+// Guards against hosts that know the members from another host only and do not
+// own, load or ask for the partitions of their region.
+Test(feed, views_of_other_hosts_name_regional_owners) {
+  hostd_options options;
+  options.partitions_per_topic = 4;
+  options.data_centre = data_centre_id("a");
+  options.processor_share = 0.5;
+  options.data_centres = {{data_centre_id("a"), region_id("east")},
+                          {data_centre_id("b"), region_id("west")}};
+  options.features.regional_jobs = true;
+  feed_fixture f(options);
+  auto& host = f.host();
+  const std::string other = "10.0.0.2|b|500";
+  wire::view_replyT reply;
+  reply.generation = 3;
+  reply.members = {host.self.name, other};
+  // The second member owns all partitions that the group assigns.
+  reply.owners.assign(GroupPartitionCount(host.layout), 1);
+  feed_cursor cursor;
+  ApplyPeerView(host, reply, cursor);
+  cr_assert_eq(host.view.owners.size(), PartitionCount(host.layout));
+  for (std::uint32_t i = 0; i < host.view.owners.size(); ++i) {
+    const auto region = RegionOf(partition_id(i), host.layout);
+    const bool is_own = region == region_id("east");
+    cr_assert_eq(host.view.OwnerOf(partition_id(i))->name,
+                 is_own ? host.self.name : other);
+    cr_assert_eq(host.owned.contains(partition_id(i)), is_own);
+  }
+  // The region loses its only host.
+  wire::view_replyT next;
+  next.generation = 4;
+  next.members = {other};
+  next.owners.assign(GroupPartitionCount(host.layout), 0);
+  ApplyPeerView(host, next, cursor);
+  cr_assert(host.owned.empty());
+  const auto* lost =
+      host.view.OwnerOf(partition_id(kJobTopics * host.layout.per_topic));
+  cr_assert_null(lost, "owner of a partition of a region without hosts");
+}
+
 }  // namespace dogwood::testing
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -1,4 +1,7 @@
 /** Tests of the assignments derived from the members of the fleet. */
+#include <rapidcheck.h>
+
+#include <algorithm>
 #include <set>
 
 #include "src/fleet.h"
@@ -11,6 +14,12 @@
 
 constexpr std::uint32_t kPartitionsPerTopic = 12;
 
+/** Returns a layout in which the group assigns all partitions. */
+auto GroupLayout(std::uint32_t per_topic = kPartitionsPerTopic)
+    -> partition_layout {
+  return MakeLayout(per_topic, {}, false);
+}
+
 /** Returns a member's name in the group. */
 auto Name(std::string ip, std::string data_centre, double share)
     -> std::string {
@@ -34,7 +43,100 @@
   for (const auto& name : names) {
     rows.push_back({{"jobs-0", number++}, name});
   }
-  return BuildView(7, rows, kPartitionsPerTopic);
+  return BuildView(7, rows, GroupLayout());
+}
+
+/** Returns the layout of a fleet whose regions have partitions. */
+auto RegionalLayout(std::uint32_t per_topic = kPartitionsPerTopic)
+    -> partition_layout {
+  return MakeLayout(per_topic, Regions(), true);
+}
+
+/** Returns up to 30 distinct names of members; some are in a data centre that
+ * the settings do not name. */
+auto DrawNames() -> std::vector<std::string> {
+  std::vector<std::string> names;
+  const auto count = *rc::gen::inRange(0, 30);
+  for (int i = 0; i < count; ++i) {
+    names.push_back(
+        Name("10.0." + std::to_string(*rc::gen::inRange(0, 9)) + "." +
+                 std::to_string(i),
+             *rc::gen::element<std::string>("a", "b", "c", "unknown"), 0.5));
+  }
+  return names;
+}
+
+/** Returns the view of these members. They own no partition of jobs. */
+auto RegionalView(const std::vector<std::string>& names,
+                  const partition_layout& layout) -> fleet_view {
+  std::vector<partition_owner_row> rows;
+  for (std::uint32_t i = 0; i < names.size(); ++i) {
+    rows.push_back({{"hosts-0", i}, names[i]});
+  }
+  return BuildView(7, rows, layout);
+}
+
+/** Returns the names of the owners of the regions' partitions; empty for a
+ * partition without an owner. */
+auto RegionalOwners(const fleet_view& view, const partition_layout& layout)
+    -> std::vector<std::string> {
+  std::vector<std::string> owners;
+  for (auto i = GroupPartitionCount(layout); i < PartitionCount(layout); ++i) {
+    const auto* owner =
+        view.OwnerOf(partition_id(static_cast<std::uint32_t>(i)));
+    owners.push_back(owner == nullptr ? "" : owner->name);
+  }
+  return owners;
+}
+
+/** Property: the owner of a region's partition is a member there, if there is
+ * any, and does not depend on the order in which the members are listed. */
+auto CheckRegionalOwners() -> void {
+  const auto layout = RegionalLayout(*rc::gen::inRange(1, 30));
+  auto names = DrawNames();
+  const auto view = RegionalView(names, layout);
+  RC_ASSERT(view.owners.size() == PartitionCount(layout));
+  for (auto i = GroupPartitionCount(layout); i < PartitionCount(layout); ++i) {
+    const partition_id partition(static_cast<std::uint32_t>(i));
+    const auto region = RegionOf(partition, layout);
+    RC_ASSERT(region.has_value());
+    const auto* owner = view.OwnerOf(partition);
+    const bool has_member = std::ranges::any_of(
+        view.members,
+        [&](const auto& member) { return layout.RegionOf(member) == region; });
+    RC_ASSERT((owner != nullptr) == has_member);
+    RC_ASSERT((owner == nullptr || layout.RegionOf(*owner) == region));
+  }
+  std::ranges::reverse(names);
+  RC_ASSERT(RegionalOwners(RegionalView(names, layout), layout) ==
+            RegionalOwners(view, layout));
+  // A host that has the view from another one derives the same owners.
+  fleet_view from_peer{
+      .generation = 7,
+      .members = view.members,
+      .owners = std::vector<std::uint32_t>(
+          view.owners.begin(),
+          view.owners.begin() +
+              static_cast<std::ptrdiff_t>(GroupPartitionCount(layout)))};
+  AssignRegionalOwners(from_peer, layout);
+  RC_ASSERT(from_peer.owners == view.owners);
+}
+
+/** Property: a member that leaves moves only the partitions that it owned, and
+ * so does one that joins. */
+auto CheckRegionalMoves() -> void {
+  const auto layout = RegionalLayout(*rc::gen::inRange(1, 30));
+  auto names = DrawNames();
+  RC_PRE(!names.empty());
+  const auto before = RegionalOwners(RegionalView(names, layout), layout);
+  const auto changed = *rc::gen::inRange<std::size_t>(0, names.size());
+  const auto gone = names[changed];
+  names.erase(names.begin() + static_cast<std::ptrdiff_t>(changed));
+  const auto after = RegionalOwners(RegionalView(names, layout), layout);
+  for (std::size_t i = 0; i < before.size(); ++i) {
+    RC_ASSERT(after[i] != gone);
+    RC_ASSERT((before[i] == gone || after[i] == before[i]));
+  }
 }
 
 }  // namespace
@@ -56,16 +158,15 @@
 Test(fleet, partitions_are_found_where_they_were_put) {
   std::set<log_partition> places;
   for (std::uint32_t i = 0; i < kJobTopics * kPartitionsPerTopic; ++i) {
-    const auto where = LocatePartition(partition_id(i), kPartitionsPerTopic);
+    const auto where = LocatePartition(partition_id(i), GroupLayout());
     places.insert(where);
-    cr_assert_eq(PartitionAt(where, kPartitionsPerTopic)->value, i);
+    cr_assert_eq(PartitionAt(where, GroupLayout())->value, i);
   }
   cr_assert_eq(places.size(), std::size_t{kJobTopics} * kPartitionsPerTopic);
   cr_assert_not(
-      PartitionAt({"jobs-0", kPartitionsPerTopic}, kPartitionsPerTopic)
-          .has_value());
-  cr_assert_not(PartitionAt({"other-0", 0}, kPartitionsPerTopic).has_value());
-  cr_assert_not(PartitionAt({"jobs-99", 0}, kPartitionsPerTopic).has_value());
+      PartitionAt({"jobs-0", kPartitionsPerTopic}, GroupLayout()).has_value());
+  cr_assert_not(PartitionAt({"other-0", 0}, GroupLayout()).has_value());
+  cr_assert_not(PartitionAt({"jobs-99", 0}, GroupLayout()).has_value());
 }
 
 // Guards against hosts that are no members because they own no partition: with
@@ -81,7 +182,7 @@
       rows.push_back({{topic, part}, Name("10.0.0." + host, "a", 0.5)});
     }
   }
-  const auto view = BuildView(7, rows, kLargePartitions);
+  const auto view = BuildView(7, rows, GroupLayout(kLargePartitions));
   cr_assert_eq(view.members.size(), kHosts);
   // Partitions that only carry membership hold no jobs.
   cr_assert_eq(view.owners.size(), std::size_t{kJobTopics} * kLargePartitions);
@@ -148,7 +249,7 @@
   for (const auto& name : names) {
     rows.push_back({{"hosts-0", 0}, name});
   }
-  const auto view = BuildView(7, rows, kPartitionsPerTopic);
+  const auto view = BuildView(7, rows, GroupLayout());
   std::map<std::string, std::size_t> first_choices;
   std::size_t direct = 0;
   for (const auto& member : view.members) {
@@ -189,4 +290,65 @@
   cr_assert_not(OwnsShareOfSmallFleet(0, kPartitionsPerTopic, 3));
 }
 
+// Guards against jobs that are written to the partition of another region, and
+// against a fleet that calls the store for regions although nothing asks for
+// them.
+Test(fleet, partitions_of_regions_follow_those_of_the_group) {
+  const auto layout = RegionalLayout();
+  cr_assert_eq(PartitionCount(layout),
+               std::size_t{kJobTopics + 2} * kPartitionsPerTopic);
+  std::set<log_partition> places;
+  for (std::uint32_t i = 0; i < PartitionCount(layout); ++i) {
+    const auto where = LocatePartition(partition_id(i), layout);
+    places.insert(where);
+    cr_assert_eq(PartitionAt(where, layout)->value, i);
+  }
+  cr_assert_eq(places.size(), PartitionCount(layout));
+  const partition_id first(kJobTopics * kPartitionsPerTopic);
+  cr_assert_eq(RegionOf(first, layout)->value, "east");
+  cr_assert_eq(LocatePartition(first, layout).topic, "region-jobs-east");
+  cr_assert_not(RegionOf(partition_id(first.value - 1), layout).has_value());
+  cr_assert_not(
+      RegionOf(partition_id(static_cast<std::uint32_t>(PartitionCount(layout))),
+               layout)
+          .has_value());
+  cr_assert_not(PartitionAt({"region-jobs-north", 0}, layout).has_value());
+  cr_assert_not(
+      PartitionAt({"region-jobs-east", 0}, GroupLayout()).has_value());
+  cr_assert_eq(
+      PartitionCount(MakeLayout(kPartitionsPerTopic, Regions(), false)),
+      std::size_t{kJobTopics} * kPartitionsPerTopic);
+}
+
+// Guards against jobs of a region that are held in another one, and against two
+// hosts that disagree about the owner.
+Test(fleet, regional_partitions_are_owned_in_their_region) {
+  cr_assert(rc::check(CheckRegionalOwners));
+}
+
+// Guards against a change of one member that moves the jobs of others.
+Test(fleet, few_regional_partitions_move_with_a_member) {
+  cr_assert(rc::check(CheckRegionalMoves));
+}
+
+// Guards against one host of a region that holds most of its jobs.
+Test(fleet, regional_partitions_are_spread_over_the_members) {
+  constexpr std::uint32_t kManyPartitions = 1000;
+  const auto layout = RegionalLayout(kManyPartitions);
+  std::vector<std::string> names;
+  for (int i = 0; i < 10; ++i) {
+    names.push_back(Name("10.0.0." + std::to_string(i), "a", 0.5));
+  }
+  std::map<std::string, std::size_t> counts;
+  for (const auto& owner :
+       RegionalOwners(RegionalView(names, layout), layout)) {
+    ++counts[owner];
+  }
+  cr_assert_eq(counts[""], kManyPartitions, "those of the other region");
+  for (const auto& name : names) {
+    cr_assert_geq(counts[name], kManyPartitions / 20);
+    cr_assert_leq(counts[name], kManyPartitions / 5);
+  }
+}
+
 }  // namespace dogwood::testing
