Hold batch jobs only in the regions that they are bound to

The bodies of jobs whose route or workspace declares regions went to the owner of a partition that followed from the job's name, in any region.

Such a job now goes to a partition of one of its allowed regions that have hosts. Reads and ends tell no path, so the owners of all partitions that may have the job are asked, the likeliest first, and 404 or 401 is answered only if all of them say so. Substitutes for a silent owner are hosts of the partition's region only: they read its log, and so the bodies of other jobs. A job without a common region, or without a host in its regions, is refused at once with 503. After a change of the declared regions, or of the regions that have hosts, the other partitions are asked before a job is accepted, so that a repeat is not accepted twice. The caller's side of batch calls moves to hostd_batch_call.cc.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -12,7 +12,8 @@
 dogwood_library(batch SOURCES batch_projection.cc batch_queue.cc batch_quota.cc
                         batch_record.cc
                 LIBS dogwood_job dogwood_http)
-dogwood_library(fleet SOURCES fleet_func.cc LIBS dogwood_batch)
+dogwood_library(fleet SOURCES fleet_func.cc fleet_region.cc
+                LIBS dogwood_batch dogwood_deployment)
 add_library(dogwood_platform_adapter STATIC
             platform/batch_codec.cc platform/feature_codec.cc platform/field_reader.cc
             platform/request_codec.cc platform/state_codec.cc
@@ -20,8 +21,8 @@
 target_link_libraries(dogwood_platform_adapter PUBLIC dogwood_proxy dogwood_http
                                                       OpenSSL::Crypto)
 dogwood_library(hostd_lib
-                SOURCES hostd_base.cc hostd_batch.cc hostd_batch_log.cc
-                        hostd_batch_run.cc hostd_caller.cc
+                SOURCES hostd_base.cc hostd_batch.cc hostd_batch_call.cc
+                        hostd_batch_log.cc hostd_batch_run.cc hostd_caller.cc
                         hostd_failover.cc hostd_feed.cc hostd_front.cc hostd_placement.cc
                         hostd_placement_codec.cc
                         hostd_relay.cc hostd_reload.cc hostd_setting.cc hostd_state.cc
@@ -43,6 +44,7 @@
 dogwood_test(dispatch_wait dogwood_dispatch)
 dogwood_test(batch dogwood_batch)
 dogwood_test(fleet dogwood_fleet)
+dogwood_test(fleet_region dogwood_fleet)
 dogwood_test(adapter dogwood_platform_adapter)
 dogwood_test(hostd dogwood_hostd_lib)
 dogwood_test(feed dogwood_hostd_lib)
@@ -51,8 +53,8 @@
 # Process-level tests of hostd against the fake of the users' platform. They use
 # the same addresses, so they run one at a time.
 if(NOT DOGWOOD_DEPLOYMENT_ONLY)
-  foreach(site answer batch calm owner quarantine signals silence stream store stop
-               restart trouble)
+  foreach(site answer batch calm owner quarantine region signals silence stream
+               store stop restart trouble)
     add_test(NAME site_${site}
              COMMAND ${CMAKE_SOURCE_DIR}/tests/site_${site}.py)
     set_tests_properties(site_${site} PROPERTIES LABELS failure TIMEOUT 300
--- a/src/deployment_query.cc
+++ b/src/deployment_query.cc
@@ -28,17 +28,21 @@
   }
 }
 
+auto deployment_index::RoutesOf(std::string_view host) const
+    -> std::span<const route_rule* const> {
+  const auto found = routes_by_host_.find(std::string(host));
+  return found == routes_by_host_.end()
+             ? std::span<const route_rule* const>()
+             : std::span<const route_rule* const>(found->second);
+}
+
 auto deployment_index::FindRoute(std::string_view host,
                                  std::string_view path) const
     -> const route_rule* {
-  const auto found = routes_by_host_.find(std::string(host));
-  if (found == routes_by_host_.end()) {
-    return nullptr;
-  }
-  const auto route = std::ranges::find_if(found->second, [path](const auto* r) {
-    return path.starts_with(r->prefix);
-  });
-  return route == found->second.end() ? nullptr : *route;
+  const auto routes = RoutesOf(host);
+  const auto route = std::ranges::find_if(
+      routes, [path](const auto* r) { return path.starts_with(r->prefix); });
+  return route == routes.end() ? nullptr : *route;
 }
 
 auto deployment_index::FindWorkspaceByKey(std::string_view hash) const
--- a/src/deployment_query.h
+++ b/src/deployment_query.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -27,6 +28,9 @@
    */
   auto FindRoute(std::string_view host, std::string_view path) const
       -> const route_rule*;
+  /** Returns the routes of a host name. */
+  auto RoutesOf(std::string_view host) const
+      -> std::span<const route_rule* const>;
   /** Returns the workspace that owns the key with this SHA-256 (hex); nullptr
    * if none. */
   auto FindWorkspaceByKey(std::string_view hash) const -> const workspace_rule*;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -4,6 +4,7 @@
 #define SRC_FLEET_H_
 
 #include "src/fleet_func.h"
+#include "src/fleet_region.h"
 #include "src/fleet_type.h"
 
 #endif  // SRC_FLEET_H_
--- a/src/hostd_batch.cc
+++ b/src/hostd_batch.cc
@@ -1,5 +1,4 @@
-/** Callers' requests on batch jobs: routing to the owner of the job's
- * partition, and handling by the owner. */
+/** Handling of calls on batch jobs by the owner of their partition. */
 #include "src/hostd_batch.h"
 
 #include <algorithm>
@@ -7,6 +6,7 @@
 #include <utility>
 
 #include "src/hostd_base.h"
+#include "src/hostd_batch_call.h"
 #include "src/hostd_placement.h"
 #include "src/wall_clock.h"
 
@@ -22,40 +22,10 @@
 /** Maximum bytes of results in one answer (the platform's pages, "Batch jobs").
  */
 constexpr std::size_t kAnswerBytes = 900UL << 10;
-/** Total timeout of a caller's submission. */
-constexpr milliseconds kSubmitTimeout{3500};
-/** Longest wait for a result, and the extra time that the owner has to answer
- * beyond the requested wait. */
-constexpr milliseconds kReadTimeout{1200};
-/** Time after which a submission is also sent to substitutes of an owner that
- * has not answered. A fifth of a second is twice what an owner in another
- * region needs, and leaves time within the objective of half a second. */
-constexpr milliseconds kOwnerTimeout{200};
-/** Timeout of one substitute that accepts a job in place of the owner. */
-constexpr milliseconds kSubstituteTimeout{1200};
-/** Maximum number of substitutes, including this host. */
-constexpr std::size_t kMaxSubstitutes = 3;
 /** An accepted job counts for this long at the host that has accepted it,
  * unless its partition's log shows it before: a host that accepts in place of
  * the owner does not see that log. */
 constexpr std::chrono::seconds kAcceptedTokensTtl{5};
-/** Longest time until a call is answered: the link to the owner waits
- * kReadTimeout longer than the owner. */
-constexpr milliseconds kLongestRead = 2 * kReadTimeout;
-constexpr milliseconds kLongestChange = kSubmitTimeout + kReadTimeout;
-/** Retry-After for callers while the owner of the job cannot serve them. */
-constexpr milliseconds kOwnerRetryAfter{300};
-
-/** Returns the failure of a call, which may have taken effect only if its time
- * is over. */
-auto CallFailure(error_code code, std::string message) -> failure {
-  return {.code = code,
-          .message = std::move(message),
-          .ran = code == error_code::kDeadlineExceeded ? ran_state::kMaybe
-                                                       : ran_state::kNo,
-          .step = "answer batch call",
-          .peer = ""};
-}
 
 /** Whether a caller may read and end a job. A job of an open route belongs to
  * no workspace; whoever knows its name has access. */
@@ -65,11 +35,6 @@
   return workspace.empty() || (!call.lacks_key && workspace == call.workspace);
 }
 
-/** Returns an answer that reports a failure. */
-auto FailureAnswer(error_code code, std::string message) -> http_response {
-  return FailureResponse(CallFailure(code, std::move(message)));
-}
-
 }  // namespace
 
 auto batch_service::AwaitSettled(partition_ptr partition,
@@ -96,6 +61,12 @@
   const partition_id id(call.partition);
   const auto kind = static_cast<batch_call_kind>(call.call);
   const auto deadline = clock::now() + std::chrono::microseconds(call.wait_us);
+  const auto region = RegionOf(id, host_.layout);
+  if (id.value >= PartitionCount(host_.layout) ||
+      call.region != region.value_or(region_id()).value) {
+    co_return FailureAnswer(error_code::kUnavailable,
+                            "the settings of the hosts differ in the regions");
+  }
   std::optional<batch_submission> submission;
   if (kind == batch_call_kind::kSubmit ||
       kind == batch_call_kind::kSubmitForOwner) {
@@ -106,6 +77,10 @@
     submission = std::move(decoded.value());
   }
   if (kind == batch_call_kind::kSubmitForOwner) {
+    if (region && host_.layout.RegionOf(host_.self) != region) {
+      co_return FailureAnswer(error_code::kUnavailable,
+                              "this host is not in the region of the job");
+    }
     co_return co_await SubmitForOwner(id, *submission, deadline);
   }
   const auto found = partitions_.find(id);
@@ -129,6 +104,9 @@
                             "the store does not tell whether the job exists");
   }
   const auto* job = partition->projection.Find(batch_id(call.job));
+  if (kind == batch_call_kind::kFind) {
+    co_return FindAnswer(*partition, batch_id(call.job));
+  }
   if (job == nullptr || !HasAccess(call, job->submission)) {
     co_return call.lacks_key
         ? FailureAnswer(error_code::kUnauthorized, "unknown key")
@@ -142,7 +120,11 @@
   }
   const auto* item = job->FindItem(batch_item_id(call.item));
   if (item == nullptr || job->ended || job->listed.contains(item->id)) {
-    co_return FailureAnswer(error_code::kNotFound, "no such open item");
+    auto answer = FailureAnswer(error_code::kNotFound, "no such open item");
+    if (host_.layout.IsRegional()) {
+      answer.status = kNoOpenItemStatus;
+    }
+    co_return answer;
   }
   co_return http_response{
       .status = 200,
@@ -150,6 +132,19 @@
       .body = item->body};
 }
 
+auto batch_service::FindAnswer(const owned_partition& partition,
+                               const batch_id& job) -> http_response {
+  if (partition.projection.Find(job) != nullptr) {
+    return JsonResponse(202, "{}");
+  }
+  const bool is_pending = std::ranges::any_of(
+      partition.pending,
+      [&job](const auto& record) { return record->submitted_job == job; });
+  return is_pending ? FailureAnswer(error_code::kUnavailable,
+                                    "the job is being accepted")
+                    : FailureAnswer(error_code::kNotFound, "no such batch job");
+}
+
 auto batch_service::EnsureCurrent(partition_id id,
                                   partition_ptr partition,
                                   const wire::batch_callT& call)
@@ -251,16 +246,6 @@
   return FailureAnswer(error_code::kUnavailable, "the store is full");
 }
 
-/** Returns the failure of a job that the store has no room for in one append.
- * Its caller need not repeat it. */
-auto TooLargeFailure(const append_limits& limits) -> failure {
-  return CallFailure(error_code::kTooLarge,
-                     "batch job does not fit the store: its items may have " +
-                         std::to_string(limits.append_bytes) +
-                         " bytes in all, with their headers and decoded "
-                         "bodies");
-}
-
 /** Returns the answer that reports TooLargeFailure(). */
 auto TooLargeAnswer(const append_limits& limits) -> http_response {
   return FailureResponse(TooLargeFailure(limits));
@@ -415,284 +400,4 @@
                                      "the store did not answer in time");
 }
 
-namespace {
-
-/** Converts a caller's request to the call for the owner, without its body. */
-auto EncodeCall(const caller_request& caller, const workspace_id& workspace)
-    -> wire::batch_callT {
-  wire::batch_callT call;
-  call.workspace = workspace.value;
-  call.host = caller.host;
-  call.path = caller.path;
-  call.job = caller.job;
-  call.item = caller.item;
-  call.position = caller.position;
-  auto kind = batch_call_kind::kSubmit;
-  auto wait = kSubmitTimeout;
-  if (caller.call == caller_call::kJobResults) {
-    kind = batch_call_kind::kResults;
-    wait = std::min(caller.result_wait, kReadTimeout);
-  } else if (caller.call == caller_call::kJobItem) {
-    kind = batch_call_kind::kItem;
-    wait = milliseconds(0);
-  } else if (caller.call == caller_call::kJobEnd) {
-    kind = batch_call_kind::kEnd;
-  }
-  call.call = static_cast<std::uint8_t>(kind);
-  call.wait_us =
-      std::chrono::duration_cast<std::chrono::microseconds>(wait).count();
-  return call;
-}
-
-/** Sends a call to a host; this host handles its own calls directly. */
-auto CallHost(host_state& host,
-              const fleet_member& member,
-              wire::batch_callT call) -> asio::awaitable<http_response> {
-  if (member.name == host.self.name) {
-    co_return co_await host.batch->Answer(call);
-  }
-  const auto link = host.links.Get(host.LinkAddressOf(member));
-  if (link == nullptr) {
-    co_return FailureAnswer(error_code::kUnavailable,
-                            "the host has no address");
-  }
-  const auto deadline =
-      clock::now() + std::chrono::microseconds(call.wait_us) + kReadTimeout;
-  const auto kind = static_cast<batch_call_kind>(call.call);
-  const bool is_read =
-      kind == batch_call_kind::kResults || kind == batch_call_kind::kItem;
-  auto message = MakeMessage(std::move(call));
-  auto reply = co_await link->Call(std::move(message), deadline);
-  const auto* answer = reply ? reply->Ashttp_reply() : nullptr;
-  if (answer == nullptr) {
-    const bool is_unsent = !reply && reply.error().ran == ran_state::kNo;
-    co_return FailureAnswer(
-        is_read || is_unsent ? error_code::kUnavailable
-                             : error_code::kDeadlineExceeded,
-        reply ? "unexpected answer of the host" : reply.error().message);
-  }
-  http_response response;
-  response.status = answer->status;
-  response.headers.Set("Content-Type", answer->content_type);
-  response.body = answer->body;
-  co_return response;
-}
-
-/** Sends a call to the owner of its partition. */
-auto CallOwner(host_state& host, wire::batch_callT call)
-    -> asio::awaitable<http_response> {
-  const auto* owner = host.view.OwnerOf(partition_id(call.partition));
-  if (owner == nullptr) {
-    co_return FailureAnswer(error_code::kUnavailable,
-                            "the job's partition has no owner");
-  }
-  // Copied because the view may change while the owner answers.
-  const auto member = *owner;
-  auto response = co_await CallHost(host, member, std::move(call));
-  co_return response;
-}
-
-/** An answer that may still be outstanding when its caller stops waiting. */
-struct pending_answer {
-  explicit pending_answer(asio::io_context& io) : changed(io) {}
-  std::optional<http_response> response;  ///< Set on arrival of the answer.
-  async_condition changed;                ///< Notified when `response` is set.
-};
-
-/** Sends a call to the owner and stores the answer in `pending`. */
-auto CallOwnerInto(host_state& host,
-                   wire::batch_callT call,
-                   std::shared_ptr<pending_answer> pending)
-    -> asio::awaitable<void> {
-  pending->response = co_await CallOwner(host, std::move(call));
-  pending->changed.Notify();
-}
-
-/** Whether a submission has a final answer: accepted, or refused for good. */
-auto IsSettled(const std::optional<http_response>& response) -> bool {
-  return response && response->status != 503 && response->status != 504;
-}
-
-/** Returns the hosts that may accept a job in place of the owner: this host
- * first, or last while it has lost the store, and others in random order. */
-auto SubstituteHosts(host_state& host, const fleet_member* owner)
-    -> std::vector<fleet_member> {
-  std::vector<fleet_member> others;
-  for (const auto& member : host.view.members) {
-    if (member.name != host.self.name &&
-        (owner == nullptr || member.name != owner->name)) {
-      others.push_back(member);
-    }
-  }
-  std::ranges::shuffle(others, host.random);
-  others.insert(host.store.is_lost ? others.end() : others.begin(), host.self);
-  others.resize(std::min(others.size(), kMaxSubstitutes));
-  return others;
-}
-
-/** Submits a job to its owner, and to substitutes if the owner does not answer.
- */
-auto SubmitJob(host_state& host, wire::batch_callT call)
-    -> asio::awaitable<http_response> {
-  const auto deadline = clock::now() + std::chrono::microseconds(call.wait_us);
-  auto owner_answer = std::make_shared<pending_answer>(host.io);
-  asio::co_spawn(host.io, CallOwnerInto(host, call, owner_answer),
-                 LogException);
-  const auto owner_deadline = clock::now() + kOwnerTimeout;
-  while (!owner_answer->response && clock::now() < owner_deadline) {
-    co_await owner_answer->changed.Wait(owner_deadline);
-  }
-  if (IsSettled(owner_answer->response)) {
-    co_return *owner_answer->response;
-  }
-  const auto substitutes =
-      SubstituteHosts(host, host.view.OwnerOf(partition_id(call.partition)));
-  call.call = static_cast<std::uint8_t>(batch_call_kind::kSubmitForOwner);
-  bool may_be_in_log = false;
-  for (const auto& member : substitutes) {
-    const duration remaining = deadline - clock::now();
-    if (remaining <= duration() || IsSettled(owner_answer->response)) {
-      break;
-    }
-    call.wait_us = std::chrono::duration_cast<std::chrono::microseconds>(
-                       std::min<duration>(kSubstituteTimeout, remaining))
-                       .count();
-    auto response = co_await CallHost(host, member, call);
-    if (IsSettled(response)) {
-      co_return response;
-    }
-    may_be_in_log = may_be_in_log || response.status == 504;
-  }
-  while (!owner_answer->response && clock::now() < deadline) {
-    co_await owner_answer->changed.Wait(deadline);
-  }
-  // A refusal by the owner does not settle what a substitute may have appended.
-  if (IsSettled(owner_answer->response) &&
-      (!may_be_in_log || owner_answer->response->status == 202)) {
-    co_return *owner_answer->response;
-  }
-  // The answer may say "not run" only if no host may have appended the job.
-  may_be_in_log = may_be_in_log || !owner_answer->response ||
-                  owner_answer->response->status == 504;
-  co_return may_be_in_log ? FailureAnswer(error_code::kDeadlineExceeded,
-                                          "the store did not answer in time")
-                          : *owner_answer->response;
-}
-
-/** Adds the job of a submission to its call. Fails if the job is malformed or
- * larger than the store takes. */
-auto EncodeJob(const host_state& host,
-               const http_request& request,
-               const caller_request& caller,
-               wire::batch_callT& call) -> outcome<void> {
-  auto items = adapter::DecodeItems(request.body);
-  if (!items) {
-    return items.error();
-  }
-  call.job = caller.attempt.value;
-  if (call.job.empty()) {
-    return CallFailure(error_code::kBadRequest, "submission has no name");
-  }
-  call.body =
-      EncodeSubmission({.id = batch_id(call.job),
-                        .workspace = workspace_id(call.workspace),
-                        .host = caller.host,
-                        .path = caller.path,
-                        .submitted = UnixNow(),
-                        .accepted_under = host.deployment->state().version,
-                        .items = std::move(items.value())});
-  const auto& limits = host.options.store_limits;
-  const auto records =
-      SplitSubmission(batch_id(call.job), call.body, limits.record_bytes);
-  if (!FitAppend(records, limits)) {
-    return TooLargeFailure(limits);
-  }
-  return outcome<void>();
-}
-
-/** Rejects a call before it is sent to the owner of its job. */
-auto RejectCall(host_state& host,
-                http_exchange& exchange,
-                const caller_request& caller,
-                failure error) -> asio::awaitable<void> {
-  auto refusal = FailureResponse(error);
-  if (error.code == error_code::kUnavailable) {
-    adapter::SetRetryAfter(refusal.headers, kOwnerRetryAfter);
-  }
-  const bool is_job = caller.call == caller_call::kServe;
-  LogEvent(log_level::kInfo, log_category::kJob, "batch_call_refused",
-           {{"job", is_job ? caller.attempt.value : caller.job},
-            {"status", refusal.status},
-            {"outcome", error.message}});
-  host.metrics.CountAnswer(refusal.status);
-  co_await exchange.Respond(std::move(refusal));
-}
-
-}  // namespace
-
-auto HandleBatchCall(host_state& host,
-                     http_exchange& exchange,
-                     const caller_request& caller,
-                     const workspace_id& workspace,
-                     bool lacks_key) -> asio::awaitable<void> {
-  const auto arrived = clock::now();
-  const bool is_read = caller.call == caller_call::kJobResults ||
-                       caller.call == caller_call::kJobItem;
-  const auto longest = is_read ? kLongestRead : kLongestChange;
-  if (arrived > LatestDrainStart(host.drain, arrived + longest, duration())) {
-    const auto error =
-        CallFailure(error_code::kUnavailable,
-                    "this host stops before the call could be answered");
-    co_await RejectCall(host, exchange, caller, error);
-    co_return;
-  }
-  auto call = EncodeCall(caller, workspace);
-  call.lacks_key = lacks_key;
-  // Without a key, only who may have submitted a job causes reads of the store.
-  call.skips_store = lacks_key && !host.deployment->HasOpenBatchRoute();
-  if (caller.call == caller_call::kServe) {
-    auto encoded = EncodeJob(host, exchange.Request(), caller, call);
-    if (!encoded) {
-      co_await RejectCall(host, exchange, caller, encoded.error());
-      co_return;
-    }
-  }
-  call.partition =
-      PartitionOf(batch_id(call.job), host.layout).value;
-  const auto job = call.job;
-  const auto kind = call.call;
-  const auto partition = call.partition;
-  http_response response;
-  if (caller.call == caller_call::kServe) {
-    response = co_await SubmitJob(host, std::move(call));
-  } else {
-    response = co_await CallOwner(host, std::move(call));
-  }
-  const auto status = response.status;
-  const auto* owner = host.view.OwnerOf(partition_id(partition));
-  // Every caller polls twice a second; at info level only refused reads are
-  // logged.
-  LogEvent(
-      is_read && status < 400 ? log_level::kDebug : log_level::kInfo,
-      log_category::kJob, "batch_call",
-      {{"job", job},
-       {"call", kind},
-       {"workspace", workspace.value},
-       {"partition", partition},
-       {"owner", owner == nullptr ? "" : owner->name},
-       {"generation", host.view.generation},
-       {"status", status},
-       {"ms", std::chrono::duration_cast<milliseconds>(clock::now() - arrived)
-                  .count()}});
-  host.metrics.CountAnswer(status);
-  if (status == 503) {
-    adapter::SetRetryAfter(response.headers, kOwnerRetryAfter);
-  }
-  auto sent = co_await exchange.Respond(std::move(response));
-  if (!sent) {
-    Log(log_level::kDebug, log_category::kHttp,
-        {sent.error().message, sent.error().step, sent.error().peer});
-  }
-}
-
 }  // namespace dogwood
--- a/src/hostd_batch.h
+++ b/src/hostd_batch.h
@@ -15,6 +15,7 @@
 #include "src/async_condition.h"
 #include "src/batch.h"
 #include "src/caller_type.h"
+#include "src/fleet.h"
 #include "src/hostd_relay.h"
 #include "src/http.h"
 #include "src/link.h"
@@ -30,6 +31,7 @@
   kItem,            ///< Returns the body of `item`.
   kEnd,             ///< Ends the job.
   kSubmitForOwner,  ///< Like kSubmit, but sent to a host that is not the owner.
+  kFind,            ///< Tells whether the job has been accepted.
 };
 
 /** Handles a caller's request on a batch job and responds to it. `workspace` is
@@ -63,6 +65,10 @@
    * any partition. */
   auto Answer(const wire::batch_callT& call)
       -> boost::asio::awaitable<http_response>;
+  /** Changes that let jobs be held by another partition than a new one. */
+  auto changes() const -> const placement_changes& { return changes_; }
+  /** Partitions in which this host has found jobs. */
+  auto found() -> found_jobs& { return found_; }
   /** Returns the tokens that wait on routes with a limit, of jobs of this
    * host's partitions and of those that are being accepted. */
   auto WaitingReport() const -> waiting_report;
@@ -201,6 +207,9 @@
                      partition_ptr partition,
                      const wire::batch_callT& call)
       -> boost::asio::awaitable<bool>;
+  /** Tells whether a partition that is current has a job. */
+  static auto FindAnswer(const owned_partition& partition, const batch_id& job)
+      -> http_response;
   auto Submit(partition_id id,
               partition_ptr partition,
               const batch_submission& submission,
@@ -271,6 +280,8 @@
   std::size_t awaiting_slot_ =
       0;  // Items with an outstanding placement request.
   std::map<batch_id, accepted_tokens> accepting_;
+  placement_changes changes_;
+  found_jobs found_;
   std::uint64_t last_grant_ = 0;  // Number of the newest quota grant.
   double run_seconds_;            // Smoothed duration of a complete run.
   time_point next_record_;        // When progress is recorded next.
--- a/src/hostd_batch_log.cc
+++ b/src/hostd_batch_log.cc
@@ -39,6 +39,7 @@
 }
 
 auto batch_service::OwnershipChanged() -> void {
+  changes_.RecordView(host_.view, host_.layout, clock::now());
   for (auto it = partitions_.begin(); it != partitions_.end();) {
     if (host_.owned.contains(it->first)) {
       // Another host may have owned the partition between the two views.
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -158,6 +158,7 @@
 }
 
 auto batch_service::StateChanged() -> void {
+  changes_.RecordState(host_.deployment->state(), clock::now());
   // Routes may have changed their services or limits.
   for (const auto& [id, partition] : partitions_) {
     for (const auto& [job_id, job] : partition->projection.Jobs()) {
--- a/tests/site_helper.py
+++ b/tests/site_helper.py
@@ -82,7 +82,7 @@
             "directory_address": f"{self.ip}:{DIRECTORY}", "link_address": f"{self.ip}:{LINK}",
             "metrics_address": f"{self.ip}:{METRICS}", "store_address": self.fleet.store_address(self),
             "peers": [f"{other.ip}:{LINK}" for other in self.fleet.hosts[:3]],
-            "secret": "test", "processor_share": 0.5, "drain_limit_s": 6}
+            "secret": "test", "processor_share": 0.5, "drain_limit_s": 6, **self.fleet.settings}
 
     async def start(self, output=None):
         """Starts the process. Its lines go to the log file, or to the descriptor `output`."""
@@ -181,8 +181,9 @@
 class Fleet:
     """Fixture with the hosts, servers and store of one test."""
 
-    def __init__(self, name, hosts=3, engines=2, net=NET):
+    def __init__(self, name, hosts=3, engines=2, net=NET, settings=None):
         self.net = net
+        self.settings = settings or {}  # In place of the usual ones, of all hosts.
         self.directory = ROOT / "out" / "site" / name
         self.directory.mkdir(parents=True, exist_ok=True)
         for old in self.directory.glob("*"):
@@ -198,9 +199,12 @@
     def store_address(self, host):
         return f"{self.store_ip}:{STORE}"
 
+    def first_state(self):
+        return state()
+
     async def __aenter__(self):
         await self.store.http.start(self.store_ip, STORE)
-        await self.store.put(stand_in.STATE_TOPIC, "config", state())
+        await self.store.put(stand_in.STATE_TOPIC, "config", self.first_state())
         for engine in self.engines:
             await engine.start()
         for host in self.hosts:
