--- a/src/fleet.h
+++ b/src/fleet.h
@@ -5,6 +5,7 @@
 
 #include "src/fleet_func.h"
 #include "src/fleet_owner.h"
+#include "src/fleet_region.h"
 #include "src/fleet_type.h"
 
 #endif  // SRC_FLEET_H_
--- a/src/hostd_feed.cc
+++ b/src/hostd_feed.cc
@@ -351,6 +351,7 @@
     }
     view.members.push_back(std::move(*member));
   }
+  AssignRegionalOwners(view, host.layout);
   return view;
 }
 
@@ -482,7 +483,10 @@
   reply.view_age_us = Micros(now - host.view_confirmed);
   reply.owners_age_us = Micros(now - host.view_read);
   if (HasOtherView(host, request)) {
+    // Each host derives the owners of the regions' partitions itself.
     reply.owners = host.view.owners;
+    reply.owners.resize(
+        std::min(reply.owners.size(), GroupPartitionCount(host.layout)));
     for (const auto& member : host.view.members) {
       reply.members.push_back(member.name);
     }
