Estimate how fast each server works

Cause: servers of one service differ in speed and change it within seconds; placement knows only how many requests each of them runs.

Change: class server_speeds learns, from the times of runs and from the figure that servers report, the factor of each server relative to the median of its service, and how its times rise with its load. Estimates are drawn towards 1 by a weight that follows from the variances within and between servers, and fade. Nothing uses it yet.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -6,8 +6,8 @@
 dogwood_library(dispatch
                 SOURCES dispatch_cmd.cc dispatch_drain.cc dispatch_local.cc
                         dispatch_quarantine.cc dispatch_query.cc
-                        dispatch_return.cc dispatch_usage.cc
-                        dispatch_wait.cc
+                        dispatch_return.cc dispatch_speed.cc
+                        dispatch_usage.cc dispatch_wait.cc
                 LIBS dogwood_deployment)
 dogwood_library(batch SOURCES batch_projection.cc batch_queue.cc batch_quota.cc
                         batch_record.cc
@@ -37,6 +37,7 @@
 dogwood_test(dispatch_quarantine dogwood_dispatch)
 dogwood_test(dispatch_region dogwood_dispatch)
 dogwood_test(dispatch_return dogwood_dispatch)
+dogwood_test(dispatch_speed dogwood_dispatch)
 dogwood_test(dispatch_usage dogwood_dispatch)
 dogwood_test(dispatch_usage_model dogwood_dispatch)
 dogwood_test(dispatch_usage_cut dogwood_dispatch)
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -8,6 +8,7 @@
 #include "src/dispatch_local.h"
 #include "src/dispatch_quarantine.h"
 #include "src/dispatch_return.h"
+#include "src/dispatch_speed.h"
 #include "src/dispatch_type.h"
 #include "src/dispatch_usage.h"
 #include "src/dispatch_wait.h"
--- a/src/dispatch_type.h
+++ b/src/dispatch_type.h
@@ -35,6 +35,12 @@
   kBatch,   ///< An item of a batch job; preempted for online requests.
 };
 
+/** Times of an answer that are still on time; zero if none are declared. */
+struct answer_objectives {
+  duration first_event{};  ///< From the request to the first event.
+  duration event_gap{};    ///< Between events.
+};
+
 /** A host's request for a slot on a backend server. */
 struct placement_request {
   host_id host;                           ///< Requesting host.
@@ -55,6 +61,7 @@
   prompt_parts prompt;  ///< Empty for batch work and if none is named.
   /** Hash of the request; empty for batch work. */
   std::optional<request_hash> content;
+  answer_objectives objectives = {};  ///< Of its route.
 };
 
 /** Outcome of a placement request. */
@@ -95,6 +102,13 @@
   kUnused,       ///< The slot was granted but not used.
 };
 
+/** Times of a run whose answer was a stream of events. */
+struct stream_times {
+  duration first_event{};         ///< From the sending to the first event.
+  duration events{};              ///< From the first event to the last.
+  std::uint32_t event_count = 0;  ///< Number of events; 0: no stream.
+};
+
 /** Report of a host that a run has ended. */
 struct run_end_report {
   ticket_id ticket;
@@ -102,6 +116,7 @@
   /** The server broke off before it had sent two events, as one does that
    * crashes on the request. */
   bool may_have_crashed = false;
+  stream_times times = {};  ///< Not set if the answer was no stream.
 };
 
 /** A slot that a host reports as in use. */
@@ -122,6 +137,76 @@
 struct server_count {
   server_id server;
   std::uint32_t count = 0;
+  /** How long work takes there, in percent of usual; 0: unknown. In what hosts
+   * report it is the server's own figure, in what a dispatcher sends it is the
+   * estimate from runs. */
+  std::uint32_t slowness_percent = 0;
+  duration age{};  ///< Time since the server reported that figure.
+};
+
+/** Constants of the estimates of the servers' speeds. */
+struct speed_policy {
+  bool is_enabled = false;  ///< Otherwise placement does not use estimates.
+  /** Samples lose 63 in 100 of their weight in this time. */
+  std::chrono::milliseconds memory{3000};
+  /** The same for the typical times of a service. Shorter, so that what slows
+   * down all servers at once is not taken for a fault of each. */
+  std::chrono::milliseconds service_memory{300};
+  /** The same for the dependence on the load, which changes slowly and needs
+   * many samples. */
+  std::chrono::milliseconds trend_memory{20000};
+  /** Weight of the assumption that a server is typical, in samples. The best
+   * weight is the variance of the samples of one server over the variance
+   * between servers; it is estimated within the bounds and begins at
+   * `initial_prior`. */
+  double initial_prior = 4;
+  double min_prior = 0.4;
+  double max_prior = 8;
+  /** A sample of this many events has half the weight of a long one. */
+  double half_weight_events = 5;
+  /** Bound of a single sample: its factor is at most this and at least the
+   * inverse. */
+  double max_sample_factor = 6;
+  /** Below this weight of samples a server is probed with batch work. */
+  double stale_samples = 0.5;
+  /** Weight of an estimate taken over from another dispatcher, in samples. */
+  double adopted_samples = 4;
+  /** Smoothing time of the figure that servers report. */
+  std::chrono::milliseconds told_memory{500};
+  /** The figure loses 63 in 100 of its effect at this age. */
+  std::chrono::milliseconds told_life{1000};
+  /** Fraction of the figure's deviation from 100 that is applied. */
+  double told_weight = 1;
+  /** Bounds of the figure as a factor. Runs count for more: a figure that does
+   * not match them is wrong. */
+  double min_told = 0.5;
+  double max_told = 3;
+  /** Paces are computed anew after this time. */
+  std::chrono::milliseconds refresh_interval{100};
+  /** Increase of the time from an empty to a full server, relative to the empty
+   * one: assumed before it is learned, and its bounds. The lower bound keeps
+   * load spread over servers that are equally fast. */
+  double initial_rise = 1;
+  double min_rise = 0.2;
+  double max_rise = 8;
+  /** Weight of the assumed and of the service's rise, as the sum of squared
+   * deviations of the load. */
+  double service_trend_weight = 40;
+  double server_trend_weight = 80;
+  /** Part of an objective up to which the expected time may rise. The expected
+   * time is a mean, and single requests take longer. */
+  double objective_share = 0.7;
+  /** Objectives of requests are remembered for this long. */
+  std::chrono::milliseconds objective_memory{10000};
+  /** A batch item prefers a server slower by 1 to one that is less loaded by up
+   * to this fraction of its slots, so that fast servers are free for callers.
+   */
+  double batch_slow_preference = 1;
+  /** Bounds of the metrics of slow and fast servers. */
+  double slow_factor = 1.3;
+  double fast_factor = 0.77;
+  /** A server's changes are logged at most this often. */
+  std::chrono::milliseconds log_interval{5000};
 };
 
 /** Tuning constants of the dispatcher. */
@@ -168,6 +253,7 @@
   double wait_deviations = 1.65;
   /** Duration of an online run that is assumed before any was measured. */
   std::chrono::milliseconds initial_run_time{800};
+  speed_policy speed = {};  ///< Estimates of the servers' speeds.
 };
 
 }  // namespace dogwood
