Rank servers by expected time where speeds are learned

Cause: equally near servers were ranked by their share of used slots only.

Change: with speed_policy::is_enabled, FindFree() ranks by the expected time of one more request; it prefers servers within their room, probes idle servers of which little is known with batch items, and puts other items on slower servers unless they would be late there. Preemption chooses the server with the lowest expected time. Rows of CountsNear() carry the estimates; local placement and dispatchers to be take them over.

Result: dispatch, dispatch_local, dispatch_region and dispatch_wait tests pass as before (feature off).

--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -18,10 +18,12 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "src/dispatch_quarantine.h"
+#include "src/dispatch_speed.h"
 #include "src/dispatch_type.h"
 #include "src/dispatch_usage.h"
 
@@ -66,6 +68,13 @@
    * that cannot reach this dispatcher, or that their callers have abandoned. */
   auto RecordReportedLoads(std::span<const server_count> reported,
                            time_point now) -> void;
+  /** As a host that is not the dispatcher: takes over the estimates that the
+   * dispatcher has sent, see CountsNear(). */
+  auto AdoptSpeeds(std::span<const server_count> rows, time_point now) -> void;
+  /** Removes and returns the changes of servers' speeds to log. */
+  auto DrainSpeedChanges() -> std::vector<speed_change> {
+    return speeds_.DrainChanges();
+  }
   /** Records what a host knows of the use of limits. */
   auto RecordUsage(const usage_report& report, time_point now) -> void;
   /** Takes over what other hosts have under quarantine. */
@@ -106,9 +115,13 @@
     return limits_.Used(workspace, now);
   }
   /** Returns the slots in use on the servers that have any, the nearest to
-   * `place` first, `max_rows` servers at most. */
+   * `place` first, `max_rows` servers at most. If speeds are learned, the rows
+   * have the servers' estimates, and unused servers that are not typical follow
+   * within the same limit. */
   auto CountsNear(const host_location& place, std::size_t max_rows) const
       -> std::vector<server_count>;
+  /** Estimates of the servers' speeds; for metrics. */
+  auto Speeds() const -> const server_speeds& { return speeds_; }
   /** External load of all servers, as reported by them. */
   auto ExternalCount(time_point now) const -> std::size_t;
   /** Queued requests of a class. */
@@ -126,6 +139,7 @@
     time_point granted_at;
     prompt_parts prompt = {};  ///< Of the request, if it was placed here.
     std::optional<request_hash> content = {};  ///< As above.
+    run_start start = {};  ///< As above; set if speeds are learned.
   };
   /** Highest count of the last one to two intervals of reported_load_ttl. Loads
    * are compared with it because they arrive late. */
@@ -145,7 +159,25 @@
     time_point external_until;    ///< `external` is valid until then.
     time_point backs_off_until;   ///< Gets no requests before then.
     duration last_backoff{};      ///< Zero after a complete answer.
+    const server_pace* pace = nullptr;  ///< Null unless speeds are learned.
+  };
+  /** Order of the servers with a free slot; the lowest is chosen. */
+  using placement_rank = std::tuple<bool, int, double, std::uint64_t>;
+  /** Server ranked by what is learned of its speed, for a request that may be
+   * `slack` times as long as on a typical empty server. */
+  struct speed_rank {
+    bool is_beyond_room = false;  ///< It would miss the objectives.
+    double cost = 0;              ///< Lower is better.
   };
+  auto RankBySpeed(const server_row& row,
+                   work_class work,
+                   std::uint32_t load,
+                   bool is_connected,
+                   double slack) const -> speed_rank;
+  /** Returns the longest time that lets a batch item end on time, relative to
+   * that on a typical empty server. */
+  auto BatchSlack(const placement_request& request, time_point now) const
+      -> double;
   /** Distance class: 0 same data centre, 1 same region, 2 elsewhere. */
   auto TierOf(const server_row& row, const host_location& place) const -> int;
   auto IsUsable(const server_row& row,
@@ -214,6 +246,7 @@
   std::map<service_id, std::multiset<time_point>> expected_retries_;
   /** Kept when another host becomes dispatcher, and over Start(). */
   prompt_quarantine quarantine_;
+  server_speeds speeds_;                   // Likewise.
   request_quarantine request_quarantine_;  // Likewise.
   std::vector<placement_notice> notices_;
   std::vector<preemption> preemptions_;
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -19,6 +19,7 @@
     : policy_(policy),
       random_(seed),
       limits_(policy.initial_burst_share),
+      speeds_(policy.speed),
       run_seconds_(Seconds(policy.initial_run_time)) {}
 
 auto dispatcher::Start(time_point now) -> void {
@@ -67,6 +68,24 @@
     return !entry.second.listed && entry.second.used == 0 &&
            entry.second.preempted == 0;
   });
+  if (!policy_.speed.is_enabled) {
+    return;
+  }
+  std::vector<registered_server> known;
+  for (const auto& [id, row] : servers_) {
+    known.push_back(row.info);
+  }
+  speeds_.SetServers(known);
+  for (auto& [id, row] : servers_) {
+    row.pace = speeds_.Find(id);
+  }
+}
+
+auto dispatcher::AdoptSpeeds(std::span<const server_count> rows, time_point now)
+    -> void {
+  for (const auto& row : rows) {
+    speeds_.Adopt(row.server, row.slowness_percent, now);
+  }
 }
 
 auto dispatcher::RecordPeak(server_row& row, time_point now) -> void {
@@ -88,6 +107,7 @@
       continue;
     }
     auto& row = found->second;
+    speeds_.RecordTold(load.server, load.slowness_percent, load.age, now);
     RecordPeak(row, now);
     const auto own = std::max(row.peak.current, row.peak.previous);
     row.external = load.count > own ? load.count - own : 0;
@@ -98,7 +118,12 @@
 auto dispatcher::FindFree(const placement_request& request, time_point now)
     -> server_row* {
   server_row* best = nullptr;
-  std::tuple<int, double, std::uint64_t> best_rank;
+  placement_rank best_rank;
+  const bool learns_speed = policy_.speed.is_enabled;
+  if (learns_speed) {
+    speeds_.Refresh(now);
+  }
+  const auto slack = learns_speed ? BatchSlack(request, now) : 0;
   for (auto& [id, row] : servers_) {
     const auto load = LoadOf(row, now);
     if (!IsUsable(row, request, now) || load >= SlotsFor(request.work, row)) {
@@ -106,12 +131,17 @@
     }
     const bool is_connected =
         std::ranges::find(request.connected, id) != request.connected.end();
+    const auto by_speed =
+        learns_speed
+            ? RankBySpeed(row, request.work, load, is_connected, slack)
+            : speed_rank{.is_beyond_room = false,
+                         .cost = static_cast<double>(load) /
+                                     static_cast<double>(row.info.slots) -
+                                 (is_connected ? policy_.connected_bonus : 0)};
     // The random component spreads requests over equally ranked servers.
-    const std::tuple rank(
-        TierOf(row, request.place),
-        static_cast<double>(load) / static_cast<double>(row.info.slots) -
-            (is_connected ? policy_.connected_bonus : 0),
-        random_());
+    const placement_rank rank(by_speed.is_beyond_room,
+                              TierOf(row, request.place), by_speed.cost,
+                              random_());
     if (best == nullptr || rank < best_rank) {
       best = &row;
       best_rank = rank;
@@ -124,8 +154,12 @@
                        server_row& row,
                        time_point now) -> void {
   const slot_key key(request.host, request.ticket);
-  slots_[key] = {row.info.id, request.work,   false,
-                 now,         request.prompt, request.content};
+  auto& slot = slots_[key];
+  slot = {row.info.id, request.work,   false,
+          now,         request.prompt, request.content};
+  if (policy_.speed.is_enabled) {
+    slot.start = speeds_.BeginRun(row.info.id, LoadOf(row, now), now);
+  }
   ++row.used;
   RecordPeak(row, now);
   if (request.work == work_class::kBatch) {
@@ -257,6 +291,9 @@
     return;
   }
   const bool is_batch = request.work == work_class::kBatch;
+  if (policy_.speed.is_enabled && !is_batch) {
+    speeds_.RecordObjectives(request.service, request.objectives, now);
+  }
   if (is_batch ? batch_.empty() && online_.empty() && TryPlace(request, now)
                : TryPlace(request, now)) {
     return;
@@ -345,6 +382,10 @@
     const auto seconds = Seconds(now - found->second.granted_at);
     run_seconds_ += kRunTimeWeight * (seconds - run_seconds_);
   }
+  const auto& run = found->second;
+  if (end.outcome == run_outcome::kComplete && run.start.at != time_point()) {
+    speeds_.RecordRun(run.server, run.start, end.times, run.work, now);
+  }
   Release(key);
   Advance(now);
 }
@@ -433,6 +474,9 @@
 }
 
 auto dispatcher::Advance(time_point now) -> void {
+  if (policy_.speed.is_enabled && IsReady(now)) {
+    speeds_.Refresh(now);
+  }
   std::vector<slot_key> expired;
   for (auto& [key, slot] : slots_) {
     const auto deadline = host_deadlines_.find(key.first);
--- a/src/dispatch_local.cc
+++ b/src/dispatch_local.cc
@@ -52,12 +52,16 @@
                                 time_point until) -> void {
   for (auto& [id, r] : rows_) {
     r.others = 0;
+    r.factor = 1;
   }
   for (const auto& entry : counts) {
     const auto found = rows_.find(entry.server);
     if (found != rows_.end()) {
       auto& r = found->second;
       r.others = entry.count > r.own ? entry.count - r.own : 0;
+      if (entry.slowness_percent > 0) {
+        r.factor = static_cast<double>(entry.slowness_percent) / 100;
+      }
     }
   }
   counts_until_ = until;
@@ -161,8 +165,11 @@
         region != regions_.end() && region->second == request.place.region;
     const int tier =
         r.info.data_centre == request.place.data_centre ? 0 : (is_near ? 1 : 2);
-    const std::tuple rank(load >= r.info.slots, tier,
-                          static_cast<double>(load) / r.info.slots, random_());
+    // The time is assumed to double from an empty to a full server.
+    const auto factor = now < counts_until_ ? r.factor : 1;
+    const std::tuple rank(
+        load >= r.info.slots, tier,
+        factor * (1 + static_cast<double>(load) / r.info.slots), random_());
     if (best == nullptr || rank < best_rank) {
       best = &r;
       best_rank = rank;
--- a/src/dispatch_local.h
+++ b/src/dispatch_local.h
@@ -55,6 +55,7 @@
     std::uint32_t own = 0;       ///< Runs of this host.
     std::uint32_t others = 0;    ///< Runs of other hosts by the latest counts.
     time_point backs_off_until;  ///< Gets no requests before then.
+    double factor = 1;  ///< Expected time, relative to a typical server.
   };
   struct bucket {
     double level = 0;      ///< Tokens.
--- a/src/dispatch_query.cc
+++ b/src/dispatch_query.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstdlib>
 #include <iterator>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -12,6 +14,24 @@
 
 /** Number of distance classes, see dispatcher::TierOf(). */
 constexpr std::size_t kTiers = 3;
+/** A server counts as typical while its factor is within this of 100. */
+constexpr int kTypicalPercentRange = 10;
+/** Costs of a batch item that come before and after all others, see
+ * dispatcher::RankBySpeed(). */
+constexpr double kProbeCost = -1000;
+constexpr double kLateCost = 1000;
+
+/** Returns the estimate of a server, 0 if there is none. */
+auto PercentOf(const server_pace* pace) -> std::uint32_t {
+  return pace == nullptr ? 0 : pace->percent;
+}
+
+/** Whether hosts should know of a server's estimate although it is unused. */
+auto IsUntypical(const server_pace* pace) -> bool {
+  return pace != nullptr && pace->percent > 0 &&
+         std::abs(static_cast<int>(pace->percent) - 100) >=
+             kTypicalPercentRange;
+}
 
 }  // namespace
 
@@ -56,6 +76,44 @@
   return row.info.slots - static_cast<std::uint32_t>(reserve);
 }
 
+auto dispatcher::BatchSlack(const placement_request& request,
+                            time_point now) const -> double {
+  const auto typical = speeds_.BatchRunTime(request.service);
+  if (request.work != work_class::kBatch || typical <= duration()) {
+    return std::numeric_limits<double>::infinity();
+  }
+  // A start at `latest_on_time_start` is on time on a typical server.
+  return 1 + std::chrono::duration<double>(request.latest_on_time_start - now) /
+                 std::chrono::duration<double>(typical);
+}
+
+auto dispatcher::RankBySpeed(const server_row& row,
+                             work_class work,
+                             std::uint32_t load,
+                             bool is_connected,
+                             double slack) const -> speed_rank {
+  const auto& pace = *row.pace;
+  const auto slots = static_cast<double>(row.info.slots);
+  // The bonus is a difference in load; in terms of time it is what such a
+  // difference costs on this server.
+  const auto expected =
+      pace.ExpectedFactor(load) -
+      (is_connected ? policy_.connected_bonus * slots * pace.per_request : 0);
+  if (work == work_class::kOnline) {
+    return {.is_beyond_room = load >= pace.room, .cost = expected};
+  }
+  if (expected > slack) {
+    return {.is_beyond_room = false, .cost = kLateCost + expected};
+  }
+  const auto share = static_cast<double>(load) / slots;
+  // One item is enough for a probe.
+  const bool is_probe = pace.is_stale && load == 0;
+  return {.is_beyond_room = false,
+          .cost = is_probe ? kProbeCost
+                           : share - policy_.speed.batch_slow_preference *
+                                         pace.base};
+}
+
 auto dispatcher::LoadOf(const server_row& row, time_point now)
     -> std::uint32_t {
   return row.used + (now < row.external_until ? row.external : 0);
@@ -64,13 +122,15 @@
 auto dispatcher::FindBatchRun(const placement_request& request, time_point now)
     -> std::optional<slot_key> {
   const server_row* best = nullptr;
-  std::tuple<int, std::size_t> best_rank;
+  std::tuple<int, double, std::size_t> best_rank;
   for (const auto& [id, row] : servers_) {
     if (!IsUsable(row, request, now) || row.batch.empty()) {
       continue;
     }
-    const std::tuple rank(TierOf(row, request.place),
-                          SIZE_MAX - row.batch.size());
+    const std::tuple rank(
+        TierOf(row, request.place),
+        row.pace == nullptr ? 0 : row.pace->ExpectedFactor(LoadOf(row, now)),
+        SIZE_MAX - row.batch.size());
     if (best == nullptr || rank < best_rank) {
       best = &row;
       best_rank = rank;
@@ -169,7 +229,7 @@
   for (const auto& [id, row] : servers_) {
     auto& tier = by_tier[TierOf(row, place)];
     if (row.used > 0 && tier.size() < max_rows) {
-      tier.push_back({id, row.used});
+      tier.push_back({id, row.used, PercentOf(row.pace)});
     }
   }
   std::vector<server_count> counts;
@@ -178,6 +238,11 @@
     counts.insert(counts.end(), tier.begin(),
                   tier.begin() + static_cast<std::ptrdiff_t>(room));
   }
+  for (const auto& [id, row] : servers_) {
+    if (counts.size() < max_rows && row.used == 0 && IsUntypical(row.pace)) {
+      counts.push_back({id, 0, row.pace->percent});
+    }
+  }
   return counts;
 }
 
