--- a/src/dispatch_speed.cc
+++ b/src/dispatch_speed.cc
@@ -249,7 +249,9 @@
   if (work == work_class::kOnline) {
     service.first_share.Add(first_seconds / total, 1);
   } else {
-    service.batch_seconds.Add(total / row.pace.ExpectedFactor(start.load), 1);
+    // Weighted by events, since resumed items are short.
+    service.batch_seconds.Add(total / row.pace.ExpectedFactor(start.load),
+                              gaps);
   }
 }
 
