Make placement by learned speeds as cheap as placement by load

Cause: one placement before 300 servers took 12.4 us with learned speeds and 9.3 us without.

Change: a loop of its own draws random numbers only for equally ranked servers; each row knows its region; paces are computed every 200 ms. Due times of batch items are read as what they are: not the latest start, but the time by which an item should have ended.

The answers without the feature are unchanged.

--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -18,7 +18,6 @@
 #include <set>
 #include <span>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -159,21 +158,9 @@
     time_point external_until;    ///< `external` is valid until then.
     time_point backs_off_until;   ///< Gets no requests before then.
     duration last_backoff{};      ///< Zero after a complete answer.
+    const region_id* region = nullptr;  ///< In regions_; null: unknown.
     const server_pace* pace = nullptr;  ///< Null unless speeds are learned.
   };
-  /** Order of the servers with a free slot; the lowest is chosen. */
-  using placement_rank = std::tuple<bool, int, double, std::uint64_t>;
-  /** Server ranked by what is learned of its speed, for a request that may be
-   * `slack` times as long as on a typical empty server. */
-  struct speed_rank {
-    bool is_beyond_room = false;  ///< It would miss the objectives.
-    double cost = 0;              ///< Lower is better.
-  };
-  auto RankBySpeed(const server_row& row,
-                   work_class work,
-                   std::uint32_t load,
-                   bool is_connected,
-                   double slack) const -> speed_rank;
   /** Returns the longest time that lets a batch item end on time, relative to
    * that on a typical empty server. */
   auto BatchSlack(const placement_request& request, time_point now) const
@@ -189,6 +176,9 @@
   auto RecordPeak(server_row& row, time_point now) -> void;
   auto FindFree(const placement_request& request, time_point now)
       -> server_row*;
+  /** As FindFree(), by what is learned of the servers' speeds. */
+  auto FindFreeBySpeed(const placement_request& request, time_point now)
+      -> server_row*;
   auto FindBatchRun(const placement_request& request, time_point now)
       -> std::optional<slot_key>;
   /** Whether the region of a server is allowed for a request. */
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -68,6 +68,10 @@
     return !entry.second.listed && entry.second.used == 0 &&
            entry.second.preempted == 0;
   });
+  for (auto& [id, row] : servers_) {
+    const auto region = regions_.find(row.info.data_centre);
+    row.region = region == regions_.end() ? nullptr : &region->second;
+  }
   if (!policy_.speed.is_enabled) {
     return;
   }
@@ -117,13 +121,11 @@
 
 auto dispatcher::FindFree(const placement_request& request, time_point now)
     -> server_row* {
-  server_row* best = nullptr;
-  placement_rank best_rank;
-  const bool learns_speed = policy_.speed.is_enabled;
-  if (learns_speed) {
-    speeds_.Refresh(now);
+  if (policy_.speed.is_enabled) {
+    return FindFreeBySpeed(request, now);
   }
-  const auto slack = learns_speed ? BatchSlack(request, now) : 0;
+  server_row* best = nullptr;
+  std::tuple<int, double, std::uint64_t> best_rank;
   for (auto& [id, row] : servers_) {
     const auto load = LoadOf(row, now);
     if (!IsUsable(row, request, now) || load >= SlotsFor(request.work, row)) {
@@ -131,17 +133,12 @@
     }
     const bool is_connected =
         std::ranges::find(request.connected, id) != request.connected.end();
-    const auto by_speed =
-        learns_speed
-            ? RankBySpeed(row, request.work, load, is_connected, slack)
-            : speed_rank{.is_beyond_room = false,
-                         .cost = static_cast<double>(load) /
-                                     static_cast<double>(row.info.slots) -
-                                 (is_connected ? policy_.connected_bonus : 0)};
     // The random component spreads requests over equally ranked servers.
-    const placement_rank rank(by_speed.is_beyond_room,
-                              TierOf(row, request.place), by_speed.cost,
-                              random_());
+    const std::tuple rank(
+        TierOf(row, request.place),
+        static_cast<double>(load) / static_cast<double>(row.info.slots) -
+            (is_connected ? policy_.connected_bonus : 0),
+        random_());
     if (best == nullptr || rank < best_rank) {
       best = &row;
       best_rank = rank;
@@ -150,6 +147,38 @@
   return best;
 }
 
+auto dispatcher::FindFreeBySpeed(const placement_request& request,
+                                 time_point now) -> server_row* {
+  speeds_.Refresh(now);
+  const speed_ranking ranking(policy_.speed, request.work,
+                              BatchSlack(request, now));
+  server_row* best = nullptr;
+  std::tuple<bool, int, double> best_rank;
+  std::uint64_t equals = 0;
+  for (auto& [id, row] : servers_) {
+    const auto load = LoadOf(row, now);
+    if (load >= SlotsFor(request.work, row) || !IsUsable(row, request, now)) {
+      continue;
+    }
+    const bool is_connected =
+        std::ranges::find(request.connected, id) != request.connected.end();
+    const std::tuple rank(
+        ranking.IsBeyondRoom(*row.pace, load), TierOf(row, request.place),
+        ranking.Cost(*row.pace, load, row.info.slots,
+                     is_connected ? policy_.connected_bonus : 0));
+    if (best != nullptr && rank > best_rank) {
+      continue;
+    }
+    equals = best != nullptr && rank == best_rank ? equals + 1 : 1;
+    // Each of the equally ranked servers is chosen with the same probability.
+    if (equals == 1 || random_() % equals == 0) {
+      best = &row;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
 auto dispatcher::Grant(const placement_request& request,
                        server_row& row,
                        time_point now) -> void {
--- a/src/dispatch_query.cc
+++ b/src/dispatch_query.cc
@@ -16,10 +16,6 @@
 constexpr std::size_t kTiers = 3;
 /** A server counts as typical while its factor is within this of 100. */
 constexpr int kTypicalPercentRange = 10;
-/** Costs of a batch item that come before and after all others, see
- * dispatcher::RankBySpeed(). */
-constexpr double kProbeCost = -1000;
-constexpr double kLateCost = 1000;
 
 /** Returns the estimate of a server, 0 if there is none. */
 auto PercentOf(const server_pace* pace) -> std::uint32_t {
@@ -40,8 +36,7 @@
   if (row.info.data_centre == place.data_centre) {
     return 0;
   }
-  const auto region = regions_.find(row.info.data_centre);
-  return region != regions_.end() && region->second == place.region ? 1 : 2;
+  return row.region != nullptr && *row.region == place.region ? 1 : 2;
 }
 
 auto dispatcher::IsInAllowedRegion(const server_row& row,
@@ -50,8 +45,7 @@
   if (!request.regions.IsBound()) {
     return true;
   }
-  const auto region = regions_.find(row.info.data_centre);
-  return region != regions_.end() && request.regions.Allows(region->second);
+  return row.region != nullptr && request.regions.Allows(*row.region);
 }
 
 auto dispatcher::CanServe(const server_row& row,
@@ -78,40 +72,17 @@
 
 auto dispatcher::BatchSlack(const placement_request& request,
                             time_point now) const -> double {
-  const auto typical = speeds_.BatchRunTime(request.service);
-  if (request.work != work_class::kBatch || typical <= duration()) {
+  if (request.work != work_class::kBatch) {
     return std::numeric_limits<double>::infinity();
   }
-  // A start at `latest_on_time_start` is on time on a typical server.
-  return 1 + std::chrono::duration<double>(request.latest_on_time_start - now) /
-                 std::chrono::duration<double>(typical);
-}
-
-auto dispatcher::RankBySpeed(const server_row& row,
-                             work_class work,
-                             std::uint32_t load,
-                             bool is_connected,
-                             double slack) const -> speed_rank {
-  const auto& pace = *row.pace;
-  const auto slots = static_cast<double>(row.info.slots);
-  // The bonus is a difference in load; in terms of time it is what such a
-  // difference costs on this server.
-  const auto expected =
-      pace.ExpectedFactor(load) -
-      (is_connected ? policy_.connected_bonus * slots * pace.per_request : 0);
-  if (work == work_class::kOnline) {
-    return {.is_beyond_room = load >= pace.room, .cost = expected};
-  }
-  if (expected > slack) {
-    return {.is_beyond_room = false, .cost = kLateCost + expected};
+  // For batch items `latest_on_time_start` is the due time. It does not matter
+  // once it has passed; without an objective it is the time of submission.
+  const auto typical = speeds_.BatchRunTime(request.service);
+  if (typical <= duration() || request.latest_on_time_start <= now) {
+    return std::numeric_limits<double>::infinity();
   }
-  const auto share = static_cast<double>(load) / slots;
-  // One item is enough for a probe.
-  const bool is_probe = pace.is_stale && load == 0;
-  return {.is_beyond_room = false,
-          .cost = is_probe ? kProbeCost
-                           : share - policy_.speed.batch_slow_preference *
-                                         pace.base};
+  return std::chrono::duration<double>(request.latest_on_time_start - now) /
+         std::chrono::duration<double>(typical);
 }
 
 auto dispatcher::LoadOf(const server_row& row, time_point now)
--- a/src/dispatch_speed.h
+++ b/src/dispatch_speed.h
@@ -32,6 +32,53 @@
   }
 };
 
+/** Order of servers for one request. */
+class speed_ranking {
+ public:
+  /** A batch item may take up to `slack` times as long as on a typical server
+   * that is empty. */
+  speed_ranking(const speed_policy& policy, work_class work, double slack)
+      : is_online_(work == work_class::kOnline),
+        slack_(slack),
+        slow_preference_(policy.batch_slow_preference) {}
+
+  /** Whether the request would miss its objectives. */
+  auto IsBeyondRoom(const server_pace& pace, std::uint32_t load) const -> bool {
+    return is_online_ && load >= pace.room;
+  }
+  /** Returns the cost of a choice; lower is better. `bonus` is the part of its
+   * slots by which a connected server may be more loaded than another one; in
+   * terms of time it is what such a difference costs on this server. */
+  auto Cost(const server_pace& pace,
+            std::uint32_t load,
+            unsigned slots,
+            double bonus) const -> double {
+    const auto expected = pace.ExpectedFactor(load) -
+                          bonus * static_cast<double>(slots) * pace.per_request;
+    if (is_online_) {
+      return expected;
+    }
+    if (expected > slack_) {
+      return kLateCost + expected;
+    }
+    // One item is enough for a probe.
+    if (pace.is_stale && load == 0) {
+      return kProbeCost;
+    }
+    return static_cast<double>(load) / static_cast<double>(slots) -
+           slow_preference_ * pace.base;
+  }
+
+ private:
+  /** Costs of a batch item that come before and after all others. */
+  static constexpr double kProbeCost = -1000;
+  static constexpr double kLateCost = 1000;
+
+  bool is_online_;
+  double slack_;
+  double slow_preference_;
+};
+
 /** State of a server when a run begins there, kept until the run ends. */
 struct run_start {
   std::uint32_t load = 0;  ///< Other requests on the server.
--- a/src/dispatch_type.h
+++ b/src/dispatch_type.h
@@ -182,7 +182,7 @@
   double min_told = 0.5;
   double max_told = 3;
   /** Paces are computed anew after this time. */
-  std::chrono::milliseconds refresh_interval{100};
+  std::chrono::milliseconds refresh_interval{200};
   /** Increase of the time from an empty to a full server, relative to the empty
    * one: assumed before it is learned, and its bounds. The lower bound keeps
    * load spread over servers that are equally fast. */
