Report times of runs and servers' figures to the dispatcher

Cause: the dispatcher had nothing to learn speeds from: the times of runs stayed at their hosts, and the fourth figure of the load header was dropped.

Change: ends of runs carry the time to the first event, the time of the events and their number; reports of loads carry the server's figure and its age; placement requests carry the objectives of their route. Counts that hosts get carry the estimates, which local placement and the next dispatcher begin with. Figures that are missing or out of range are counted and logged once for each server (load_figure_rejected). Events server_speed; four metrics. All of it follows features.learns_speed.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -23,7 +23,7 @@
                 SOURCES hostd_base.cc hostd_batch.cc hostd_batch_log.cc
                         hostd_batch_run.cc hostd_caller.cc
                         hostd_failover.cc hostd_feed.cc hostd_front.cc hostd_placement.cc
-                        hostd_placement_codec.cc
+                        hostd_placement_codec.cc hostd_placement_speed.cc
                         hostd_relay.cc hostd_reload.cc hostd_setting.cc hostd_state.cc
                         hostd_watch.cc
                 LIBS dogwood_platform_adapter dogwood_deployment
--- a/src/caller_type.h
+++ b/src/caller_type.h
@@ -48,6 +48,9 @@
   unsigned running = 0;  ///< Number of running requests.
   unsigned waiting = 0;  ///< Number of requests that wait for a slot.
   unsigned slots = 0;    ///< Number of slots.
+  /** How long work takes on the server at this moment, in percent of usual;
+   * empty if it was not given or is no number. */
+  std::optional<unsigned> slowness_percent = {};
 };
 
 /** Decoded head of a server's answer. */
--- a/src/hostd_batch_run.cc
+++ b/src/hostd_batch_run.cc
@@ -316,7 +316,8 @@
   host_.placement->OnPreempt(ticket, [&handle] { handle.Abort(); });
   auto result = co_await RunAttempt(host_, spec, progress, handle, sink);
   entry.reset();
-  host_.placement->End({ticket, result.outcome, result.may_have_crashed});
+  host_.placement->End(
+      {ticket, result.outcome, result.may_have_crashed, result.times});
   if (result.is_complete && is_first_run) {
     const auto seconds =
         std::chrono::duration<double>(clock::now() - started).count();
--- a/src/hostd_front.cc
+++ b/src/hostd_front.cc
@@ -241,7 +241,8 @@
         .avoided = std::move(avoided),
         .connected = ConnectedServers(host_, service_, IsRepeatable()),
         .prompt = caller_.prompt,
-        .content = content_};
+        .content = content_,
+        .objectives = {route_.objective, route_.event_gap_objective}};
   }
 
   /** Returns the latest start at a server that a planned stop of this host
@@ -367,7 +368,8 @@
     failover_.Cancel();
     watch_.OnDrainCheck({});
     watch_.OnDisconnect({});
-    host_.placement->End({ticket_, result.outcome, result.may_have_crashed});
+    host_.placement->End(
+        {ticket_, result.outcome, result.may_have_crashed, result.times});
     if (result.may_have_crashed) {
       LogEvent(log_level::kInfo, log_category::kRoute, "server_broke_off",
                {{"request", caller_.attempt.value},
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -113,6 +113,12 @@
          {"dogwood_entries_rejected", count(host.feed.rejected_entries)},
          {"dogwood_prompts_quarantined", count(quarantine.parts.size())},
          {"dogwood_requests_quarantined", count(quarantine.requests.size())},
+         {"dogwood_servers_slow", count(host.placement->Speeds().SlowCount())},
+         {"dogwood_servers_fast", count(host.placement->Speeds().FastCount())},
+         {"dogwood_server_speed_samples_total",
+          count(host.placement->Speeds().SampleCount())},
+         {"dogwood_load_figures_rejected_total",
+          count(host.placement->RejectedFigures())},
          {"dogwood_loop_delay_seconds",
           std::chrono::duration<double>(host.delay.Largest()).count()},
          {"dogwood_draining", host.draining ? 1 : 0}});
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -23,13 +23,12 @@
  * none do. */
 constexpr milliseconds kBusyTick{20};
 constexpr milliseconds kIdleTick{200};
-/** Interval of a host's reports to the dispatcher. A dispatcher that has not
- * answered a report for kDispatcherTtl gets no placement requests. */
-constexpr milliseconds kReportInterval{250};
 constexpr milliseconds kReportTimeout{350};
+/** A dispatcher that has not answered a report for this long gets no placement
+ * requests. */
+constexpr milliseconds kDispatcherTtl{700};
 /** Report interval while this host has no dispatcher. */
 constexpr milliseconds kDiscoveryInterval{80};
-constexpr milliseconds kDispatcherTtl{700};
 /** Ends of runs within this time are sent as one message. */
 constexpr milliseconds kEndDelay{1};
 constexpr milliseconds kEndReportTimeout{1000};
@@ -82,7 +81,7 @@
 
 placement_service::placement_service(host_state& host, std::uint64_t seed)
     : host_(host),
-      dispatcher_(dispatch_policy(), seed),
+      dispatcher_(PolicyFor(host.options.features), seed),
       local_(kLocalShare, seed + 1),
       next_ticket_(seed),
       dispatcher_found_(host.io) {
@@ -340,11 +339,7 @@
   wire::ends_requestT request;
   request.host = host_.self.name;
   for (const auto& end : std::exchange(ends_, {})) {
-    auto entry = std::make_unique<wire::ticket_endT>();
-    entry->ticket = end.ticket.value;
-    entry->outcome = static_cast<std::uint8_t>(end.outcome);
-    entry->may_have_crashed = end.may_have_crashed;
-    request.ends.push_back(std::move(entry));
+    request.ends.push_back(EncodeRunEnd(end));
   }
   for (const auto& ticket : std::exchange(withdrawn_, {})) {
     request.withdrawn.push_back(ticket.value);
@@ -380,9 +375,7 @@
   for (const auto& [id, server] : host_.servers) {
     servers.push_back(server);
   }
-  std::erase_if(reported_loads_, [this](const auto& entry) {
-    return !host_.servers.contains(entry.first);
-  });
+  ForgetLoads();
   dispatcher_.SetServers(servers, host_.options.data_centres);
   local_.SetServers(std::move(servers), host_.options.data_centres);
   dispatcher_.Advance(clock::now());
@@ -470,28 +463,13 @@
     dispatcher_.Advance(now);
     DeliverAnswers();
     LogQuarantine(now);
+    LogSpeeds();
     const bool is_busy = dispatcher_.WaitingCount(work_class::kOnline) > 0 ||
                          dispatcher_.WaitingCount(work_class::kBatch) > 0;
     co_await Sleep(is_busy ? kBusyTick : kIdleTick);
   }
 }
 
-auto placement_service::RecordLoad(const server_id& server,
-                                   const reported_load& load) -> void {
-  reported_loads_[server] = {load.running + load.waiting, clock::now()};
-}
-
-auto placement_service::ReportedLoads(time_point now) const
-    -> std::vector<server_count> {
-  std::vector<server_count> list;
-  for (const auto& [server, load] : reported_loads_) {
-    if (now - load.reported_at < kReportInterval) {
-      list.push_back({server, load.count});
-    }
-  }
-  return list;
-}
-
 auto placement_service::HeldSlots() const -> std::vector<held_slot> {
   std::vector<held_slot> list;
   for (const auto& [ticket, slot] : held_) {
@@ -596,7 +574,11 @@
   }
   const auto answered = clock::now();
   if (reply.has_loads) {
-    local_.SetCounts(DecodeCounts(reply.loads), answered + kCountsTtl);
+    const auto counts = DecodeCounts(reply.loads);
+    local_.SetCounts(counts, answered + kCountsTtl);
+    if (!dispatcher_.IsReady(answered)) {
+      dispatcher_.AdoptSpeeds(counts, answered);
+    }
     counts_due_ = now + kCountsInterval;
   }
   const dispatcher_term term(reply.term);
@@ -644,7 +626,7 @@
     if (!active_.name.empty() && active_.name != candidate_.name) {
       asio::co_spawn(host_.io, ReportHeld(active_), LogException);
     }
-    co_await Sleep(had_dispatcher ? kReportInterval : kDiscoveryInterval);
+    co_await Sleep(had_dispatcher ? kHeldReportInterval : kDiscoveryInterval);
     if (had_dispatcher && !HasDispatcher()) {
       Log(log_level::kWarning, log_category::kRoute,
           {"dispatcher does not answer; placing requests without it",
@@ -673,11 +655,7 @@
   const auto now = clock::now();
   const host_id host(request.host);
   for (const auto& end : request.ends) {
-    dispatcher_.End(host,
-                    {.ticket = ticket_id(end->ticket),
-                     .outcome = static_cast<run_outcome>(end->outcome),
-                     .may_have_crashed = end->may_have_crashed},
-                    now);
+    dispatcher_.End(host, DecodeRunEnd(*end), now);
   }
   for (const auto ticket : request.withdrawn) {
     dispatcher_.Withdraw(host, ticket_id(ticket));
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,6 +25,12 @@
 
 struct host_state;
 
+/** Interval of a host's reports to the dispatcher. */
+inline constexpr std::chrono::milliseconds kHeldReportInterval{250};
+
+/** Returns the tuning of the dispatcher for a deployment. */
+auto PolicyFor(const deployment_features& features) -> dispatch_policy;
+
 /** Places the requests of this host on slots, and those of all hosts while this
  * host is the dispatcher. Used on the thread of the event loop only. */
 class placement_service {
@@ -54,7 +61,8 @@
                     std::uint64_t limit)
       -> boost::asio::awaitable<std::optional<batch_grant>>;
 
-  /** Records the load that a server has reported in an answer. */
+  /** Records the load, and the figure of its speed, that a server has reported
+   * in an answer. */
   auto RecordLoad(const server_id& server, const reported_load& load) -> void;
 
   /** Applies changed registrations of servers. */
@@ -88,6 +96,10 @@
   auto ExternalCount() const -> std::size_t {
     return dispatcher_.ExternalCount(clock::now());
   }
+  /** Estimates of the servers' speeds; for metrics. */
+  auto Speeds() const -> const server_speeds& { return dispatcher_.Speeds(); }
+  /** Number of figures of servers' speeds that were missing or out of range. */
+  auto RejectedFigures() const -> std::uint64_t { return rejected_figures_; }
   /** Returns a registered server; nullptr if it is not known. */
   auto FindServer(const server_id& server) const -> const registered_server* {
     return local_.Find(server);
@@ -109,6 +121,7 @@
   struct load_record {
     std::uint32_t count = 0;  ///< Number of requests that run or wait.
     time_point reported_at;   ///< Time of the report.
+    std::uint32_t slowness_percent = 0;  ///< Of the server; 0: not reported.
   };
   /** A dispatcher and how this host reaches it. */
   struct target {
@@ -137,6 +150,14 @@
   };
   /** Logs what has come under quarantine or left it. */
   auto LogQuarantine(time_point now) -> void;
+  /** Logs the servers whose speed has changed much. */
+  auto LogSpeeds() -> void;
+  /** Returns the figure that a server has reported if it can be used, else 0.
+   */
+  auto CheckFigure(const server_id& server, const reported_load& load)
+      -> std::uint32_t;
+  /** Forgets what servers that are no longer registered have reported. */
+  auto ForgetLoads() -> void;
   auto RunTicker() -> boost::asio::awaitable<void>;
   auto RunReports() -> boost::asio::awaitable<void>;
   auto ReportHeld(target to) -> boost::asio::awaitable<void>;
@@ -176,6 +197,9 @@
   std::map<std::pair<host_id, ticket_id>, std::shared_ptr<waiter>> waiters_;
   std::map<ticket_id, held> held_;
   std::map<server_id, load_record> reported_loads_;
+  /** Servers whose figure of their speed was missing or out of range. */
+  std::set<server_id> rejected_figure_servers_;
+  std::uint64_t rejected_figures_ = 0;
   time_point counts_due_;  ///< When the dispatcher is asked for its counts.
   std::uint64_t next_ticket_;
   /** End of the current discovery of a dispatcher. */
--- a/src/hostd_placement_codec.cc
+++ b/src/hostd_placement_codec.cc
@@ -42,6 +42,11 @@
   for (const auto& region : request.regions.allowed()) {
     message.regions.push_back(region.value);
   }
+  const auto& objectives = request.objectives;
+  message.first_event_aim_us =
+      std::chrono::duration_cast<microseconds>(objectives.first_event).count();
+  message.event_gap_aim_us =
+      std::chrono::duration_cast<microseconds>(objectives.event_gap).count();
   return message;
 }
 
@@ -64,7 +69,9 @@
       .connected = {},
       .prompt = {.shared = {}, .own = prompt_part_id(message.prompt_own)},
       .content = message.batch ? std::nullopt
-                               : std::optional(request_hash(message.content))};
+                               : std::optional(request_hash(message.content)),
+      .objectives = {microseconds(message.first_event_aim_us),
+                     microseconds(message.event_gap_aim_us)}};
   for (const auto& server : message.avoided) {
     request.avoided.emplace_back(server);
   }
@@ -84,6 +91,30 @@
   return request;
 }
 
+auto EncodeRunEnd(const run_end_report& end)
+    -> std::unique_ptr<wire::ticket_endT> {
+  const auto micros = [](duration d) {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<microseconds>(d).count());
+  };
+  auto entry = std::make_unique<wire::ticket_endT>();
+  entry->ticket = end.ticket.value;
+  entry->outcome = static_cast<std::uint8_t>(end.outcome);
+  entry->may_have_crashed = end.may_have_crashed;
+  entry->first_event_us = micros(end.times.first_event);
+  entry->events_us = micros(end.times.events);
+  entry->events = end.times.event_count;
+  return entry;
+}
+
+auto DecodeRunEnd(const wire::ticket_endT& message) -> run_end_report {
+  return {.ticket = ticket_id(message.ticket),
+          .outcome = static_cast<run_outcome>(message.outcome),
+          .may_have_crashed = message.may_have_crashed,
+          .times = {microseconds(message.first_event_us),
+                    microseconds(message.events_us), message.events}};
+}
+
 auto EncodeUsageReport(const usage_report& report,
                        time_point now,
                        wire::held_requestT& message) -> void {
@@ -112,6 +143,9 @@
     auto load = std::make_unique<wire::server_loadT>();
     load->server = count.server.value;
     load->in_flight = count.count;
+    load->slowness_percent = count.slowness_percent;
+    load->age_us = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<microseconds>(count.age).count());
     loads.push_back(std::move(load));
   }
   return loads;
@@ -120,7 +154,8 @@
 auto DecodeCounts(const wire_counts& loads) -> std::vector<server_count> {
   std::vector<server_count> counts;
   for (const auto& load : loads) {
-    counts.push_back({server_id(load->server), load->in_flight});
+    counts.push_back({server_id(load->server), load->in_flight,
+                      load->slowness_percent, microseconds(load->age_us)});
   }
   return counts;
 }
--- a/src/hostd_placement_codec.h
+++ b/src/hostd_placement_codec.h
@@ -61,6 +61,13 @@
   return entries;
 }
 
+/** Encodes the end of a run. */
+auto EncodeRunEnd(const run_end_report& end)
+    -> std::unique_ptr<wire::ticket_endT>;
+
+/** Decodes a message made by EncodeRunEnd(). */
+auto DecodeRunEnd(const wire::ticket_endT& message) -> run_end_report;
+
 /** Adds what a host knows of the use of limits to its report. */
 auto EncodeUsageReport(const usage_report& report,
                        time_point now,
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -565,6 +565,11 @@
     result_.may_have_run = result_.may_have_run || was_stale;
     result_.may_have_crashed = MayHaveCrashed(was_stale);
     result_.was_left_silent = handle_.has_moved;
+    if (event_count_ > 0) {
+      result_.times = {result_.first_event - sent_at_,
+                       last_event_at_ - result_.first_event,
+                       static_cast<std::uint32_t>(event_count_)};
+    }
   }
 
   host_state& host_;
--- a/src/hostd_relay.h
+++ b/src/hostd_relay.h
@@ -80,6 +80,7 @@
   std::optional<http_response> answer;
   failure error;           ///< Why no complete or successful answer arrived.
   time_point first_event;  ///< Arrival of the first event.
+  stream_times times;      ///< Of the answer, if it is a stream.
 };
 
 /** Allows other coroutines to abort an attempt. */
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -449,6 +449,20 @@
   cr_assert_eq(*answer.keep_alive_s, 5);
 }
 
+// Guards against a load that is lost, or a figure that is made up, because the
+// fourth number is missing or malformed.
+Test(adapter, figure_of_speed_is_read_from_the_load) {
+  const auto load = [](const char* text) {
+    return *adapter::DecodeAnswer({200, {{{"X-Server-Load", text}}}}).load;
+  };
+  cr_assert_eq(load("3,1,8,250").slowness_percent, 250U);
+  cr_assert_eq(load("3, 1, 8, 97").slowness_percent, 97U);
+  for (const auto* text : {"3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,-5"}) {
+    cr_assert_not(load(text).slowness_percent, "%s", text);
+    cr_assert_eq(load(text).slots, 8);
+  }
+}
+
 // Guards against a part of a prompt that is taken for another one, or for the
 // last part, which is the request's own.
 Test(adapter, parts_of_prompts_are_told_apart) {
--- a/tests/hostd_test.cc
+++ b/tests/hostd_test.cc
@@ -12,6 +12,7 @@
 #include "src/hostd_batch.h"
 #include "src/hostd_caller.h"
 #include "src/hostd_placement.h"
+#include "src/hostd_placement_codec.h"
 #include "src/hostd_setting.h"
 #include "src/hostd_watch.h"
 #include "src/net.h"
@@ -158,4 +159,41 @@
   cr_assert(delay.Largest() == duration());
 }
 
+// Guards against times, objectives and figures that get lost between a host and
+// its dispatcher: servers would all count as typical.
+Test(hostd, messages_carry_what_speeds_are_learned_from) {
+  const run_end_report end{.ticket = ticket_id(7),
+                           .outcome = run_outcome::kComplete,
+                           .may_have_crashed = true,
+                           .times = {std::chrono::milliseconds(80),
+                                     std::chrono::milliseconds(650), 20}};
+  const auto read_end = DecodeRunEnd(*EncodeRunEnd(end));
+  cr_assert_eq(read_end.ticket, end.ticket);
+  cr_assert_eq(read_end.outcome, end.outcome);
+  cr_assert(read_end.may_have_crashed);
+  cr_assert(read_end.times.first_event == end.times.first_event);
+  cr_assert(read_end.times.events == end.times.events);
+  cr_assert_eq(read_end.times.event_count, 20);
+
+  const auto counts = DecodeCounts(
+      EncodeCounts({{server_id("s"), 3, 250, std::chrono::milliseconds(40)}}));
+  cr_assert_eq(counts.at(0).count, 3);
+  cr_assert_eq(counts.at(0).slowness_percent, 250);
+  cr_assert(counts.at(0).age == std::chrono::milliseconds(40));
+
+  placement_request request;
+  request.objectives = {std::chrono::milliseconds(300),
+                        std::chrono::milliseconds(600)};
+  const auto read = DecodePlacementRequest(
+      EncodePlacementRequest(request, time_point()), time_point());
+  cr_assert(read.objectives.first_event == request.objectives.first_event);
+  cr_assert(read.objectives.event_gap == request.objectives.event_gap);
+}
+
+// Guards against deployments that get the feature without asking for it.
+Test(hostd, speeds_are_learned_only_if_asked_for) {
+  cr_assert_not(PolicyFor({}).speed.is_enabled);
+  cr_assert(PolicyFor({.learns_speed = true}).speed.is_enabled);
+}
+
 }  // namespace dogwood::testing
