Test learned speeds with processes; tell slow servers at dispatchers only

Cause: nothing showed that times and figures reach the dispatcher; a host that was dispatcher before would have gone on telling servers as slow.

--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -54,7 +54,7 @@
 # Process-level tests of hostd against the fake of the users' platform. They use
 # the same addresses, so they run one at a time.
 if(NOT DOGWOOD_DEPLOYMENT_ONLY)
-  foreach(site answer batch calm owner quarantine signals silence stream store stop
+  foreach(site answer batch calm owner quarantine signals silence speed stream store stop
                restart trouble)
     add_test(NAME site_${site}
              COMMAND ${CMAKE_SOURCE_DIR}/tests/site_${site}.py)
--- a/src/hostd_placement.h
+++ b/src/hostd_placement.h
@@ -96,8 +96,20 @@
   auto ExternalCount() const -> std::size_t {
     return dispatcher_.ExternalCount(clock::now());
   }
-  /** Estimates of the servers' speeds; for metrics. */
-  auto Speeds() const -> const server_speeds& { return dispatcher_.Speeds(); }
+  /** Numbers of slow and of fast servers as estimated by this dispatcher; 0 at
+   * other hosts, whose estimates are not up to date. */
+  auto SlowServers() const -> std::size_t {
+    return dispatcher_.IsReady(clock::now()) ? dispatcher_.Speeds().SlowCount()
+                                             : 0;
+  }
+  auto FastServers() const -> std::size_t {
+    return dispatcher_.IsReady(clock::now()) ? dispatcher_.Speeds().FastCount()
+                                             : 0;
+  }
+  /** Number of runs from which speeds were learned here. */
+  auto SpeedSamples() const -> std::uint64_t {
+    return dispatcher_.Speeds().SampleCount();
+  }
   /** Number of figures of servers' speeds that were missing or out of range. */
   auto RejectedFigures() const -> std::uint64_t { return rejected_figures_; }
   /** Returns a registered server; nullptr if it is not known. */
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -323,6 +323,7 @@
         self.deadly_runs = []  # Times at which it has begun such requests.
         self.crashes = []  # Times of these crashes.
         self.says_it_leaves = False  # Announces in all answers that it leaves.
+        self.slowness = None  # Fourth figure of the load that it tells in answers; None: tells no load.
         self.born = 1
         self.tokens = random.Random(name)
         self.tasks = []
@@ -428,6 +429,8 @@
                         answer, writer, 200, b"echo " + body, X_Attempt_Id=attempt, X_Server_Seal=seal))
             return True
         leaving = "Server-Leaving: 1\r\n" if self.says_it_leaves else ""
+        if self.slowness is not None:
+            leaving += f"X-Server-Load: {self.running},{self.waiting},{self.slots},{self.slowness}\r\n"
         writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {attempt}\r\n{leaving}"
                      f"X-Server-Seal: {seal}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
         count = event_count(attempt)
--- a/tests/site_helper.py
+++ b/tests/site_helper.py
@@ -82,7 +82,7 @@
             "directory_address": f"{self.ip}:{DIRECTORY}", "link_address": f"{self.ip}:{LINK}",
             "metrics_address": f"{self.ip}:{METRICS}", "store_address": self.fleet.store_address(self),
             "peers": [f"{other.ip}:{LINK}" for other in self.fleet.hosts[:3]],
-            "secret": "test", "processor_share": 0.5, "drain_limit_s": 6}
+            "secret": "test", "processor_share": 0.5, "drain_limit_s": 6, **self.fleet.more_settings}
 
     async def start(self, output=None):
         """Starts the process. Its lines go to the log file, or to the descriptor `output`."""
@@ -181,8 +181,9 @@
 class Fleet:
     """Fixture with the hosts, servers and store of one test."""
 
-    def __init__(self, name, hosts=3, engines=2, net=NET):
+    def __init__(self, name, hosts=3, engines=2, net=NET, **more_settings):
         self.net = net
+        self.more_settings = more_settings  # Of each host.
         self.directory = ROOT / "out" / "site" / name
         self.directory.mkdir(parents=True, exist_ok=True)
         for old in self.directory.glob("*"):
