--- a/cmake/host.cmake
+++ b/cmake/host.cmake
@@ -6,8 +6,8 @@
 dogwood_library(dispatch
                 SOURCES dispatch_cmd.cc dispatch_cold.cc dispatch_drain.cc dispatch_local.cc
                         dispatch_quarantine.cc dispatch_query.cc
-                        dispatch_return.cc dispatch_usage.cc
-                        dispatch_wait.cc
+                        dispatch_return.cc dispatch_speed.cc
+                        dispatch_usage.cc dispatch_wait.cc
                 LIBS dogwood_deployment)
 dogwood_library(batch SOURCES batch_projection.cc batch_queue.cc batch_quota.cc
                         batch_record.cc
@@ -25,6 +25,7 @@
                         hostd_batch_log.cc hostd_batch_run.cc hostd_caller.cc
                         hostd_failover.cc hostd_feed.cc hostd_front.cc hostd_placement.cc
                         hostd_placement_codec.cc hostd_placement_cold.cc
+                        hostd_placement_speed.cc
                         hostd_relay.cc hostd_reload.cc hostd_setting.cc hostd_state.cc
                         hostd_watch.cc
                 LIBS dogwood_platform_adapter dogwood_deployment
@@ -40,6 +41,9 @@
 dogwood_test(dispatch_quarantine dogwood_dispatch)
 dogwood_test(dispatch_region dogwood_dispatch)
 dogwood_test(dispatch_return dogwood_dispatch)
+dogwood_test(dispatch_speed dogwood_dispatch)
+dogwood_test(dispatch_speed_rank dogwood_dispatch)
+dogwood_test(dispatch_speed_replay dogwood_dispatch)
 dogwood_test(dispatch_usage dogwood_dispatch)
 dogwood_test(dispatch_usage_model dogwood_dispatch)
 dogwood_test(dispatch_usage_cut dogwood_dispatch)
@@ -56,7 +60,7 @@
 # the same addresses, so they run one at a time.
 if(NOT DOGWOOD_DEPLOYMENT_ONLY)
   foreach(site answer batch calm cold evacuation owner quarantine region signals
-               silence stream store stop restart trouble)
+               silence speed stream store stop restart trouble)
     add_test(NAME site_${site}
              COMMAND ${CMAKE_SOURCE_DIR}/tests/site_${site}.py)
     set_tests_properties(site_${site} PROPERTIES LABELS failure TIMEOUT 300
--- a/src/dispatch_base.h
+++ b/src/dispatch_base.h
@@ -23,6 +23,7 @@
 
 #include "src/dispatch_cold.h"
 #include "src/dispatch_quarantine.h"
+#include "src/dispatch_speed.h"
 #include "src/dispatch_type.h"
 #include "src/dispatch_usage.h"
 
@@ -82,6 +83,13 @@
    * that cannot reach this dispatcher, or that their callers have abandoned. */
   auto RecordReportedLoads(std::span<const server_count> reported,
                            time_point now) -> void;
+  /** As a host that is not the dispatcher: takes over the estimates that the
+   * dispatcher has sent, see CountsNear(). */
+  auto AdoptSpeeds(std::span<const server_count> rows, time_point now) -> void;
+  /** Removes and returns the changes of servers' speeds to log. */
+  auto DrainSpeedChanges() -> std::vector<speed_change> {
+    return speeds_.DrainChanges();
+  }
   /** Records what a host knows of the use of limits. */
   auto RecordUsage(const usage_report& report, time_point now) -> void;
   /** Takes over what other hosts have under quarantine. */
@@ -122,9 +130,13 @@
     return limits_.Used(workspace, now);
   }
   /** Returns the slots in use on the servers that have any, the nearest to
-   * `place` first, `max_rows` servers at most. */
+   * `place` first, `max_rows` servers at most. If speeds are learned, the rows
+   * have the servers' estimates, and unused servers that are not typical follow
+   * within the same limit. */
   auto CountsNear(const host_location& place, std::size_t max_rows) const
       -> std::vector<server_count>;
+  /** Estimates of the servers' speeds; for metrics. */
+  auto Speeds() const -> const server_speeds& { return speeds_; }
   /** External load of all servers, as reported by them. */
   auto ExternalCount(time_point now) const -> std::size_t;
   /** Returns the servers that count as cold. */
@@ -149,6 +161,7 @@
     time_point granted_at;
     prompt_parts prompt = {};  ///< Of the request, if it was placed here.
     std::optional<request_hash> content = {};  ///< As above.
+    run_start start = {};  ///< As above; set if speeds are learned.
   };
   /** Highest count of the last one to two intervals of reported_load_ttl. Loads
    * are compared with it because they arrive late. */
@@ -168,7 +181,13 @@
     time_point external_until;    ///< `external` is valid until then.
     time_point backs_off_until;   ///< Gets no requests before then.
     duration last_backoff{};      ///< Zero after a complete answer.
+    const region_id* region = nullptr;  ///< In regions_; null: unknown.
+    const server_pace* pace = nullptr;  ///< Null unless speeds are learned.
   };
+  /** Returns the longest time that lets a batch item end on time, relative to
+   * that on a typical empty server. */
+  auto BatchSlack(const placement_request& request, time_point now) const
+      -> double;
   /** Distance class: 0 same data centre, 1 same region, 2 elsewhere. */
   auto TierOf(const server_row& row, const host_location& place) const -> int;
   /** Whether a server can run a request if it has a free slot and, while cold,
@@ -189,6 +208,9 @@
   auto RecordPeak(server_row& row, time_point now) -> void;
   auto FindFree(const placement_request& request, time_point now)
       -> server_row*;
+  /** As FindFree(), by what is learned of the servers' speeds. */
+  auto FindFreeBySpeed(const placement_request& request, time_point now)
+      -> server_row*;
   auto FindBatchRun(const placement_request& request, time_point now)
       -> std::optional<slot_key>;
   /** Whether the region of a server is allowed for a request. */
@@ -253,6 +275,7 @@
   std::map<service_id, std::multiset<time_point>> expected_retries_;
   /** Kept when another host becomes dispatcher, and over Start(). */
   prompt_quarantine quarantine_;
+  server_speeds speeds_;                   // Likewise.
   request_quarantine request_quarantine_;  // Likewise.
   std::vector<placement_notice> notices_;
   std::vector<preemption> preemptions_;
--- a/src/dispatch_cmd.cc
+++ b/src/dispatch_cmd.cc
@@ -19,6 +19,7 @@
     : policy_(policy),
       random_(seed),
       limits_(policy.initial_burst_share),
+      speeds_(policy.speed),
       run_seconds_(Seconds(policy.initial_run_time)) {}
 
 auto dispatcher::Start(time_point now) -> void {
@@ -75,6 +76,28 @@
     }
     return is_gone;
   });
+  for (auto& [id, row] : servers_) {
+    const auto region = regions_.find(row.info.data_centre);
+    row.region = region == regions_.end() ? nullptr : &region->second;
+  }
+  if (!policy_.speed.is_enabled) {
+    return;
+  }
+  std::vector<registered_server> known;
+  for (const auto& [id, row] : servers_) {
+    known.push_back(row.info);
+  }
+  speeds_.SetServers(known);
+  for (auto& [id, row] : servers_) {
+    row.pace = speeds_.Find(id);
+  }
+}
+
+auto dispatcher::AdoptSpeeds(std::span<const server_count> rows, time_point now)
+    -> void {
+  for (const auto& row : rows) {
+    speeds_.Adopt(row.server, row.slowness_percent, now);
+  }
 }
 
 auto dispatcher::RecordPeak(server_row& row, time_point now) -> void {
@@ -96,6 +119,7 @@
       continue;
     }
     auto& row = found->second;
+    speeds_.RecordTold(load.server, load.slowness_percent, load.age, now);
     RecordPeak(row, now);
     const auto own = std::max(row.peak.current, row.peak.previous);
     row.external = load.count > own ? load.count - own : 0;
@@ -105,6 +129,9 @@
 
 auto dispatcher::FindFree(const placement_request& request, time_point now)
     -> server_row* {
+  if (policy_.speed.is_enabled) {
+    return FindFreeBySpeed(request, now);
+  }
   server_row* best = nullptr;
   std::tuple<int, double, std::uint64_t> best_rank;
   for (auto& [id, row] : servers_) {
@@ -128,12 +155,48 @@
   return best;
 }
 
+auto dispatcher::FindFreeBySpeed(const placement_request& request,
+                                 time_point now) -> server_row* {
+  speeds_.Refresh(now);
+  const speed_ranking ranking(policy_.speed, request.work,
+                              BatchSlack(request, now));
+  server_row* best = nullptr;
+  std::tuple<bool, int, double> best_rank;
+  std::uint64_t equals = 0;
+  for (auto& [id, row] : servers_) {
+    const auto load = LoadOf(row, now);
+    if (load >= SlotsFor(request.work, row) || !IsUsable(row, request, now)) {
+      continue;
+    }
+    const bool is_connected =
+        std::ranges::find(request.connected, id) != request.connected.end();
+    const std::tuple rank(
+        ranking.IsBeyondRoom(*row.pace, load), TierOf(row, request.place),
+        ranking.Cost(*row.pace, load, row.info.slots,
+                     is_connected ? policy_.connected_bonus : 0));
+    if (best != nullptr && rank > best_rank) {
+      continue;
+    }
+    equals = best != nullptr && rank == best_rank ? equals + 1 : 1;
+    // Each of the equally ranked servers is chosen with the same probability.
+    if (equals == 1 || random_() % equals == 0) {
+      best = &row;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
 auto dispatcher::Grant(const placement_request& request,
                        server_row& row,
                        time_point now) -> void {
   const slot_key key(request.host, request.ticket);
-  slots_[key] = {row.info.id, request.work,   false,
-                 now,         request.prompt, request.content};
+  auto& slot = slots_[key];
+  slot = {row.info.id, request.work,   false,
+          now,         request.prompt, request.content};
+  if (policy_.speed.is_enabled) {
+    slot.start = speeds_.BeginRun(row.info.id, LoadOf(row, now), now);
+  }
   ++row.used;
   RecordPeak(row, now);
   cold_.RecordStart(row.info, now);
@@ -266,6 +329,9 @@
     return;
   }
   const bool is_batch = request.work == work_class::kBatch;
+  if (policy_.speed.is_enabled && !is_batch) {
+    speeds_.RecordObjectives(request.service, request.objectives, now);
+  }
   if (is_batch ? batch_.empty() && online_.empty() && TryPlace(request, now)
                : TryPlace(request, now)) {
     return;
@@ -361,6 +427,10 @@
     const auto seconds = Seconds(now - found->second.granted_at);
     run_seconds_ += kRunTimeWeight * (seconds - run_seconds_);
   }
+  const auto& run = found->second;
+  if (end.outcome == run_outcome::kComplete && run.start.at != time_point()) {
+    speeds_.RecordRun(run.server, run.start, end.times, run.work, now);
+  }
   Release(key);
   Advance(now);
 }
@@ -472,6 +542,9 @@
 }
 
 auto dispatcher::Advance(time_point now) -> void {
+  if (policy_.speed.is_enabled && IsReady(now)) {
+    speeds_.Refresh(now);
+  }
   std::vector<slot_key> expired;
   for (auto& [key, slot] : slots_) {
     const auto deadline = host_deadlines_.find(key.first);
--- a/src/dispatch_local.h
+++ b/src/dispatch_local.h
@@ -71,6 +71,7 @@
      * back, and no other one is sent to it for a while. */
     time_point probe_until;
     bool has_restarted = false;  ///< Since the latest request for a slot.
+    double factor = 1;  ///< Expected time, relative to a typical server.
   };
   struct bucket {
     double level = 0;      ///< Tokens.
--- a/src/dispatch_query.cc
+++ b/src/dispatch_query.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstdlib>
 #include <iterator>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -12,6 +14,20 @@
 
 /** Number of distance classes, see dispatcher::TierOf(). */
 constexpr std::size_t kTiers = 3;
+/** A server counts as typical while its factor is within this of 100. */
+constexpr int kTypicalPercentRange = 10;
+
+/** Returns the estimate of a server, 0 if there is none. */
+auto PercentOf(const server_pace* pace) -> std::uint32_t {
+  return pace == nullptr ? 0 : pace->percent;
+}
+
+/** Whether hosts should know of a server's estimate although it is unused. */
+auto IsUntypical(const server_pace* pace) -> bool {
+  return pace != nullptr && pace->percent > 0 &&
+         std::abs(static_cast<int>(pace->percent) - 100) >=
+             kTypicalPercentRange;
+}
 
 }  // namespace
 
@@ -20,8 +36,7 @@
   if (row.info.data_centre == place.data_centre) {
     return 0;
   }
-  const auto region = regions_.find(row.info.data_centre);
-  return region != regions_.end() && region->second == place.region ? 1 : 2;
+  return row.region != nullptr && *row.region == place.region ? 1 : 2;
 }
 
 auto dispatcher::IsInAllowedRegion(const server_row& row,
@@ -30,8 +45,7 @@
   if (!request.regions.IsBound()) {
     return true;
   }
-  const auto region = regions_.find(row.info.data_centre);
-  return region != regions_.end() && request.regions.Allows(region->second);
+  return row.region != nullptr && request.regions.Allows(*row.region);
 }
 
 auto dispatcher::CanServe(const server_row& row,
@@ -97,6 +111,21 @@
   return row.info.slots - static_cast<std::uint32_t>(reserve);
 }
 
+auto dispatcher::BatchSlack(const placement_request& request,
+                            time_point now) const -> double {
+  if (request.work != work_class::kBatch) {
+    return std::numeric_limits<double>::infinity();
+  }
+  // For batch items `latest_on_time_start` is the due time. It does not matter
+  // once it has passed; without an objective it is the time of submission.
+  const auto typical = speeds_.BatchRunTime(request.service);
+  if (typical <= duration() || request.latest_on_time_start <= now) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return std::chrono::duration<double>(request.latest_on_time_start - now) /
+         std::chrono::duration<double>(typical);
+}
+
 auto dispatcher::LoadOf(const server_row& row, time_point now)
     -> std::uint32_t {
   return row.used + (now < row.external_until ? row.external : 0);
@@ -105,13 +134,15 @@
 auto dispatcher::FindBatchRun(const placement_request& request, time_point now)
     -> std::optional<slot_key> {
   const server_row* best = nullptr;
-  std::tuple<int, std::size_t> best_rank;
+  std::tuple<int, double, std::size_t> best_rank;
   for (const auto& [id, row] : servers_) {
     if (!IsUsable(row, request, now) || row.batch.empty()) {
       continue;
     }
-    const std::tuple rank(TierOf(row, request.place),
-                          SIZE_MAX - row.batch.size());
+    const std::tuple rank(
+        TierOf(row, request.place),
+        row.pace == nullptr ? 0 : row.pace->ExpectedFactor(LoadOf(row, now)),
+        SIZE_MAX - row.batch.size());
     if (best == nullptr || rank < best_rank) {
       best = &row;
       best_rank = rank;
@@ -220,7 +251,7 @@
   for (const auto& [id, row] : servers_) {
     auto& tier = by_tier[TierOf(row, place)];
     if (row.used > 0 && tier.size() < max_rows) {
-      tier.push_back({id, row.used});
+      tier.push_back({id, row.used, PercentOf(row.pace)});
     }
   }
   std::vector<server_count> counts;
@@ -229,6 +260,11 @@
     counts.insert(counts.end(), tier.begin(),
                   tier.begin() + static_cast<std::ptrdiff_t>(room));
   }
+  for (const auto& [id, row] : servers_) {
+    if (counts.size() < max_rows && row.used == 0 && IsUntypical(row.pace)) {
+      counts.push_back({id, 0, row.pace->percent});
+    }
+  }
   return counts;
 }
 
--- a/src/hostd_main.cc
+++ b/src/hostd_main.cc
@@ -117,6 +117,12 @@
          {"dogwood_servers_cold", count(host.placement->ColdCount())},
          {"dogwood_cold_starts_deferred_total",
           count(host.placement->DeferredColdStarts())},
+         {"dogwood_servers_slow", count(host.placement->SlowServers())},
+         {"dogwood_servers_fast", count(host.placement->FastServers())},
+         {"dogwood_server_speed_samples_total",
+          count(host.placement->SpeedSamples())},
+         {"dogwood_load_figures_rejected_total",
+          count(host.placement->RejectedFigures())},
          {"dogwood_loop_delay_seconds",
           std::chrono::duration<double>(host.delay.Largest()).count()},
          {"dogwood_draining", host.draining ? 1 : 0}});
--- a/src/hostd_placement.cc
+++ b/src/hostd_placement.cc
@@ -23,13 +23,12 @@
  * none do. */
 constexpr milliseconds kBusyTick{20};
 constexpr milliseconds kIdleTick{200};
-/** Interval of a host's reports to the dispatcher. A dispatcher that has not
- * answered a report for kDispatcherTtl gets no placement requests. */
-constexpr milliseconds kReportInterval{250};
 constexpr milliseconds kReportTimeout{350};
+/** A dispatcher that has not answered a report for this long gets no placement
+ * requests. */
+constexpr milliseconds kDispatcherTtl{700};
 /** Report interval while this host has no dispatcher. */
 constexpr milliseconds kDiscoveryInterval{80};
-constexpr milliseconds kDispatcherTtl{700};
 /** Ends of runs within this time are sent as one message. */
 constexpr milliseconds kEndDelay{1};
 constexpr milliseconds kEndReportTimeout{1000};
@@ -82,7 +81,7 @@
 
 placement_service::placement_service(host_state& host, std::uint64_t seed)
     : host_(host),
-      dispatcher_(dispatch_policy(), seed),
+      dispatcher_(PolicyFor(host.options.features), seed),
       local_(kLocalShare, seed + 1),
       next_ticket_(seed),
       dispatcher_found_(host.io) {
@@ -343,11 +342,7 @@
   wire::ends_requestT request;
   request.host = host_.self.name;
   for (const auto& end : std::exchange(ends_, {})) {
-    auto entry = std::make_unique<wire::ticket_endT>();
-    entry->ticket = end.ticket.value;
-    entry->outcome = static_cast<std::uint8_t>(end.outcome);
-    entry->may_have_crashed = end.may_have_crashed;
-    request.ends.push_back(std::move(entry));
+    request.ends.push_back(EncodeRunEnd(end));
   }
   for (const auto& ticket : std::exchange(withdrawn_, {})) {
     request.withdrawn.push_back(ticket.value);
@@ -385,9 +380,7 @@
     added.leaving =
         server.leaving || host_.evacuations.Contains(server.data_centre);
   }
-  std::erase_if(reported_loads_, [this](const auto& entry) {
-    return !host_.servers.contains(entry.first);
-  });
+  ForgetLoads();
   std::erase_if(rejected_cold_times_, [this](const auto& server) {
     return !host_.servers.contains(server);
   });
@@ -479,28 +472,13 @@
     DeliverAnswers();
     LogQuarantine(now);
     LogColdServers(now);
+    LogSpeeds();
     const bool is_busy = dispatcher_.WaitingCount(work_class::kOnline) > 0 ||
                          dispatcher_.WaitingCount(work_class::kBatch) > 0;
     co_await Sleep(is_busy ? kBusyTick : kIdleTick);
   }
 }
 
-auto placement_service::RecordLoad(const server_id& server,
-                                   const reported_load& load) -> void {
-  reported_loads_[server] = {load.running + load.waiting, clock::now()};
-}
-
-auto placement_service::ReportedLoads(time_point now) const
-    -> std::vector<server_count> {
-  std::vector<server_count> list;
-  for (const auto& [server, load] : reported_loads_) {
-    if (now - load.reported_at < kReportInterval) {
-      list.push_back({server, load.count});
-    }
-  }
-  return list;
-}
-
 auto placement_service::HeldSlots() const -> std::vector<held_slot> {
   std::vector<held_slot> list;
   for (const auto& [ticket, slot] : held_) {
@@ -607,7 +585,11 @@
   }
   const auto answered = clock::now();
   if (reply.has_loads) {
-    local_.SetCounts(DecodeCounts(reply.loads), answered + kCountsTtl);
+    const auto counts = DecodeCounts(reply.loads);
+    local_.SetCounts(counts, answered + kCountsTtl);
+    if (!dispatcher_.IsReady(answered)) {
+      dispatcher_.AdoptSpeeds(counts, answered);
+    }
     counts_due_ = now + kCountsInterval;
   }
   const dispatcher_term term(reply.term);
@@ -655,7 +637,7 @@
     if (!active_.name.empty() && active_.name != candidate_.name) {
       asio::co_spawn(host_.io, ReportHeld(active_), LogException);
     }
-    co_await Sleep(had_dispatcher ? kReportInterval : kDiscoveryInterval);
+    co_await Sleep(had_dispatcher ? kHeldReportInterval : kDiscoveryInterval);
     if (had_dispatcher && !HasDispatcher()) {
       Log(log_level::kWarning, log_category::kRoute,
           {"dispatcher does not answer; placing requests without it",
@@ -684,11 +666,7 @@
   const auto now = clock::now();
   const host_id host(request.host);
   for (const auto& end : request.ends) {
-    dispatcher_.End(host,
-                    {.ticket = ticket_id(end->ticket),
-                     .outcome = static_cast<run_outcome>(end->outcome),
-                     .may_have_crashed = end->may_have_crashed},
-                    now);
+    dispatcher_.End(host, DecodeRunEnd(*end), now);
   }
   for (const auto ticket : request.withdrawn) {
     dispatcher_.Withdraw(host, ticket_id(ticket));
