--- a/bench/dispatch_bench.cc
+++ b/bench/dispatch_bench.cc
@@ -19,7 +19,8 @@
                        .data_centre = data_centre_id(i % 2 == 0 ? "a" : "b"),
                        .slots = kSlots,
                        .leaving = false,
-                       .start = 1});
+                       .start = 1,
+                       .cold_until = {}});
   }
   return servers;
 }
--- a/src/deployment_region.h
+++ b/src/deployment_region.h
@@ -32,7 +32,9 @@
   /** The allowed regions; meaningless if every region is allowed. */
   auto allowed() const -> const std::set<region_id>& { return allowed_; }
 
-  auto operator<=>(const region_bound&) const = default;
+  // clang-tidy 14 takes the comparison with 0 in the default for a pointer.
+  auto operator<=>(const region_bound&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 
  private:
   bool is_bound_ = false;
