--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,6 +23,7 @@
 WORK_S = 0.6  # Time until it answers a run with 500.
 TROUBLE_S, FAILED_SHARE, EXTRA_SHARE = 5.0, 0.4, 0.03
 JOBS, JOB_GAP_S, BACKGROUND_PER_S = 14, 0.18, 60
+HOST_ZONES = ["east-a", "east-b", "west-a", "east-a", "east-a", "east-a", "east-a"]
 ZONES = ["east-a", "east-b", "west-a", "west-a", "west-a", "west-a", "west-a"]
 TROUBLED = "e0"
 SENDS_EXTRA = os.environ.get("TROUBLE", "1") not in ("0", "grey")
@@ -84,14 +85,17 @@
     declared = sh.state()
     declared["routes"][-1].update(maxAttempts=MAX_ATTEMPTS)
     is_over = False
-    async with fl.Fleet(hosts=7, engines=len(ZONES), engine=Engine, declared=declared) as fleet:
+    fleet = fl.Fleet(hosts=len(HOST_ZONES), engines=len(ZONES), engine=Engine, declared=declared)
+    for host, zone in zip(fleet.hosts, HOST_ZONES):
+        host.zone = zone
+    async with fleet:
 
         async def background(number):
             await asyncio.sleep(number / BACKGROUND_PER_S)
             while not is_over:
                 begun = time.monotonic()
                 with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-                    # Hosts 0, 3 and 6 are in the data centre of the server in trouble.
+                    # In the data centre of the server in trouble, like four more hosts.
                     await fleet.ask(fleet.hosts[3], "read/plain", key=sh.KEY, limit=5)
                 await asyncio.sleep(max(0, begun + 0.25 - time.monotonic()))
 
