--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -3,6 +3,7 @@
 the store and the model servers (tests/fakes/site_stand_in.py)."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -107,6 +108,34 @@
                          for host in self.hosts if host.log_path.exists())
 
 
+class Proxy:
+    """Passes connections on. While it is cut, bytes of both directions are lost,
+    as on a path without a route."""
+
+    def __init__(self, ip, port, target):
+        self.ip, self.port, self.target, self.is_cut, self.tasks = ip, port, target, False, set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
+
+    async def serve(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.close()
+            return
+        self.tasks |= {asyncio.ensure_future(self.pump(reader, far_writer)),
+                       asyncio.ensure_future(self.pump(far_reader, writer))}
+
+    async def pump(self, reader, writer):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                if not self.is_cut:
+                    writer.write(data)
+                    await writer.drain()
+        writer.close()
+
+
 async def guarded(case, folder):
     record = Record(folder / "record.txt")
     try:
