--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -109,8 +109,8 @@
 
 
 class Proxy:
-    """Passes connections on. While it is cut, bytes of both directions are lost,
-    as on a path without a route."""
+    """Passes connections on. A connection that is open while the proxy is cut is
+    silent from then on, in each direction from the first byte that was lost."""
 
     def __init__(self, ip, port, target):
         self.ip, self.port, self.target, self.is_cut, self.tasks = ip, port, target, False, set()
@@ -128,9 +128,11 @@
                        asyncio.ensure_future(self.pump(far_reader, writer))}
 
     async def pump(self, reader, writer):
+        has_lost = False
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
-                if not self.is_cut:
+                has_lost = has_lost or self.is_cut
+                if not has_lost:
                     writer.write(data)
                     await writer.drain()
         writer.close()
