Refuse answers whose status is no status of HTTP

Callers saw: a server in trouble answered with status 000, and its callers got "HTTP/1.1 000" with the server's seal as an answer, on every kind of route but jobs. 001 to 099 and 600 to 999 came through in the same way.

Cause: the client takes any three digits for a status, as its parser does, and no reader looked at the value. A status outside of 1xx to 5xx is invalid (RFC 9110, 15); only 5xx was retried, so 000 counted as the server's final answer.

Change: http_connection::ReadHead(), through which hostd, entryd, batchd, the clients of the store and of the platform and the tools read every answer, fails on such a head and closes the connection. What follows is what follows any head that cannot be read: a retry elsewhere where that is permitted, else 502 with "may have run" and without seal; an item runs again.

The caller is a raw socket whose bytes are checked against the grammar. 2xx to 5xx that have no name still pass, and odd but valid reasons.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -55,13 +55,21 @@
   /** Marks the connection as failed, closes it and returns the failure. */
   auto Fail(const beast::error_code& ec, std::string step, ran_state ran)
       -> failure {
+    auto error = FailResponse(ec.message(), std::move(step));
+    error.ran = ran;
+    if (ec == beast::error::timeout) {
+      error.code = error_code::kDeadlineExceeded;
+    }
+    return error;
+  }
+
+  /** As Fail(), because of what the server has sent. */
+  auto FailResponse(std::string message, std::string step) -> failure {
     failed = true;
     stream.close();
-    const bool timed_out = ec == beast::error::timeout;
-    return {.code = timed_out ? error_code::kDeadlineExceeded
-                              : error_code::kBadGateway,
-            .message = ec.message(),
-            .ran = ran,
+    return {.code = error_code::kBadGateway,
+            .message = std::move(message),
+            .ran = ran_state::kMaybe,
             .step = std::move(step),
             .peer = peer};
   }
@@ -141,6 +149,9 @@
     head.headers.fields.push_back(
         {std::string(field.name_string()), std::string(field.value())});
   }
+  if (auto problem = HeadProblem(head)) {
+    co_return state_->FailResponse(std::move(*problem), "read head");
+  }
   co_return head;
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -32,7 +32,8 @@
   /** Prepares to read another response without sending a request, after a
    * complete response that belonged to no request of this connection. */
   auto PrepareForResponse() -> void;
-  /** Reads status and header fields of the response. */
+  /** Reads status and header fields of the response. Fails if they break the
+   * protocol, see HeadProblem(). */
   auto ReadHead(time_point deadline)
       -> boost::asio::awaitable<outcome<http_head>>;
   /** Reads the next part of the body; returns an empty string once the body is
--- a/src/http_type.cc
+++ b/src/http_type.cc
@@ -16,6 +16,9 @@
 constexpr std::size_t kMaxFieldBytes = 32UL << 10;
 constexpr std::size_t kMaxHeadBytes = 64UL << 10;
 constexpr char kDelete = 0x7f;
+/** Statuses of the protocol. */
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kLastStatus = 599;
 /** What a token may have beside letters and digits. */
 constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
 
@@ -73,6 +76,14 @@
   return std::nullopt;
 }
 
+auto HeadProblem(const http_head& response) -> std::optional<std::string> {
+  if (response.status < kFirstStatus || response.status > kLastStatus) {
+    return "status " + std::to_string(response.status) +
+           " is not a status of HTTP";
+  }
+  return std::nullopt;
+}
+
 auto http_headers::Get(std::string_view name) const -> std::string_view {
   for (const auto& field : fields) {
     if (boost::iequals(field.name, name)) {
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -58,6 +58,11 @@
   http_headers headers;
 };
 
+/** Returns why the head of a response cannot be used; nothing if it can. Takes
+ * for granted what the parser has checked: the form of the status line and of
+ * each field line. The status is from 100 to 599 (RFC 9110, 15). */
+auto HeadProblem(const http_head& response) -> std::optional<std::string>;
+
 /** A response with its complete body. */
 struct http_response {
   unsigned status = 200;
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -312,6 +312,9 @@
         self.cut_head = False  # Closes in the middle of the head of each answer.
         self.is_unframed = False  # Sends answers without length or chunks, and closes.
         self.cut_unframed = None  # How it ends them too early: "close" or "reset".
+        self.raw = None  # Makes the bytes that it sends in place of answers, of a request's id and path.
+        self.raw_connections = set()  # Connections on which it has done so.
+        self.raw_reused = 0  # Requests that came on one of these later.
         self.fails_with = None  # Status of its answer to each request that it runs.
         self.refuses = set()  # Requests to refuse; a refusal comes again on a kept connection.
         self.copies_have_id = True
@@ -351,6 +354,7 @@
     async def handle(self, request, reader, writer):
         method, path, query, headers, body = request
         attempt = headers.get("x-attempt-id", "")
+        self.raw_reused += writer in self.raw_connections
         if headers.get("x-expect-instance", self.name) != self.name:
             answer(writer, 421, X_Instance_Id=self.name, **self.fields())
             return True
@@ -397,6 +401,11 @@
             if self.http.server is not None:
                 self.tasks.append(asyncio.ensure_future(self.crash_for(CRASH_S)))
             return False
+        if self.raw is not None:
+            self.raw_connections.add(writer)
+            writer.write(self.raw(attempt, path))
+            await writer.drain()
+            return True
         if self.cut_head:
             writer.write(f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Se".encode())
             await writer.drain()
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -175,6 +176,58 @@
   return answer;
 }
 
+/** Accepts one connection, reads the head of a request, sends `answer` and ends
+ * the connection. */
+auto AnswerOnce(tcp::acceptor& acceptor, std::string answer)
+    -> asio::awaitable<void> {
+  constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+  auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+  std::string received;
+  auto buffer = asio::dynamic_buffer(received);
+  co_await asio::async_read_until(socket, buffer, "\r\n\r\n", kAwait);
+  auto bytes = asio::buffer(answer);
+  co_await asio::async_write(socket, bytes, kAwait);
+  boost::system::error_code ignored;
+  socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+/** Returns the outcome of a request that a server answers with these bytes. */
+auto FetchBytes(std::string answer) -> outcome<http_response> {
+  asio::io_context io;
+  tcp::acceptor acceptor(io,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  asio::co_spawn(io, AnswerOnce(acceptor, std::move(answer)), asio::detached);
+  outcome<http_response> fetched = failure{};
+  http_request request;
+  request.method = "GET";
+  request.target = "/";
+  asio::co_spawn(asio::make_strand(io),
+                 Fetch(acceptor.local_endpoint(), request, FarDeadline()),
+                 [&](std::exception_ptr, outcome<http_response> result) {
+                   fetched = std::move(result);
+                   io.stop();
+                 });
+  io.run();
+  return fetched;
+}
+
+/** Returns an answer with this status line and these field lines, and the body
+ * "body" by its length. */
+auto WithHead(const std::string& status_line, const std::string& fields = "")
+    -> std::string {
+  return status_line + "\r\n" + fields + "Content-Length: 4\r\n\r\nbody";
+}
+
+/** Whether the client takes these bytes for an answer. */
+auto IsAnswer(const std::string& bytes) -> bool {
+  const auto answer = FetchBytes(bytes);
+  if (!answer) {
+    cr_assert(answer.error().ran == ran_state::kMaybe);
+    cr_assert(answer.error().code == error_code::kBadGateway);
+  }
+  return answer.has_value();
+}
+
 /** Returns the outcome of a request to a port without a listener. */
 auto FetchFromClosedPort() -> outcome<http_response> {
   asio::io_context io;
@@ -312,3 +365,33 @@
   request.headers.fields.assign(3, {"X-Long", std::string(30 << 10, 'x')});
   cr_assert(HeadProblem(request).has_value());
 }
+
+// Guards against bytes that are taken for an answer although their status is
+// outside of 100 to 599 (RFC 9110, 15).
+Test(http, an_answer_has_a_status) {
+  for (const std::string line : {"HTTP/1.1 000 X",    "HTTP/1.1 001 X",
+                                 "HTTP/1.1 099 X",    "HTTP/1.1 600 X",
+                                 "HTTP/1.1 999 X",    "HTTP/1.1 20 X",
+                                 "HTTP/1.1 2000 X",   "HTTP/1.1 -20 X",
+                                 "HTTP/1.1 2x0 X",    "HTTP/1.1  200 X",
+                                 "HTTP/1.1 200",      "HTTP/1.1 200 a\x01",
+                                 "HTTP/1.1 200 a\rb", "HTTP/1.1 200 a\nb",
+                                 "HTTP/2.0 200 X",    "HTTP/0.9 200 X",
+                                 "http/1.1 200 X",    "ICY 200 X",
+                                 " HTTP/1.1 200 X",   ""}) {
+    cr_assert_not(IsAnswer(WithHead(line)), "%s", line.c_str());
+  }
+}
+
+// Guards against status lines of sound servers that are refused.
+Test(http, any_status_and_reason_of_the_protocol_is_an_answer) {
+  for (const std::string line :
+       {"HTTP/1.1 200 ", "HTTP/1.1 200 \tSo\tfar  so good! ",
+        "HTTP/1.1 200 d\xc3\xa9j\xc3\xa0 vu \xff", "HTTP/1.0 200 OK"}) {
+    cr_assert(FetchBytes(WithHead(line))->body == "body", "%s", line.c_str());
+  }
+  for (const unsigned status : {200U, 299U, 399U, 404U, 499U, 500U, 599U}) {
+    const auto line = "HTTP/1.1 " + std::to_string(status) + " X";
+    cr_assert_eq(FetchBytes(WithHead(line))->status, status);
+  }
+}
--- a/tests/site_answer.py
+++ b/tests/site_answer.py
@@ -3,11 +3,158 @@
 an earlier refusal, an error within a stream, half an answer as a whole one."""
 
 import asyncio
+import re
+import time
 
 import site_helper as sh
 
 # The caller of a broken stream gets its beginning, or an error, but no end.
 BROKEN = (502, 504)
+# What a status line and a field line may be (RFC 9112, 4 and 5; RFC 9110, 5.5, 5.6.2 and 15).
+STATUS_LINE = re.compile(rb"HTTP/1\.1 ([1-5][0-9][0-9]) [\t\x20-\x7e\x80-\xff]*")
+FIELD_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[\t\x20-\x7e\x80-\xff]*")
+# The time after which a host tries a server again that has failed is below this.
+AGAIN_S = 15
+# One route of each kind, with the path that its requests have.
+PATHS = {"read": "plain", "call": "plain", "open": "plain", "once": "x", "stream": "x"}
+REPEATED = ("read", "open", "stream")
+
+
+def read_strictly(received):
+    """Reads the bytes that a caller got until its connection ended. Fails if
+    they are no answer; one that breaks off has is_whole=False."""
+    head, end, rest = received.partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    status = STATUS_LINE.fullmatch(lines[0])
+    sh.check(end and status, f"no answer: {received[:200]!r}")
+    for line in lines[1:]:
+        sh.check(FIELD_LINE.fullmatch(line), f"no field line: {line!r}")
+    fields = {name.decode().lower(): value.strip() for name, value in (line.split(b":", 1) for line in lines[1:])}
+    body, is_whole = rest, False
+    if b"chunked" == fields.get("transfer-encoding"):
+        sh.check("content-length" not in fields, f"two framings: {head!r}")
+        body = b""
+        while size := re.match(rb"([0-9a-f]+)\r\n", rest):
+            length, chunk = int(size[1], 16), rest[size.end():]
+            is_whole = length == 0 and chunk == b"\r\n"
+            sh.check(length > 0 or b"\r\n".startswith(chunk[:2]) and len(chunk) <= 2, f"after the end: {rest[:200]!r}")
+            body, rest = body + chunk[:length], chunk[length + 2:]
+    elif "content-length" in fields:
+        sh.check(len(rest) <= int(fields["content-length"]), f"after the end: {rest[-200:]!r}")
+        is_whole = len(rest) == int(fields["content-length"])
+    else:
+        sh.check(status[1] in (b"204", b"304") and not rest, f"no framing: {received[:200]!r}")
+        is_whole = True
+    return sh.Answer(int(status[1]), fields, body, is_whole)
+
+
+async def ask_strictly(fleet, route, body):
+    """Sends one request through the first host and reads all bytes that come
+    back. Returns its id and the answer."""
+    attempt, key = fleet.new_id(), {} if route == "open" else {"X-Key": sh.KEY}
+    fields = {"Host": sh.HOST_NAME, "X-Attempt-Id": attempt, "X-Deadline-Ms": 8000, "Connection": "close",
+              "Content-Length": len(body), **key}
+    lines = [f"POST /{route}/{PATHS[route]} HTTP/1.1", *(f"{name}: {value}" for name, value in fields.items())]
+    reader, writer = await asyncio.open_connection(fleet.hosts[0].ip, sh.FRONT)
+    writer.write("\r\n".join([*lines, "\r\n"]).encode() + body)
+    received = await asyncio.wait_for(reader.read(), 12)
+    writer.close()
+    return attempt, read_strictly(received)
+
+
+async def ask_until_it_runs(fleet, engines, route, size=16):
+    """Sends requests with new bodies until one reaches one of these servers,
+    which a host leaves alone for a moment after a failure. Returns its id and
+    the answer."""
+    end = time.monotonic() + AGAIN_S
+    while time.monotonic() < end:
+        body = fleet.new_id("body").encode()
+        attempt, answer = await ask_strictly(fleet, route, body * (size // len(body) + 1))
+        if any(seen[0] == attempt for engine in engines for seen in engine.seen):
+            return attempt, answer
+        sh.check(answer.status != 502, f"{route}: {answer} for a request that no server got")
+        await asyncio.sleep(0.1)
+    raise AssertionError(f"{route}: no request came to {[engine.name for engine in engines]}")
+
+
+def check_failure(fleet, what, attempt, answer, has_begun=False):
+    """Checks what the caller of a broken answer gets; `has_begun` tells that a
+    stream may have begun before it broke."""
+    if has_begun and answer.status == 200:
+        got = answer.events()
+        sh.check(not answer.is_whole, f"{what}: half an answer came as a whole one: {answer}")
+        sh.check(got == sh.expected_events(attempt)[:len(got)], f"{what}: {got}")
+        return
+    sh.check(answer.status in BROKEN and answer.is_whole, f"{what}: {answer}")
+    sh.check("x-server-seal" not in answer.headers, f"{what}: a server's seal on {answer}")
+    sh.check(answer.headers.get("dogwood-ran") == b"maybe", f"{what}: {answer.headers}")
+
+
+def raw_answer(status_line, fields=b"", body=None):
+    """Returns what makes the bytes of an answer with this status line and these
+    field lines, by its length: a whole stream, or `body`."""
+    def make(attempt, path):
+        content, kind = body or b"echo", b"text/plain"
+        if path.endswith("/x"):
+            events = sh.expected_events(attempt)
+            content, kind = "".join(f"id: {e}\ndata: {data}\n\n" for e, data in events).encode(), b"text/event-stream"
+        return (status_line + b"\r\nContent-Type: " + kind + b"\r\nX-Attempt-Id: " + attempt.encode() +
+                b"\r\nX-Server-Seal: seal\r\n" + fields + b"Content-Length: %d\r\n\r\n" % len(content) + content)
+    return make
+
+
+async def broken_answers(name, answers):
+    """Each of these answers, on a route of each kind, is a failure for the
+    caller; one that may be repeated gets its answer from a sound server; an item
+    is done by a later run. The connection is not used again."""
+    async with sh.Fleet(name, hosts=1, engines=12) as fleet:
+        for what, raw in answers.items():
+            for engine in fleet.engines:
+                engine.raw = raw
+            for route in PATHS:
+                attempt, answer = await ask_until_it_runs(fleet, fleet.engines, route)
+                check_failure(fleet, f"{what}, {route}", attempt, answer)
+                runs = fleet.runs(attempt)
+                sh.check(route in REPEATED or runs == 1, f"{what}, {route}: {attempt} ran {runs} times")
+        reused = sum(engine.raw_reused for engine in fleet.engines)
+        sh.check(reused == 0, f"{reused} requests on connections with a broken answer")
+    async with sh.Fleet(name, hosts=1, engines=3) as fleet:
+        *broken, sound = fleet.engines
+        for what, raw in answers.items():
+            for engine in broken:
+                engine.raw = raw
+            for route in ("read", "stream"):
+                attempt, answer = await ask_until_it_runs(fleet, broken, route)
+                sh.check(answer.status == 200 and answer.is_whole, f"{what}, {route}: {answer}")
+                sh.check(answer.headers["x-server-seal"] == b"seal-" + sound.name.encode(), f"{what}: {answer.headers}")
+                if route == "stream":
+                    sh.check(answer.events() == sh.expected_events(attempt), f"{what}: {answer.events()}")
+    await broken_items(name, answers)
+
+
+async def broken_items(name, answers):
+    """An item that got one of these answers is done by a later run."""
+    async with sh.Fleet(name, hosts=1, engines=1) as fleet:
+        engine = fleet.engines[0]
+        for what, engine.raw in answers.items():
+            job = fleet.new_id("job")
+            answer = await fleet.submit(fleet.hosts[0], job, 1)
+            sh.check(answer.status == 202, f"{what}: {answer}")
+
+            async def has_run():
+                return fleet.runs(f"{job}-0") > 0
+            await sh.until(has_run, f"{what}: the item runs")
+            answer = await fleet.results(fleet.hosts[0], job)
+            sh.check(answer.json()["results"] == [], f"{what}: {answer.json()}")
+            engine.raw = None
+            found = await fleet.all_results(job, 1)
+            sh.check(found == [(f"{job}-0", "done", sh.stand_in.whole_output(f"{job}-0"))], f"{what}: {found}")
+
+
+async def odd_statuses():
+    """Digits where the status is due that are no status."""
+    await broken_answers("odd_statuses", {
+        code: raw_answer(b"HTTP/1.1 %s X" % code) for code in (b"000", b"099", b"600", b"999")})
 
 
 async def earlier_refusals():
@@ -99,6 +246,7 @@
     await errors_within_streams()
     await cut_heads()
     await answers_without_length()
+    await odd_statuses()
 
 
 sh.run(test)
