Refuse answers with folded field lines

Callers saw: a line of an answer's head that began with a blank was taken for the value of the line before it. "X-Ok: 1", " X-Bad: 2" came out as "X-Ok: 1 X-Bad: 2", beside the server's seal, and a Content-Length behind a blank was lost, so that all bytes until the end of the connection became the body.

Cause: the parser unfolds such lines, as HTTP once permitted, and does not tell. A gateway must not pass them on as they are (RFC 9112, 5.2).

Change: the client feeds the parser itself and looks at the lines of the head that it has consumed; a folded one fails the head. Blanks and control bytes within a name, before its colon and before the first line, and control bytes in values were refused already; the tests stay.

Evidence: http (field_lines_of_an_answer_are_not_folded, _are_sound and an_answer_may_come_in_parts, the latter two for folded lines only) and site_answer (odd_field_lines: "X-Ok: 1 X-Bad: 2, read: 200", after both lines with a bad name had been refused) failed before and pass now. Values with tabs and bytes above 0x7f, empty ones and all characters of names are passed on unchanged, also when a head comes in two parts, cut at any byte.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -6,11 +6,13 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
 #include <limits>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include "src/core.h"
@@ -31,6 +33,17 @@
 /** Maximum number of bytes that ReadSome() returns. */
 constexpr std::size_t kReadBytes = 16UL << 10;
 
+/** Maximum number of bytes of a head that are read at once. */
+constexpr std::size_t kHeadReadBytes = 4UL << 10;
+
+/** Whether lines of a head contain one that continues the line before it by
+ * beginning with a blank. Only a message within another one may have such lines
+ * (RFC 9112, 5.2); the parser joins them and does not tell. */
+auto HasFoldedLine(std::string_view lines) -> bool {
+  return lines.find("\r\n ") != std::string_view::npos ||
+         lines.find("\r\n\t") != std::string_view::npos;
+}
+
 /** Whether a socket is open and has no bytes to read. */
 auto IsOpenAndIdle(int socket) -> bool {
   char byte = 0;
@@ -63,6 +76,21 @@
     return error;
   }
 
+  /** Parses what has been read ahead of a head. Returns need_more until the
+   * head is complete. */
+  auto ParseHead() -> beast::error_code {
+    beast::error_code ec;
+    const auto received = buffer.cdata();
+    const auto parsed = parser->put(received, ec);
+    const std::string_view lines(static_cast<const char*>(received.data()),
+                                 parsed);
+    if (HasFoldedLine(lines)) {
+      ec = http::error::bad_field;
+    }
+    buffer.consume(parsed);
+    return ec;
+  }
+
   /** As Fail(), because of what the server has sent. */
   auto FailResponse(std::string message, std::string step) -> failure {
     failed = true;
@@ -136,21 +164,33 @@
 
 auto http_connection::ReadHead(time_point deadline)
     -> asio::awaitable<outcome<http_head>> {
-  state_->stream.expires_at(deadline);
-  auto [ec, n] = co_await http::async_read_header(
-      state_->stream, state_->buffer, *state_->parser, kAwait);
+  auto& s = *state_;
+  s.stream.expires_at(deadline);
+  // The parser's own read of a head consumes the lines that are checked here.
+  auto ec = s.ParseHead();
+  while (ec == http::error::need_more) {
+    const auto size = beast::read_size(s.buffer, kHeadReadBytes);
+    if (size == 0) {
+      co_return s.Fail(http::error::buffer_overflow, "read head",
+                       ran_state::kMaybe);
+    }
+    auto space = s.buffer.prepare(size);
+    auto [read_ec, n] = co_await s.stream.async_read_some(space, kAwait);
+    s.buffer.commit(n);
+    ec = read_ec ? read_ec : s.ParseHead();
+  }
   if (ec) {
-    co_return state_->Fail(ec, "read head", ran_state::kMaybe);
+    co_return s.Fail(ec, "read head", ran_state::kMaybe);
   }
   http_head head;
-  const auto& message = state_->parser->get();
+  const auto& message = s.parser->get();
   head.status = message.result_int();
   for (const auto& field : message) {
     head.headers.fields.push_back(
         {std::string(field.name_string()), std::string(field.value())});
   }
   if (auto problem = HeadProblem(head)) {
-    co_return state_->FailResponse(std::move(*problem), "read head");
+    co_return s.FailResponse(std::move(*problem), "read head");
   }
   co_return head;
 }
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -176,27 +176,37 @@
   return answer;
 }
 
-/** Accepts one connection, reads the head of a request, sends `answer` and ends
- * the connection. */
-auto AnswerOnce(tcp::acceptor& acceptor, std::string answer)
-    -> asio::awaitable<void> {
+/** Accepts one connection, reads the head of a request, sends `answer`, with a
+ * pause after `first_part` bytes, and ends the connection. */
+auto AnswerOnce(tcp::acceptor& acceptor,
+                std::string answer,
+                std::size_t first_part) -> asio::awaitable<void> {
   constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
   auto socket = co_await acceptor.async_accept(asio::use_awaitable);
   std::string received;
   auto buffer = asio::dynamic_buffer(received);
   co_await asio::async_read_until(socket, buffer, "\r\n\r\n", kAwait);
   auto bytes = asio::buffer(answer);
+  if (first_part < answer.size()) {
+    auto part = asio::buffer(bytes, first_part);
+    co_await asio::async_write(socket, part, kAwait);
+    co_await Sleep(std::chrono::milliseconds(1));
+    bytes += first_part;
+  }
   co_await asio::async_write(socket, bytes, kAwait);
   boost::system::error_code ignored;
   socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-/** Returns the outcome of a request that a server answers with these bytes. */
-auto FetchBytes(std::string answer) -> outcome<http_response> {
+/** Returns the outcome of a request that a server answers with these bytes,
+ * with a pause after `first_part` of them. */
+auto FetchBytes(std::string answer, std::size_t first_part = std::string::npos)
+    -> outcome<http_response> {
   asio::io_context io;
   tcp::acceptor acceptor(io,
                          tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  asio::co_spawn(io, AnswerOnce(acceptor, std::move(answer)), asio::detached);
+  asio::co_spawn(io, AnswerOnce(acceptor, std::move(answer), first_part),
+                 asio::detached);
   outcome<http_response> fetched = failure{};
   http_request request;
   request.method = "GET";
@@ -395,3 +405,73 @@
     cr_assert_eq(FetchBytes(WithHead(line))->status, status);
   }
 }
+
+// Guards against field lines that break the protocol and are passed on, or hide
+// how long the body is (RFC 9110, 5.5 and 5.6.2; RFC 9112, 5).
+Test(http, field_lines_of_an_answer_are_sound) {
+  for (const std::string line :
+       {"X Bad: 1", "X-Bad : 1", "X-Bad\t: 1", " X-Bad: 1", "\tX-Bad: 1",
+        "X\x01-Bad: 1", "X\x7f-Bad: 1", "X\xe9-Bad: 1", "X(Bad): 1", ": 1",
+        "X-Bad", "X-Bad: a\x01", "X-Bad: a\rb", "X-Bad: a\nb",
+        "X-Bad: a\x7f"}) {
+    for (const std::string before : {"", "X-Ok: 1\r\n"}) {
+      const auto fields = before + line + "\r\n";
+      cr_assert_not(IsAnswer(WithHead("HTTP/1.1 200 OK", fields)), "%s",
+                    fields.c_str());
+    }
+  }
+  const auto with_nul = std::string("X-Bad: a") + '\0' + "b\r\n";
+  cr_assert_not(IsAnswer(WithHead("HTTP/1.1 200 OK", with_nul)));
+  cr_assert_not(IsAnswer("HTTP/1.1 200 OK\nContent-Length: 0\n\n"));
+}
+
+// Guards against a line that begins with a blank and counts as the value of the
+// line before it.
+Test(http, field_lines_of_an_answer_are_not_folded) {
+  for (const std::string fields :
+       {"X-Ok: 1\r\n X-Bad: 2\r\n", "X-Ok: 1\r\n\tX-Bad: 2\r\n",
+        "X-Ok:\r\n 2\r\n", "X-Ok: 1\r\n \r\n", "X-Ok: 1\r\n\t\r\n",
+        "A: 1\r\nB: 2\r\n 3\r\nC: 4\r\n"}) {
+    cr_assert_not(IsAnswer(WithHead("HTTP/1.1 200 OK", fields)), "%s",
+                  fields.c_str());
+  }
+  cr_assert_not(
+      IsAnswer("HTTP/1.1 200 OK\r\nX-Ok: 1\r\n Content-Length: 3\r\n\r\nbody"));
+}
+
+// Guards against fields of sound servers that are refused or changed.
+Test(http, any_field_of_the_protocol_is_passed_on) {
+  const std::string name = "!#$%&'*+-.^_`|~09Az";
+  for (const std::string value :
+       {"", "a\tb", "a  b", "d\xc3\xa9j\xc3\xa0 vu \x80\xff", "\"q\\\"\", (c)",
+        ":;=,", "{\"a\":[1]}"}) {
+    for (const std::string& line : {name + ":" + value, name + ": \t" + value,
+                                    name + ": " + value + " \t "}) {
+      const auto answer = FetchBytes(
+          WithHead("HTTP/1.1 200 OK", line + "\r\n" + "X-Next:  1\r\n"));
+      cr_assert(answer && answer->headers.Get(name) == value, "%s",
+                line.c_str());
+      cr_assert(answer->headers.Get("X-Next") == "1");
+      cr_assert(answer->body == "body");
+    }
+  }
+}
+
+// Guards against an answer whose head or body comes in parts being taken for
+// another one, and bytes of the body for field lines.
+Test(http, an_answer_may_come_in_parts) {
+  const auto bytes = WithHead("HTTP/1.1 200 OK", "X-A: 1\r\nX-B: 2\r\n");
+  for (std::size_t at = 1; at < bytes.size(); ++at) {
+    const auto answer = FetchBytes(bytes, at);
+    cr_assert(answer && answer->headers.Get("X-B") == "2", "%zu", at);
+    cr_assert(answer->body == "body", "%zu", at);
+    cr_assert_not(FetchBytes(bytes.substr(0, at)).has_value(), "%zu", at);
+  }
+  const auto folded = WithHead("HTTP/1.1 200 OK", "X-A: 1\r\n X-B: 2\r\n");
+  for (std::size_t at = 1; at < folded.size(); ++at) {
+    cr_assert_not(FetchBytes(folded, at).has_value(), "%zu", at);
+  }
+  const auto answer =
+      FetchBytes("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n \r\n X: 1\r\n");
+  cr_assert(answer && answer->body == " \r\n X: 1\r");
+}
--- a/tests/site_answer.py
+++ b/tests/site_answer.py
@@ -241,12 +241,20 @@
                 sh.check(answer.status != 200 or not answer.is_whole, f"reset: {answer}")
 
 
+async def odd_field_lines():
+    """Lines of a head that are no field lines, or hide one."""
+    await broken_answers("odd_field_lines", {
+        line: raw_answer(b"HTTP/1.1 200 OK", line + b"\r\n")
+        for line in (b"X Bad: 1", b"X\x01Bad: 1", b"X-Ok: 1\r\n X-Bad: 2", b"X-Ok: 1\r\n\tX-Bad : 2")})
+
+
 async def test():
     await earlier_refusals()
     await errors_within_streams()
     await cut_heads()
     await answers_without_length()
     await odd_statuses()
+    await odd_field_lines()
 
 
 sh.run(test)
