Refuse answers whose framing is not that of their body

Callers saw: an answer with "Transfer-Encoding: gzip", or with chunked beside or before another coding, came through as a success whose body was still coded, cut by a Content-Length that does not count then, or the chunks' own lines; the field that named the coding was gone, as it concerns one connection. A 204 that announced a body came through without it.

Cause: the parser knows one coding, chunked at the end of the list, and reads everything else by length or to the end of the connection. It lets extensions of chunks hold any byte within quotes.

Change: the client fails a head with any transfer coding but a single chunked, with chunks in HTTP/1.0, and a 204 with chunks or a length above 0; and a body with control characters in an extension of a chunk. No request of ours offers another coding (RFC 9112, 6.1 and 7.4). The check of statuses has moved beside these.

Lengths that are no number or differ, chunks of a wrong size and trailers that are no fields were refused already. Repeated equal lengths, chunks with extensions and trailers, a 304 with a length, a 204 with length 0, HTTP/1.0 without length still pass.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -36,6 +37,49 @@
 /** Maximum number of bytes of a head that are read at once. */
 constexpr std::size_t kHeadReadBytes = 4UL << 10;
 
+/** Statuses of the protocol (RFC 9110, 15). */
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kLastStatus = 599;
+constexpr int kHttp11 = 11;
+
+/** Returns why a response cannot be used although the parser has accepted its
+ * head; nothing if it can. */
+auto ResponseProblem(const http::response_header<>& head)
+    -> std::optional<std::string> {
+  const auto status = head.result_int();
+  if (status < kFirstStatus || status > kLastStatus) {
+    return "status " + std::to_string(status) + " is not a status of HTTP";
+  }
+  const auto [first, last] = head.equal_range(http::field::transfer_encoding);
+  for (auto coding = first; coding != last; ++coding) {
+    // The parser takes bytes in any other coding for the body itself.
+    if (!beast::iequals(coding->value(), "chunked")) {
+      return "transfer coding \"" + std::string(coding->value()) +
+             "\" is not supported";
+    }
+    if (head.version() < kHttp11) {
+      return "chunks in a response of HTTP/1.0";
+    }
+  }
+  const auto length = head[http::field::content_length];
+  const bool has_length = !length.empty() && length != "0";
+  if (head.result() == http::status::no_content &&
+      (first != last || has_length)) {
+    return "status 204 with the framing of a body";
+  }
+  return std::nullopt;
+}
+
+/** Fails the parser at an extension of a chunk with a control character. The
+ * parser lets them pass within quotes. */
+auto CheckChunkExtension(std::uint64_t /*size*/,
+                         beast::string_view extension,
+                         beast::error_code& ec) -> void {
+  if (std::ranges::any_of(extension, IsControlInField)) {
+    ec = http::error::bad_chunk_extension;
+  }
+}
+
 /** Whether lines of a head contain one that continues the line before it by
  * beginning with a blank. Only a message within another one may have such lines
  * (RFC 9112, 5.2); the parser joins them and does not tell. */
@@ -160,6 +204,7 @@
   state_->parser.emplace();
   state_->parser->body_limit(boost::none);
   state_->parser->skip(state_->is_head);
+  state_->parser->on_chunk_header(CheckChunkExtension);
 }
 
 auto http_connection::ReadHead(time_point deadline)
@@ -182,16 +227,16 @@
   if (ec) {
     co_return s.Fail(ec, "read head", ran_state::kMaybe);
   }
-  http_head head;
   const auto& message = s.parser->get();
+  if (auto problem = ResponseProblem(message)) {
+    co_return s.FailResponse(std::move(*problem), "read head");
+  }
+  http_head head;
   head.status = message.result_int();
   for (const auto& field : message) {
     head.headers.fields.push_back(
         {std::string(field.name_string()), std::string(field.value())});
   }
-  if (auto problem = HeadProblem(head)) {
-    co_return s.FailResponse(std::move(*problem), "read head");
-  }
   co_return head;
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -33,7 +33,8 @@
    * complete response that belonged to no request of this connection. */
   auto PrepareForResponse() -> void;
   /** Reads status and header fields of the response. Fails if they break the
-   * protocol, see HeadProblem(). */
+   * protocol (RFC 9110 and 9112), or if the body is in a transfer coding other
+   * than chunked. */
   auto ReadHead(time_point deadline)
       -> boost::asio::awaitable<outcome<http_head>>;
   /** Reads the next part of the body; returns an empty string once the body is
--- a/src/http_type.cc
+++ b/src/http_type.cc
@@ -16,9 +16,6 @@
 constexpr std::size_t kMaxFieldBytes = 32UL << 10;
 constexpr std::size_t kMaxHeadBytes = 64UL << 10;
 constexpr char kDelete = 0x7f;
-/** Statuses of the protocol. */
-constexpr unsigned kFirstStatus = 100;
-constexpr unsigned kLastStatus = 599;
 /** What a token may have beside letters and digits. */
 constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
 
@@ -45,6 +42,10 @@
 
 }  // namespace
 
+auto IsControlInField(char c) -> bool {
+  return c != '\t' && IsControl(c);
+}
+
 auto HeadProblem(const http_request& request) -> std::optional<std::string> {
   const auto& target = request.target;
   if (!target.starts_with('/') || std::ranges::any_of(target, [](char c) {
@@ -57,9 +58,7 @@
     if (!IsToken(field.name)) {
       return "field name " + Printable(field.name) + " is not a token";
     }
-    const bool has_control = std::ranges::any_of(
-        field.value, [](char c) { return c != '\t' && IsControl(c); });
-    if (has_control) {
+    if (std::ranges::any_of(field.value, IsControlInField)) {
       return "field " + Printable(field.name) + " has a control character";
     }
     const auto size = field.name.size() + field.value.size();
@@ -76,14 +75,6 @@
   return std::nullopt;
 }
 
-auto HeadProblem(const http_head& response) -> std::optional<std::string> {
-  if (response.status < kFirstStatus || response.status > kLastStatus) {
-    return "status " + std::to_string(response.status) +
-           " is not a status of HTTP";
-  }
-  return std::nullopt;
-}
-
 auto http_headers::Get(std::string_view name) const -> std::string_view {
   for (const auto& field : fields) {
     if (boost::iequals(field.name, name)) {
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -45,6 +45,10 @@
   auto Query(std::string_view name) const -> std::optional<std::string>;
 };
 
+/** Whether a character is one of those that no field value may have: the
+ * control characters except the tab (RFC 9110, 5.5). */
+auto IsControlInField(char c) -> bool;
+
 /** Returns why the head of a request cannot be sent as it is, naming the field;
  * nothing if it can. Whatever its parts come from, a head that passes is read
  * by a server as exactly one request: the target is a path without blanks,
@@ -58,11 +62,6 @@
   http_headers headers;
 };
 
-/** Returns why the head of a response cannot be used; nothing if it can. Takes
- * for granted what the parser has checked: the form of the status line and of
- * each field line. The status is from 100 to 599 (RFC 9110, 15). */
-auto HeadProblem(const http_head& response) -> std::optional<std::string>;
-
 /** A response with its complete body. */
 struct http_response {
   unsigned status = 200;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -475,3 +475,99 @@
       FetchBytes("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n \r\n X: 1\r\n");
   cr_assert(answer && answer->body == " \r\n X: 1\r");
 }
+
+// Guards against a body in a coding that the client cannot undo, and against
+// framing that says two things (RFC 9112, 6).
+Test(http, the_framing_of_an_answer_is_unambiguous) {
+  const std::string by_length = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n";
+  const std::string chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
+  for (const std::string coding :
+       {"gzip", "identity", "xchunked", "gzip, chunked", "chunked, gzip",
+        "chunked, chunked", "chunked;q=1", "\"chunked\"", ""}) {
+    const auto field = "Transfer-Encoding: " + coding + "\r\n";
+    cr_assert_not(IsAnswer(by_length + field + "\r\nbody"), "%s",
+                  coding.c_str());
+    cr_assert_not(IsAnswer("HTTP/1.1 200 OK\r\n" + field + chunks), "%s",
+                  coding.c_str());
+  }
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  for (const std::string& head :
+       {by_length + chunked, "HTTP/1.1 200 OK\r\n" + chunked + by_length,
+        "HTTP/1.1 200 OK\r\n" + chunked + chunked,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" + chunked,
+        "HTTP/1.1 200 OK\r\n" + chunked + "Transfer-Encoding: gzip\r\n",
+        "HTTP/1.0 200 OK\r\n" + chunked}) {
+    cr_assert_not(IsAnswer(head + chunks), "%s", head.c_str());
+  }
+  for (const std::string length :
+       {"", "-1", "+4", "0x4", "4 4", "4,", "4, 5", "4;", "4.0", "a",
+        "18446744073709551616", "4\r\nContent-Length: 5"}) {
+    cr_assert_not(IsAnswer("HTTP/1.1 200 OK\r\nContent-Length: " + length +
+                           "\r\n\r\nbody"),
+                  "%s", length.c_str());
+  }
+  for (const std::string& field :
+       {chunked, std::string("Content-Length: 4\r\n")}) {
+    cr_assert_not(IsAnswer("HTTP/1.1 204 X\r\n" + field + "\r\n"), "%s",
+                  field.c_str());
+  }
+}
+
+// Guards against a body that ends otherwise than its framing says (RFC 9112, 7
+// and 8).
+Test(http, the_body_of_an_answer_has_its_end) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string body :
+       {"",
+        "4",
+        "4\r\n",
+        "4\r\nbod",
+        "4\r\nbody",
+        "4\r\nbody\r\n",
+        "4\r\nbody\r\n0",
+        "4\r\nbody\r\n0\r\n",
+        "4\r\nbody\r\n0\r\nX: 1\r\n",
+        "4\r\nbody0\r\n\r\n",
+        "4\r\nbody!\r\n0\r\n\r\n",
+        "4\nbody\n0\n\n",
+        "\r\nbody\r\n0\r\n\r\n",
+        "g\r\nbody\r\n0\r\n\r\n",
+        "-4\r\nbody\r\n0\r\n\r\n",
+        "0x4\r\nbody\r\n0\r\n\r\n",
+        "4 \r\nbody\r\n0\r\n\r\n",
+        "4;\x01\r\nbody\r\n0\r\n\r\n",
+        "4;a=\"\x01\"\r\nbody\r\n0\r\n\r\n",
+        "4;a=\"\n\"\r\nbody\r\n0\r\n\r\n",
+        "10000000000000004\r\nbody\r\n0\r\n\r\n",
+        "4\r\nbody\r\n0\r\nX Bad: 1\r\n\r\n",
+        "4\r\nbody\r\n0\r\nX-Bad: \x01\r\n\r\n",
+        "4\r\nbody\r\n0\r\nContent-Length: 4\r\n\r\n"}) {
+    cr_assert_not(IsAnswer(head + body), "%s", body.c_str());
+  }
+  cr_assert_not(IsAnswer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbod"));
+}
+
+// Guards against bodies of sound servers that are refused or changed.
+Test(http, any_framing_of_the_protocol_is_an_answer) {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& rest :
+       {std::string("Content-Length: 4\r\n\r\nbody"),
+        std::string("Content-Length: 4, 4\r\n\r\nbody"),
+        std::string("content-length:004\r\n\r\nbody"), std::string("\r\nbody"),
+        std::string("Connection: close\r\n\r\nbody"),
+        std::string("Transfer-Encoding: Chunked \r\n\r\n"
+                    "2\r\nbo\r\n002\r\ndy\r\n0\r\n\r\n"),
+        std::string("Transfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n"
+                    "4;a;b=c; d=\"\t\xe9;\\\"\"\r\nbody\r\n00;e\r\n"
+                    "X-T: a\tb\xe9\r\nX-U:\r\n\r\n")}) {
+    const auto answer = FetchBytes(head + rest);
+    cr_assert(answer && answer->body == "body", "%s", rest.c_str());
+  }
+  cr_assert(FetchBytes("HTTP/1.0 200 OK\r\n\r\nbody")->body == "body");
+  cr_assert(FetchBytes("HTTP/1.1 204 X\r\n\r\n")->body.empty());
+  cr_assert(
+      FetchBytes("HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n")->body.empty());
+  cr_assert(
+      FetchBytes("HTTP/1.1 304 X\r\nContent-Length: 4\r\n\r\n")->body.empty());
+}
--- a/tests/site_answer.py
+++ b/tests/site_answer.py
@@ -248,6 +248,14 @@
         for line in (b"X Bad: 1", b"X\x01Bad: 1", b"X-Ok: 1\r\n X-Bad: 2", b"X-Ok: 1\r\n\tX-Bad : 2")})
 
 
+async def odd_framing():
+    """Bodies in a coding that the caller would not undo, and where none may be."""
+    await broken_answers("odd_framing", {
+        "gzip": raw_answer(b"HTTP/1.1 200 OK", b"Transfer-Encoding: gzip\r\n"),
+        "two codings": raw_answer(b"HTTP/1.1 200 OK", b"Transfer-Encoding: chunked, identity\r\n"),
+        "204": raw_answer(b"HTTP/1.1 204 X")})
+
+
 async def test():
     await earlier_refusals()
     await errors_within_streams()
@@ -255,6 +263,7 @@
     await answers_without_length()
     await odd_statuses()
     await odd_field_lines()
+    await odd_framing()
 
 
 sh.run(test)
