Refuse the part of an answer that a reset follows

Callers saw: a server answered a long upload at once, without a length, sent a part of its answer, ended its direction of the connection and reset it 0.1 s later, when most of the upload had not left the host. The part came as a complete success with the server's seal, at once, on every kind of route; an item of a job was listed as done with 21 of 22 events.

Cause: such a body is whole at the end of the connection, and the end of the server's bytes was taken for that. Send() has long returned by then if the sockets hold the upload (150 KB and 1 MB here), and once the end of the bytes has been received no read tells of a reset any more. Uploads that the sockets do not hold (4 MB) failed in Send(), and a reset without that end fails the read: both were refused already.

Change: after the end of a body without length or chunks the client waits until the server has received the whole request, and fails if the connection has met an error meanwhile or the read's deadline comes first. An answer acknowledges the request as a rule, so nothing waits.

Evidence: http (an_answer_to_half_a_request_ends_with_no_reset) and site_answer (early_answers: "half_reset, 1048576 bytes, read: 200 whole=True") failed before and pass now. Early answers with a length, and without one from servers that read on, are passed on whole after uploads of 0 to 16 MB.

Not told apart: a server whose system has received the whole upload and that ends its direction before it resets; its answer is whole to every reader.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -1,5 +1,7 @@
 #include "src/http_client.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -37,6 +39,10 @@
 /** Maximum number of bytes of a head that are read at once. */
 constexpr std::size_t kHeadReadBytes = 4UL << 10;
 
+/** Interval at which an answer that has ended with its connection is checked
+ * again while the server has not received the whole request. */
+constexpr std::chrono::milliseconds kDeliveryPollInterval{5};
+
 /** Statuses of the protocol (RFC 9110, 15). */
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kLastStatus = 599;
@@ -88,6 +94,23 @@
          lines.find("\r\n\t") != std::string_view::npos;
 }
 
+/** Returns the error that a socket has met and not reported yet. */
+auto PendingError(int socket) -> beast::error_code {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  if (::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
+    error = errno;
+  }
+  return {error, boost::system::system_category()};
+}
+
+/** Whether the peer of a socket has yet to receive some of what was sent. False
+ * if the system does not tell. */
+auto HasUndelivered(int socket) -> bool {
+  int bytes = 0;
+  return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 /** Whether a socket is open and has no bytes to read. */
 auto IsOpenAndIdle(int socket) -> bool {
   char byte = 0;
@@ -135,6 +158,26 @@
     return ec;
   }
 
+  /** Waits until the server has received the whole request. Fails if it resets
+   * the connection first: a reset that follows the end of the server's bytes is
+   * not told by a read. */
+  auto AwaitDelivery(time_point deadline)
+      -> asio::awaitable<beast::error_code> {
+    while (!failed) {
+      const auto socket = stream.socket().native_handle();
+      const bool is_delivered = !HasUndelivered(socket);
+      const auto error = PendingError(socket);
+      if (error || is_delivered) {
+        co_return error;
+      }
+      if (clock::now() >= deadline) {
+        co_return beast::error::timeout;
+      }
+      co_await Sleep(kDeliveryPollInterval);
+    }
+    co_return asio::error::operation_aborted;
+  }
+
   /** As Fail(), because of what the server has sent. */
   auto FailResponse(std::string message, std::string step) -> failure {
     failed = true;
@@ -258,6 +301,13 @@
       co_return data;
     }
   }
+  // Only the end of the connection tells that such a body is whole.
+  if (parser.need_eof() && !state_->complete) {
+    const auto ec = co_await state_->AwaitDelivery(deadline);
+    if (ec) {
+      co_return state_->Fail(ec, "end of body", ran_state::kMaybe);
+    }
+  }
   state_->complete = true;
   co_return std::string();
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -39,7 +39,8 @@
       -> boost::asio::awaitable<outcome<http_head>>;
   /** Reads the next part of the body; returns an empty string once the body is
    * complete by its framing. If the connection ends before that, the read
-   * fails. */
+   * fails. A body without length or chunks is complete at the end of the
+   * connection, once the server has received the whole request. */
   auto ReadSome(time_point deadline)
       -> boost::asio::awaitable<outcome<std::string>>;
   /** Whether another request may be sent: the response was read completely, the
--- a/tests/fakes/site_stand_in.py
+++ b/tests/fakes/site_stand_in.py
@@ -19,6 +19,7 @@
 DRIP_GAP_S = 0.05
 FLOOD_BYTES = 65536
 EVENT_GAP_S = 0.02
+EARLY_PAUSE_S = 0.1
 CRASH_S = 2
 STATE_TOPIC = "keyed.op"
 SERVER_TOPIC = "keyed.servers"
@@ -34,14 +35,19 @@
 class HttpServer:
     """A minimal HTTP/1.1 server: it reads complete requests; handlers write the answers."""
 
-    def __init__(self, handler):
+    def __init__(self, handler, early_handler=None):
         self.handler = handler
+        self.early_handler = early_handler  # Called before a body is read. None: the request is not served yet.
         self.server = None
         self.writers = set()
         self.idle_limit_s = None  # Connections idle for longer are reset by the next request.
+        self.receive_buffer = None  # Bytes that the system receives ahead of a read; None: its own choice.
 
     async def start(self, ip, port):
-        self.server = await asyncio.start_server(self.serve, ip, port)
+        listener = socket.create_server((ip, port), backlog=100)
+        if self.receive_buffer is not None:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
+        self.server = await asyncio.start_server(self.serve, sock=listener)
 
     async def stop(self):
         """Closes the port and resets all open connections."""
@@ -56,7 +62,13 @@
         try:
             while True:
                 idle_since = time.monotonic()
-                request = await read_request(reader)
+                request = await read_head(reader)
+                is_kept = await self.early_handler(request, reader, writer) if request and self.early_handler else None
+                if is_kept:
+                    continue
+                if is_kept is not None:
+                    break
+                request = request and (*request, await read_body(reader, request[-1]))
                 if self.idle_limit_s is not None and time.monotonic() - idle_since > self.idle_limit_s:
                     reset(writer)
                     break
@@ -69,8 +81,8 @@
             writer.close()
 
 
-async def read_request(reader):
-    """Reads one request as (method, path, query, headers, body)."""
+async def read_head(reader):
+    """Reads the head of a request as (method, path, query, headers)."""
     head = b""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
@@ -83,9 +95,12 @@
         if ":" in line:
             name, value = line.split(":", 1)
             headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
     path, _, query = target.partition("?")
-    return method, path, dict(urllib.parse.parse_qsl(query)), headers, body
+    return method, path, dict(urllib.parse.parse_qsl(query)), headers
+
+
+async def read_body(reader, headers):
+    return await reader.readexactly(int(headers.get("content-length", 0)))
 
 
 def answer(writer, status, body=b"", **headers):
@@ -315,6 +330,7 @@
         self.raw = None  # Makes the bytes that it sends in place of answers, of a request's id and path.
         self.raw_connections = set()  # Connections on which it has done so.
         self.raw_reused = 0  # Requests that came on one of these later.
+        self.early = None  # Answers before it has read the body: "reset", "half_reset", "half_read" or "length".
         self.fails_with = None  # Status of its answer to each request that it runs.
         self.refuses = set()  # Requests to refuse; a refusal comes again on a kept connection.
         self.copies_have_id = True
@@ -330,7 +346,7 @@
         self.born = 1
         self.tokens = random.Random(name)
         self.tasks = []
-        self.http = HttpServer(self.handle)
+        self.http = HttpServer(self.handle, self.answer_early)
 
     async def start(self, state="ready"):
         if self.http.server is None:
@@ -384,6 +400,34 @@
             self.running -= 1
             self.free.notify()
 
+    async def answer_early(self, head, reader, writer):
+        """Answers a request without reading its body, by the connection's end or
+        by its length. Then it ends its own direction ("half_..."), and reads the
+        body or resets the connection."""
+        _, path, _, headers = head
+        how = self.early
+        if how is None:
+            return None
+        attempt = headers["x-attempt-id"]
+        self.seen.append((attempt, headers, path, time.monotonic()))
+        content, kind = b"early", "text/plain"
+        if "plain" not in path:
+            events = range(1, event_count(attempt) + (0 if how.endswith("reset") else 1))
+            content = "".join(f"id: {e}\ndata: {event_data(attempt, e)}\n\n" for e in events).encode()
+            kind = "text/event-stream"
+        length = f"Content-Length: {len(content)}\r\n" if how == "length" else ""
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nX-Attempt-Id: {attempt}\r\n"
+                     f"X-Server-Seal: seal-{self.name}\r\n{length}\r\n".encode() + content)
+        await writer.drain()
+        if how.startswith("half"):
+            writer.write_eof()
+        await asyncio.sleep(EARLY_PAUSE_S)
+        if how.endswith("reset"):
+            reset(writer)
+            return False
+        await read_body(reader, headers)
+        return how == "length"
+
     async def crash_for(self, seconds):
         """Loses all connections, and is back later."""
         self.crashes.append(time.monotonic())
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -221,6 +221,70 @@
   return fetched;
 }
 
+/** What a server does after it has answered a request without reading its body.
+ */
+enum class early_end {
+  kRead,                ///< Reads the body, then ends the connection.
+  kReset,               ///< Resets the connection.
+  kHalfCloseThenRead,   ///< Ends its own direction, then as kRead.
+  kHalfCloseThenReset,  ///< Ends its own direction, then as kReset.
+};
+
+/** Accepts one connection, and sends `answer` once the head of a request has
+ * come, before its body has been read. */
+auto AnswerEarly(tcp::acceptor& acceptor, std::string answer, early_end end)
+    -> asio::awaitable<void> {
+  constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+  constexpr std::chrono::milliseconds kPause(50);
+  auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+  std::string received;
+  auto buffer = asio::dynamic_buffer(received);
+  co_await asio::async_read_until(socket, buffer, "\r\n\r\n", kAwait);
+  auto bytes = asio::buffer(answer);
+  co_await asio::async_write(socket, bytes, kAwait);
+  boost::system::error_code ec;
+  if (end == early_end::kHalfCloseThenRead ||
+      end == early_end::kHalfCloseThenReset) {
+    socket.shutdown(tcp::socket::shutdown_send, ec);
+  }
+  co_await Sleep(kPause);
+  if (end == early_end::kReset || end == early_end::kHalfCloseThenReset) {
+    socket.set_option(asio::socket_base::linger(true, 0), ec);
+    socket.close(ec);
+    co_return;
+  }
+  while (!ec) {
+    received.resize(1U << 16);
+    auto space = asio::buffer(received);
+    std::tie(ec, std::ignore) = co_await socket.async_read_some(space, kAwait);
+  }
+}
+
+/** Returns the outcome of a request with a body of `size` bytes that a server
+ * answers early. */
+auto FetchEarly(std::string answer, early_end end, std::size_t size)
+    -> outcome<http_response> {
+  asio::io_context io;
+  tcp::acceptor acceptor(io);
+  acceptor.open(tcp::v4());
+  // Most of the body stays with the sender until the server reads it.
+  acceptor.set_option(asio::socket_base::receive_buffer_size(8 << 10));
+  acceptor.bind({asio::ip::address_v4::loopback(), 0});
+  acceptor.listen();
+  asio::co_spawn(io, AnswerEarly(acceptor, std::move(answer), end),
+                 asio::detached);
+  outcome<http_response> fetched = failure{};
+  asio::co_spawn(
+      asio::make_strand(io),
+      SendRequest(acceptor.local_endpoint(), "/", std::string(size, 'x')),
+      [&](std::exception_ptr, outcome<http_response> result) {
+        fetched = std::move(result);
+        io.stop();
+      });
+  io.run();
+  return fetched;
+}
+
 /** Returns an answer with this status line and these field lines, and the body
  * "body" by its length. */
 auto WithHead(const std::string& status_line, const std::string& fields = "")
@@ -571,3 +635,29 @@
   cr_assert(
       FetchBytes("HTTP/1.1 304 X\r\nContent-Length: 4\r\n\r\n")->body.empty());
 }
+
+// Guards against the beginning of an answer that ends with its connection being
+// taken for all of it when the connection breaks, while the request is still on
+// its way.
+Test(http, an_answer_to_half_a_request_ends_with_no_reset) {
+  const std::string unframed = "HTTP/1.1 200 OK\r\n\r\npart";
+  for (const std::size_t size : {150UL << 10, 1UL << 20, 16UL << 20}) {
+    for (const auto end : {early_end::kReset, early_end::kHalfCloseThenReset}) {
+      const auto answer = FetchEarly(unframed, end, size);
+      cr_assert_not(answer.has_value(), "%zu", size);
+      cr_assert(answer.error().ran == ran_state::kMaybe);
+    }
+  }
+}
+
+// Guards against early answers of sound servers that are refused.
+Test(http, an_early_answer_is_an_answer) {
+  using enum early_end;
+  const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nbody";
+  const auto by_length = WithHead("HTTP/1.1 200 OK");
+  for (const std::size_t size : {0UL, 150UL << 10, 1UL << 20, 16UL << 20}) {
+    cr_assert(FetchEarly(by_length, kRead, size)->body == "body", "%zu", size);
+    cr_assert(FetchEarly(by_length, kHalfCloseThenRead, size)->body == "body");
+    cr_assert(FetchEarly(unframed, kHalfCloseThenRead, size)->body == "body");
+  }
+}
--- a/tests/site_answer.py
+++ b/tests/site_answer.py
@@ -18,6 +18,8 @@
 # One route of each kind, with the path that its requests have.
 PATHS = {"read": "plain", "call": "plain", "open": "plain", "once": "x", "stream": "x"}
 REPEATED = ("read", "open", "stream")
+# Bytes of uploads: one that the sockets hold, and one that they don't.
+UPLOADS = (1 << 20, 4_000_000)
 
 
 def read_strictly(received):
@@ -133,22 +135,26 @@
 
 
 async def broken_items(name, answers):
-    """An item that got one of these answers is done by a later run."""
     async with sh.Fleet(name, hosts=1, engines=1) as fleet:
-        engine = fleet.engines[0]
-        for what, engine.raw in answers.items():
-            job = fleet.new_id("job")
-            answer = await fleet.submit(fleet.hosts[0], job, 1)
-            sh.check(answer.status == 202, f"{what}: {answer}")
-
-            async def has_run():
-                return fleet.runs(f"{job}-0") > 0
-            await sh.until(has_run, f"{what}: the item runs")
-            answer = await fleet.results(fleet.hosts[0], job)
-            sh.check(answer.json()["results"] == [], f"{what}: {answer.json()}")
-            engine.raw = None
-            found = await fleet.all_results(job, 1)
-            sh.check(found == [(f"{job}-0", "done", sh.stand_in.whole_output(f"{job}-0"))], f"{what}: {found}")
+        for what, fleet.engines[0].raw in answers.items():
+            await broken_item(fleet, what)
+
+
+async def broken_item(fleet, what, **more):
+    """An item that gets a broken answer from the only server has no result, and
+    is done by a later run."""
+    job, engine = fleet.new_id("job"), fleet.engines[0]
+    answer = await fleet.submit(fleet.hosts[0], job, 1, **more)
+    sh.check(answer.status == 202, f"{what}: {answer}")
+
+    async def has_run():
+        return fleet.runs(f"{job}-0") > 1
+    await sh.until(has_run, f"{what}: the item runs again")
+    answer = await fleet.results(fleet.hosts[0], job)
+    sh.check(answer.json()["results"] == [], f"{what}: {answer.json()}")
+    engine.raw = engine.early = None
+    found = await fleet.all_results(job, 1)
+    sh.check(found == [(f"{job}-0", "done", sh.stand_in.whole_output(f"{job}-0"))], f"{what}: {found}")
 
 
 async def odd_statuses():
@@ -256,6 +262,46 @@
         "204": raw_answer(b"HTTP/1.1 204 X")})
 
 
+async def answer_early(engine, how):
+    """Lets a server answer early, with most of a long upload still on its way."""
+    await engine.http.stop()
+    engine.http.receive_buffer = 8 << 10
+    await engine.http.start(engine.ip, engine.port)
+    engine.early = how
+
+
+async def early_answers():
+    """A server answers a long upload at once, without a length, sends a part and
+    breaks the connection; sound servers answer early and read on."""
+    for how in ("reset", "half_reset"):
+        async with sh.Fleet(f"early_{how}", hosts=1, engines=12) as fleet:
+            for engine in fleet.engines:
+                await answer_early(engine, how)
+            for route in PATHS:
+                for size in UPLOADS:
+                    attempt, answer = await ask_until_it_runs(fleet, fleet.engines, route, size)
+                    check_failure(fleet, f"{how}, {size} bytes, {route}", attempt, answer, PATHS[route] == "x")
+                    sh.check(route in REPEATED or fleet.runs(attempt) == 1, f"{how}: {route} ran {fleet.runs(attempt)} times")
+        async with sh.Fleet(f"early_{how}", hosts=1, engines=1) as fleet:
+            engine = fleet.engines[0]
+            await answer_early(engine, how)
+            await broken_item(fleet, how, body=b"x" * min(UPLOADS))
+    for how in ("length", "half_read"):
+        async with sh.Fleet(f"early_{how}", hosts=1, engines=1) as fleet:
+            engine = fleet.engines[0]
+            await answer_early(engine, how)
+            for route in PATHS:
+                for size in UPLOADS:
+                    attempt, answer = await ask_until_it_runs(fleet, [engine], route, size)
+                    sh.check(answer.status == 200 and answer.is_whole, f"{how}, {size} bytes, {route}: {answer}")
+                    sh.check(answer.body == b"early" or answer.events() == sh.expected_events(attempt), f"{how}: {answer}")
+            job = fleet.new_id("job")
+            answer = await fleet.submit(fleet.hosts[0], job, 1, body=b"x" * min(UPLOADS))
+            sh.check(answer.status == 202, f"{how}: {answer}")
+            found = await fleet.all_results(job, 1)
+            sh.check(found == [(f"{job}-0", "done", sh.stand_in.whole_output(f"{job}-0"))], f"{how}: {found}")
+
+
 async def test():
     await earlier_refusals()
     await errors_within_streams()
@@ -264,6 +310,7 @@
     await odd_statuses()
     await odd_field_lines()
     await odd_framing()
+    await early_answers()
 
 
 sh.run(test)
