Skip interim responses for every reader of answers

Callers saw: an interim response of an engine as the answer. entryd's callers got "HTTP/1.1 103" and nothing else, and batchd listed an item as answered with status 103 and an empty body. The clients of the store and of the platform and the tools took one for the answer too. hostd skipped them on its paths to servers, but also a 101, though nobody had asked for another protocol.

Cause: the rule stood in one reader, hostd_relay, instead of the client.

Change: http_connection::ReadHead() skips up to 8 interim responses and fails at more, and at 101; hostd_relay has no rule of its own any more. More than 8 count as a head that cannot be read, as other bytes do that are no answer.

--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -21,7 +21,7 @@
 # since their results depend on the daemons making progress in time.
 foreach(failure kill_batchd kill_entryd kill_controld paused_owner store
         resent_job withdrawn_key operators silent_engine crossed_answers
-        leaving_server key_leak two_faults planned_stop)
+        broken_answers leaving_server key_leak two_faults planned_stop)
   add_test(NAME failure_${failure}
            COMMAND ${CMAKE_SOURCE_DIR}/tests/failure_${failure}.py)
   set_tests_properties(failure_${failure} PROPERTIES LABELS failure TIMEOUT 400
--- a/src/hostd_relay.cc
+++ b/src/hostd_relay.cc
@@ -46,8 +46,6 @@
 constexpr milliseconds kMaxNonRepeatableIdle{500};
 /** Added to the gap that is on time, for the network. */
 constexpr milliseconds kGapMargin{150};
-/** Maximum number of informational responses before an answer. */
-constexpr int kMaxInterimResponses = 8;
 /** Maximum size of an answer that is not a stream, and of all such answers that
  * a host reads at the same time: the smallest hosts have 130 MB, and a server
  * in trouble may send bytes without end. */
@@ -259,22 +257,13 @@
    * server sent late or twice, are skipped. */
   auto ReadHead() -> asio::awaitable<std::optional<http_head>> {
     const auto until = ReadDeadline(false);
-    int interim = 0;
-    for (int i = 0; i < kMaxUnmatchedAnswers;) {
+    for (int i = 0; i < kMaxUnmatchedAnswers; ++i) {
       auto head = co_await handle_.connection->ReadHead(until);
       if (!head) {
         Fail(head.error(), run_outcome::kUnreachable);
         was_cut_ = IsCut(head.error());
         co_return std::nullopt;
       }
-      if (head->status / 100 == 1 && ++interim <= kMaxInterimResponses) {
-        handle_.connection->PrepareForResponse();
-        continue;
-      }
-      if (head->status / 100 == 1) {
-        break;
-      }
-      ++i;
       answer_ = adapter::DecodeAnswer(*head);
       if (answer_.is_leaving) {
         host_.registrations->RecordLeaving(spec_.server.id);
@@ -307,10 +296,7 @@
       }
       handle_.connection->PrepareForResponse();
     }
-    Fail(LocalFailure(interim > kMaxInterimResponses
-                          ? "informational responses without an answer"
-                          : "only answers to other requests came",
-                      "read head"),
+    Fail(LocalFailure("only answers to other requests came", "read head"),
          run_outcome::kFailed);
     co_return std::nullopt;
   }
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -46,7 +46,10 @@
 /** Statuses of the protocol (RFC 9110, 15). */
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kLastStatus = 599;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr int kHttp11 = 11;
+/** Maximum number of interim responses before the final one. */
+constexpr int kMaxInterimResponses = 8;
 
 /** Returns why a response cannot be used although the parser has accepted its
  * head; nothing if it can. */
@@ -252,6 +255,23 @@
 
 auto http_connection::ReadHead(time_point deadline)
     -> asio::awaitable<outcome<http_head>> {
+  for (int i = 0; i <= kMaxInterimResponses; ++i) {
+    auto head = co_await ReadAnyHead(deadline);
+    const bool is_interim = head && head->status / 100 == 1;
+    if (!is_interim) {
+      co_return head;
+    }
+    if (head->status == kSwitchingProtocols) {
+      co_return state_->FailResponse("the server switches to another protocol",
+                                     "read head");
+    }
+    PrepareForResponse();
+  }
+  co_return state_->FailResponse("too many interim responses", "read head");
+}
+
+auto http_connection::ReadAnyHead(time_point deadline)
+    -> asio::awaitable<outcome<http_head>> {
   auto& s = *state_;
   s.stream.expires_at(deadline);
   // The parser's own read of a head consumes the lines that are checked here.
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -32,7 +32,8 @@
   /** Prepares to read another response without sending a request, after a
    * complete response that belonged to no request of this connection. */
   auto PrepareForResponse() -> void;
-  /** Reads status and header fields of the response. Fails if they break the
+  /** Reads status and header fields of the final response; interim ones before
+   * it are skipped, a few at most (RFC 9110, 15.2). Fails if they break the
    * protocol (RFC 9110 and 9112), or if the body is in a transfer coding other
    * than chunked. */
   auto ReadHead(time_point deadline)
@@ -54,6 +55,9 @@
  private:
   struct state;
   explicit http_connection(std::shared_ptr<state> s);
+  /** As ReadHead(), but the response may be an interim one. */
+  auto ReadAnyHead(time_point deadline)
+      -> boost::asio::awaitable<outcome<http_head>>;
   std::shared_ptr<state> state_;
 };
 
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -661,3 +661,32 @@
     cr_assert(FetchEarly(unframed, kHalfCloseThenRead, size)->body == "body");
   }
 }
+
+// Guards against an interim response that is taken for the answer, and interim
+// responses without end.
+Test(http, interim_responses_precede_the_answer) {
+  const std::string interim =
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nLink: </b>\r\n\r\n";
+  const auto answer = WithHead("HTTP/1.1 200 OK", "X-A: 1\r\n");
+  const auto bytes = interim + answer;
+  for (std::size_t at = 1; at < bytes.size(); ++at) {
+    const auto fetched = FetchBytes(bytes, at);
+    cr_assert(fetched && fetched->status == 200, "%zu", at);
+    cr_assert(fetched->body == "body", "%zu", at);
+    cr_assert_eq(fetched->headers.fields.size(), 2);
+  }
+  cr_assert_not(IsAnswer(interim));
+  cr_assert_not(IsAnswer(interim + "HTTP/1.1 000 X\r\n\r\n"));
+  cr_assert_not(IsAnswer("HTTP/1.1 103 X\r\nX Bad: 1\r\n\r\n" + answer));
+  cr_assert_not(
+      IsAnswer("HTTP/1.1 100 X\r\nContent-Length: 4\r\n\r\nbody" + answer));
+  // Nobody asks for another protocol.
+  cr_assert_not(IsAnswer(
+      "HTTP/1.1 101 X\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\n" + answer));
+  std::string many;
+  for (int i = 0; i < 100; ++i) {
+    many += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  cr_assert_not(IsAnswer(many + answer));
+}
