Test odd ends of bodies and what sound servers may send

site_answer (odd_ends): whole bodies in chunks before a trailer that is no field, a size that is none, a length in the trailer, a control byte in an extension.

--- a/tests/site_answer.py
+++ b/tests/site_answer.py
@@ -79,7 +79,7 @@
     raise AssertionError(f"{route}: no request came to {[engine.name for engine in engines]}")
 
 
-def check_failure(fleet, what, attempt, answer, has_begun=False):
+def check_failure(what, attempt, answer, has_begun=False):
     """Checks what the caller of a broken answer gets; `has_begun` tells that a
     stream may have begun before it broke."""
     if has_begun and answer.status == 200:
@@ -92,34 +92,44 @@
     sh.check(answer.headers.get("dogwood-ran") == b"maybe", f"{what}: {answer.headers}")
 
 
-def raw_answer(status_line, fields=b"", body=None):
+def raw_answer(status_line, fields=b"", last_chunk=None):
     """Returns what makes the bytes of an answer with this status line and these
-    field lines, by its length: a whole stream, or `body`."""
+    field lines, a whole stream or "echo", by its length or in chunks that end
+    with `last_chunk`."""
     def make(attempt, path):
-        content, kind = body or b"echo", b"text/plain"
+        content, kind = b"echo", b"text/plain"
         if path.endswith("/x"):
             events = sh.expected_events(attempt)
             content, kind = "".join(f"id: {e}\ndata: {data}\n\n" for e, data in events).encode(), b"text/event-stream"
-        return (status_line + b"\r\nContent-Type: " + kind + b"\r\nX-Attempt-Id: " + attempt.encode() +
-                b"\r\nX-Server-Seal: seal\r\n" + fields + b"Content-Length: %d\r\n\r\n" % len(content) + content)
+        framing, body = b"Content-Length: %d" % len(content), content
+        if last_chunk is not None:
+            framing, body = b"Transfer-Encoding: chunked", b"%x\r\n%s\r\n%s" % (len(content), content, last_chunk)
+        return b"\r\n".join([status_line, b"Content-Type: " + kind, b"X-Attempt-Id: " + attempt.encode(),
+                             b"X-Server-Seal: seal", fields + framing, b"", body])
     return make
 
 
-async def broken_answers(name, answers):
-    """Each of these answers, on a route of each kind, is a failure for the
-    caller; one that may be repeated gets its answer from a sound server; an item
-    is done by a later run. The connection is not used again."""
+async def fail_on_each_route(name, answers, has_begun=False):
+    """Each of these answers is a failure for the callers of a route of each
+    kind, and its connection is not used again. `has_begun` tells that parts of a
+    stream are passed on before it breaks."""
     async with sh.Fleet(name, hosts=1, engines=12) as fleet:
         for what, raw in answers.items():
             for engine in fleet.engines:
                 engine.raw = raw
             for route in PATHS:
                 attempt, answer = await ask_until_it_runs(fleet, fleet.engines, route)
-                check_failure(fleet, f"{what}, {route}", attempt, answer)
+                check_failure(f"{what}, {route}", attempt, answer, has_begun and PATHS[route] == "x")
                 runs = fleet.runs(attempt)
                 sh.check(route in REPEATED or runs == 1, f"{what}, {route}: {attempt} ran {runs} times")
         reused = sum(engine.raw_reused for engine in fleet.engines)
         sh.check(reused == 0, f"{reused} requests on connections with a broken answer")
+
+
+async def broken_answers(name, answers):
+    """Each of these answers is a failure; a request that may be repeated gets its
+    answer from a sound server, and an item is done by a later run."""
+    await fail_on_each_route(name, answers)
     async with sh.Fleet(name, hosts=1, engines=3) as fleet:
         *broken, sound = fleet.engines
         for what, raw in answers.items():
@@ -262,6 +272,56 @@
         "204": raw_answer(b"HTTP/1.1 204 X")})
 
 
+async def odd_ends():
+    """All of a body, and then an end that is none. What has been passed on of a
+    stream stays without its end, unless a sound server gives it."""
+    ends = {end: raw_answer(b"HTTP/1.1 200 OK", last_chunk=end) for end in (
+        b"0\r\nX Bad: 1\r\n\r\n", b'0;a="\x01"\r\n\r\n', b"-0\r\n\r\n", b"0\r\nContent-Length: 4\r\n\r\n")}
+    await fail_on_each_route("odd_ends", ends, has_begun=True)
+    async with sh.Fleet("odd_ends", hosts=1, engines=3) as fleet:
+        *broken, _ = fleet.engines
+        for what, raw in ends.items():
+            for engine in broken:
+                engine.raw = raw
+            attempt, answer = await ask_until_it_runs(fleet, broken, "stream")
+            sh.check(answer.is_whole and answer.events() == sh.expected_events(attempt), f"{what}: {answer}")
+    await broken_items("odd_ends", ends)
+
+
+async def sound_answers():
+    """What is odd and permitted reaches the caller as the server sent it."""
+    odd = b"a\tb d\xc3\xa9j\xc3\xa0 \x80\xff, \"c\""
+    answers = {
+        "no reason": raw_answer(b"HTTP/1.1 200 ", b"X-Odd:" + odd + b" \r\n"),
+        "odd reason": raw_answer(b"HTTP/1.1 200 \tSo far, \xe9 so good! ", b"x-odd: \t" + odd + b"\r\nX-Empty:\r\n"),
+        "interim": raw_answer(b"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 103 X\r\nLink: </a>\r\nX-Odd: 1\r\n\r\nHTTP/1.1 200 OK",
+                              b"X-Odd: " + odd + b"\r\n")}
+    async with sh.Fleet("sound_answers", hosts=1, engines=1) as fleet:
+        engine = fleet.engines[0]
+        for what, engine.raw in answers.items():
+            for route in PATHS:
+                attempt, answer = await ask_until_it_runs(fleet, [engine], route)
+                sh.check(answer.status == 200 and answer.is_whole, f"{what}, {route}: {answer}")
+                sh.check(answer.headers["x-server-seal"] == b"seal", f"{what}, {route}: {answer.headers}")
+                sh.check(answer.headers["x-odd"] == odd, f"{what}, {route}: {answer.headers}")
+                sh.check(answer.body == b"echo" or answer.events() == sh.expected_events(attempt), f"{what}: {answer}")
+            job = fleet.new_id("job")
+            answer = await fleet.submit(fleet.hosts[0], job, 1)
+            sh.check(answer.status == 202, f"{what}: {answer}")
+            found = await fleet.all_results(job, 1)
+            sh.check(found == [(f"{job}-0", "done", sh.stand_in.whole_output(f"{job}-0"))], f"{what}: {found}")
+        for status in (203, 299, 404, 499, 599):
+            engine.raw = raw_answer(b"HTTP/1.1 %d X" % status)
+            attempt, answer = await ask_until_it_runs(fleet, [engine], "call")
+            sh.check(answer.status == status and answer.body == b"echo" and answer.is_whole, f"{status}: {answer}")
+        engine.raw, engine.is_unframed = None, True
+        for route in PATHS:
+            attempt, answer = await ask_until_it_runs(fleet, [engine], route, 100_000)
+            sh.check(answer.status == 200 and answer.is_whole, f"no length, {route}: {answer}")
+            whole = len(answer.body) >= 100_000 if PATHS[route] == "plain" else answer.events() == sh.expected_events(attempt)
+            sh.check(whole, f"no length, {route}: {answer}")
+
+
 async def answer_early(engine, how):
     """Lets a server answer early, with most of a long upload still on its way."""
     await engine.http.stop()
@@ -280,7 +340,7 @@
             for route in PATHS:
                 for size in UPLOADS:
                     attempt, answer = await ask_until_it_runs(fleet, fleet.engines, route, size)
-                    check_failure(fleet, f"{how}, {size} bytes, {route}", attempt, answer, PATHS[route] == "x")
+                    check_failure(f"{how}, {size} bytes, {route}", attempt, answer, PATHS[route] == "x")
                     sh.check(route in REPEATED or fleet.runs(attempt) == 1, f"{how}: {route} ran {fleet.runs(attempt)} times")
         async with sh.Fleet(f"early_{how}", hosts=1, engines=1) as fleet:
             engine = fleet.engines[0]
@@ -310,7 +370,9 @@
     await odd_statuses()
     await odd_field_lines()
     await odd_framing()
+    await odd_ends()
     await early_answers()
+    await sound_answers()
 
 
 sh.run(test)
