Ask for a proof that the caller gets

Callers saw: a success without the server's proof, if the head of the answer named the proof's field in Connection. Fields named there concern one connection and are removed, so the proof was there when it was looked for and gone in what the caller got.

Cause: the proof was looked for in the head as received.

No answer of a sound server names it there (RFC 9110, 7.6.1).

--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -437,6 +437,19 @@
   cr_assert_eq(caller.item, "i-1");
 }
 
+// Guards against a success that loses the server's proof on its way to the
+// caller.
+Test(adapter, a_proof_is_one_that_is_passed_on) {
+  const dogwood::http_header proof{"X-Server-Seal", "a"};
+  const auto has_proof = [&](const std::string& options) {
+    return adapter::DecodeAnswer({200, {{proof, {"Connection", options}}}})
+        .has_proof;
+  };
+  cr_assert(has_proof("keep-alive"));
+  cr_assert(has_proof("X-Other"));
+  cr_assert_not(has_proof("close, x-server-seal"));
+}
+
 // Guards against a request that is treated as not run although it may have run.
 Test(adapter, only_explicit_statements_count_as_not_run) {
   cr_assert(adapter::DecodeAnswer({503, {{{"X-Not-Executed", "1"}}}}).not_run);
