--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -35,10 +35,9 @@
 constexpr std::size_t kMaxReadAheadBytes = 128UL << 10;
 /** Maximum number of bytes that ReadSome() returns. */
 constexpr std::size_t kReadBytes = 16UL << 10;
-
-/** Maximum number of bytes of a head that are read at once. */
+/** Maximum number of bytes of a head that are read at once; most heads are
+ * shorter. */
 constexpr std::size_t kHeadReadBytes = 4UL << 10;
-
 /** Interval at which an answer that has ended with its connection is checked
  * again while the server has not received the whole request. */
 constexpr std::chrono::milliseconds kDeliveryPollInterval{5};
@@ -47,7 +46,8 @@
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kLastStatus = 599;
 constexpr unsigned kSwitchingProtocols = 101;
-constexpr int kHttp11 = 11;
+/** HTTP/1.1, as the parser numbers versions. */
+constexpr unsigned kHttp11 = 11;
 /** Maximum number of interim responses before the final one. */
 constexpr int kMaxInterimResponses = 8;
 
@@ -89,9 +89,9 @@
   }
 }
 
-/** Whether lines of a head contain one that continues the line before it by
- * beginning with a blank. Only a message within another one may have such lines
- * (RFC 9112, 5.2); the parser joins them and does not tell. */
+/** Whether lines of a head contain a folded one, which begins with a blank and
+ * continues the line before it. No response may have them (RFC 9112, 5.2); the
+ * parser joins them and does not tell. */
 auto HasFoldedLine(std::string_view lines) -> bool {
   return lines.find("\r\n ") != std::string_view::npos ||
          lines.find("\r\n\t") != std::string_view::npos;
@@ -146,6 +146,17 @@
     return error;
   }
 
+  /** As Fail(), because of what the server has sent. */
+  auto FailResponse(std::string message, std::string step) -> failure {
+    failed = true;
+    stream.close();
+    return {.code = error_code::kBadGateway,
+            .message = std::move(message),
+            .ran = ran_state::kMaybe,
+            .step = std::move(step),
+            .peer = peer};
+  }
+
   /** Parses what has been read ahead of a head. Returns need_more until the
    * head is complete. */
   auto ParseHead() -> beast::error_code {
@@ -180,17 +191,6 @@
     }
     co_return asio::error::operation_aborted;
   }
-
-  /** As Fail(), because of what the server has sent. */
-  auto FailResponse(std::string message, std::string step) -> failure {
-    failed = true;
-    stream.close();
-    return {.code = error_code::kBadGateway,
-            .message = std::move(message),
-            .ran = ran_state::kMaybe,
-            .step = std::move(step),
-            .peer = peer};
-  }
 };
 
 http_connection::http_connection(std::shared_ptr<state> s)
