--- a/review/kit-3/kit.py
+++ b/review/kit-3/kit.py
@@ -60,7 +60,7 @@
                 ports.append(probe.getsockname()[1])
             for probe in held:
                 probe.close()
-            for ip in [f"127.{net}.0.1"] + [f"127.{net}.{a}.{b}" for a in (1, 2, 3, 4) for b in range(1, 17)]:
+            for ip in [f"127.{net}.0.1"] + [f"127.{net}.{a}.{b}" for a in (1, 2, 3, 4) for b in range(1, 28)]:
                 for port in ports:
                     with socket.socket() as probe:
                         probe.bind((ip, port))
