--- a/review/kit-3/kit.py
+++ b/review/kit-3/kit.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
 import random
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -27,6 +29,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Longest time of a case, in seconds.
 LIMIT_S = 110
+STARTED = []  # All host processes of this case.
 
 
 class CannotRun(Exception):
@@ -87,6 +90,12 @@
         with open(self.log_path, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 "target/dogwood_hostd", cwd=ROOT, env=environment, stdout=log, stderr=log)
+        STARTED.append(self.process)
+
+
+def stop(*_):
+    """Ends the case, and with it the hosts, as an interrupt from the keyboard does."""
+    raise KeyboardInterrupt
 
 
 def run(folder, test):
@@ -97,6 +106,7 @@
     record.line("with the disruption" if TROUBLE else "without the disruption")
     temporary = pathlib.Path(tempfile.mkdtemp(prefix="dogwood-review-"))
     code = 2
+    signal.signal(signal.SIGTERM, stop)
     try:
         if not (ROOT / "target" / "dogwood_hostd").exists():
             raise CannotRun("target/dogwood_hostd has not been built")
@@ -114,6 +124,10 @@
         print(f"could not run: {error!r}")
         traceback.print_exc()
     finally:
+        for process in STARTED:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, signal.SIGKILL)
         if os.environ.get("KEEP_LOGS"):
             print(temporary)
         else:
